Split the request path by job and give measurements one result format

Cause: one module held entry points, relaying, retries and dispatch, so that parts built side by side would meet in it; and measurements had no common file.

Change: calls (entry points), relay, attempts, slots, dispatch and keys each have a module; `benchmarks/results.py` writes rows with machine facts, commit and seed.

Ruled out: a service for each route kind (no second kind exists).

--- /dev/null
+++ b/benchmarks/results.py
@@ -0,0 +1,103 @@
+"""Result files: measured rows with the facts needed to repeat them."""
+
+from __future__ import annotations
+
+import json
+import os
+import platform
+import subprocess
+import time
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import psutil
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ROOT = Path(__file__).resolve().parents[1]
+RESULTS = Path(__file__).resolve().parent / "results"
+
+
+@dataclass(frozen=True)
+class Row:
+    """Hold one measured figure, its unit, and the lowest and highest run.
+
+    ``parameters`` names what was varied, such as the number of daemons.
+    """
+
+    name: str
+    value: float
+    unit: str
+    low: float | None = None
+    high: float | None = None
+    parameters: dict[str, float | str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Benchmark:
+    """Name a measurement and the function that makes its rows from a seed."""
+
+    name: str
+    measure: Callable[[int], list[Row]]
+
+
+BENCHMARKS: dict[str, Benchmark] = {}
+
+
+def register_benchmark(name: str):
+    """Register a function from a seed to rows under a name."""
+
+    def decorate(measure: Callable[[int], list[Row]]):
+        BENCHMARKS[name] = Benchmark(name, measure)
+        return measure
+
+    return decorate
+
+
+def describe_machine() -> dict[str, str | int]:
+    """Return the facts of this machine that bear on a measurement."""
+    return {
+        "cores": os.cpu_count() or 0,
+        "memory_mib": psutil.virtual_memory().total // 2**20,
+        "architecture": platform.machine(),
+        "python": platform.python_version(),
+    }
+
+
+def get_commit() -> str:
+    """Return the commit of the work tree, marked if it has changes."""
+    command = ["git", "describe", "--always", "--dirty", "--abbrev=10"]
+    return subprocess.check_output(command, cwd=ROOT, text=True).strip()
+
+
+def write_results(name: str, rows: list[Row], *, seed: int) -> Path:
+    """Write the result file of a benchmark and return its path."""
+    RESULTS.mkdir(exist_ok=True)
+    path = RESULTS / f"{name}.json"
+    content = {
+        "benchmark": name,
+        "command": f"python -m benchmarks {name} --seed {seed}",
+        "commit": get_commit(),
+        "seed": seed,
+        "taken_at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
+        "machine": describe_machine(),
+        "rows": [asdict(row) for row in rows],
+    }
+    path.write_text(json.dumps(content, indent=1) + "\n")
+    return path
+
+
+def read_results(name: str) -> list[Row]:
+    """Return the rows of a result file; raise ``FileNotFoundError``."""
+    content = json.loads((RESULTS / f"{name}.json").read_text())
+    return [Row(**row) for row in content["rows"]]
+
+
+def print_rows(rows: list[Row]) -> None:
+    """Print rows as a table."""
+    for row in rows:
+        parameters = " ".join(f"{k}={v}" for k, v in row.parameters.items())
+        spread = "" if row.low is None else f"  [{row.low:.4g} .. {row.high:.4g}]"
+        print(f"{row.name:<40} {row.value:>12.4g} {row.unit:<8}{spread}  {parameters}")
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -58,6 +58,7 @@
     from flamingohead.core.membership import Membership
     from flamingohead.core.versions import Replica
     from flamingohead.services.announcements import AnnouncementService
+    from flamingohead.services.attempts import AttemptService
     from flamingohead.services.bootstrap import BootstrapService
     from flamingohead.services.calls import CallService
     from flamingohead.services.configuration import ConfigurationService
@@ -90,11 +91,11 @@
     kernel.add("keys", KeyService(kernel, key_lifetime=settings.key_lifetime))
     kernel.add("slots", SlotService(kernel))
     kernel.add("configuration", ConfigurationService(kernel, dissemination))
+    kernel.add("attempts", AttemptService(kernel, Balancer(random=generator)))
     kernel.add(
         "calls",
         CallService(
             kernel,
-            Balancer(random=generator),
             ingress_address=settings.ingress_address,
             relay_address=settings.relay_address,
             stop_timeout=settings.stop_timeout,
--- /dev/null
+++ b/flamingohead/services/attempts.py
@@ -0,0 +1,103 @@
+"""Attempts of a call: choice of an upstream, retries within a budget."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.retries import RetryBudget
+from flamingohead.services.relay import RelaySink, build_relay_request
+
+if TYPE_CHECKING:
+    from flamingohead.core.balancing import Balancer, Candidate
+    from flamingohead.core.calls import Call
+    from flamingohead.kernel import Kernel
+    from flamingohead.services.http_server import ServerResponse
+
+
+class AttemptService:
+    """Try a call on one upstream after another until it has its answer."""
+
+    def __init__(self, kernel: Kernel, balancer: Balancer) -> None:
+        self._kernel = kernel
+        self._balancer = balancer
+        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+        self._host_id = ""
+
+    async def start(self) -> None:
+        self._host_id = self._kernel.get("gossip").membership.myself.host_id
+
+    async def stop(self) -> None:
+        pass
+
+    def set_members(self, members) -> None:
+        """Take the members of the failure domain as candidates."""
+        self._balancer.set_members(members)
+
+    async def serve(self, call: Call, response: ServerResponse) -> Refusal | None:
+        """Answer a call, or return the refusal that ends it."""
+        self._kernel.get("metrics").count(f"calls.{call.service}.{call.rank}")
+        budget = self._budgets.setdefault((call.service, call.rank), RetryBudget())
+        budget.record_request()
+        excluded: set[tuple[str, str]] = set()
+        attempts = 0
+        while True:
+            attempts += 1
+            candidate = self._choose(call, excluded)
+            if candidate is None:
+                refusal = Refusal(
+                    ErrorKind.NO_UPSTREAM, f"no upstream of {call.service!r}"
+                )
+                break
+            refusal = await self._attempt(candidate, call, response)
+            if refusal is None or response.started:
+                break
+            excluded.add(candidate.key)
+            if time.monotonic() >= call.deadline:
+                break
+            if not budget.allow_retry(
+                refusal, attempts=attempts, idempotent=call.idempotent
+            ):
+                break
+            self._kernel.get("metrics").count_retry(refusal)
+        return refusal
+
+    def _choose(self, call: Call, excluded: set) -> Candidate | None:
+        chosen = self._balancer.choose(call.service, excluded=frozenset(excluded))
+        if chosen is None and excluded:
+            chosen = self._balancer.choose(call.service)
+        return chosen
+
+    async def _attempt(
+        self, candidate: Candidate, call: Call, response: ServerResponse
+    ) -> Refusal | None:
+        self._balancer.start(candidate)
+        started_at = time.monotonic()
+        refusal: Refusal | None = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
+        try:
+            if candidate.host_id == self._host_id:
+                slots = self._kernel.get("slots")
+                refusal = await slots.execute(candidate.upstream, call, response)
+            else:
+                refusal = await self._relay(candidate, call, response)
+            return refusal
+        finally:
+            latency = time.monotonic() - started_at if refusal is None else None
+            self._balancer.finish(candidate, latency=latency)
+
+    async def _relay(
+        self, candidate: Candidate, call: Call, response: ServerResponse
+    ) -> Refusal | None:
+        sink = RelaySink(response)
+        request = build_relay_request(candidate, call, time.monotonic())
+        refusal = await self._kernel.get("http_client").send(
+            candidate.relay_address, request, sink, fresh=not call.idempotent
+        )
+        if refusal is None:
+            return sink.refusal
+        if refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
+            return Refusal(ErrorKind.HOST_UNREACHABLE, refusal.detail)
+        if refusal.kind is ErrorKind.UPSTREAM_CUT:
+            return Refusal(ErrorKind.HOST_CUT, refusal.detail)
+        return refusal
--- /dev/null
+++ b/flamingohead/services/dispatch.py
@@ -0,0 +1,84 @@
+"""Dispatch of an admitted call to its upstream."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.idempotency import StoredAnswer
+from flamingohead.services.http_client import OutgoingRequest
+
+if TYPE_CHECKING:
+    from flamingohead.core.calls import Call
+    from flamingohead.services.http_client import HttpClientService
+    from flamingohead.services.http_server import Headers, ServerResponse
+
+NOT_EXECUTED_HEADER = b"request-executed"
+DEADLINE_HEADER = b"request-timeout-ms"
+MAX_KEPT_ANSWER_BYTES = 1024 * 1024
+
+
+class AnswerRelay:
+    """Pass an answer on to the caller as it arrives.
+
+    Holds back answers by which an upstream states that it did not execute, so
+    that the request can be tried elsewhere. Keeps a copy where one is asked for.
+    """
+
+    def __init__(self, response: ServerResponse, *, keep: bool = False) -> None:
+        self._response = response
+        self._keep = keep
+        self._kept: list[bytes] = []
+        self._kept_size = 0
+        self.status = 0
+        self.headers: Headers = []
+        self.not_executed = False
+        self.whole = False
+
+    @property
+    def started(self) -> bool:
+        return self._response.started
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        self.status = status
+        self.headers = headers
+        if status == 503 and (NOT_EXECUTED_HEADER, b"no") in headers:
+            self.not_executed = True
+            return
+        self._response.start(status, headers, length=length)
+
+    def write(self, data: bytes) -> None:
+        if self.not_executed:
+            return
+        if self._keep:
+            self._kept_size += len(data)
+            if self._kept_size <= MAX_KEPT_ANSWER_BYTES:
+                self._kept.append(data)
+        self._response.write(data)
+
+    def finish(self) -> None:
+        self.whole = True
+        if not self.not_executed:
+            self._response.finish()
+
+    def build_stored_answer(self) -> StoredAnswer | None:
+        """Return the answer kept, or ``None`` if it was too large."""
+        if self._kept_size > MAX_KEPT_ANSWER_BYTES:
+            return None
+        return StoredAnswer(self.status, tuple(self.headers), b"".join(self._kept))
+
+
+async def dispatch_call(
+    client: HttpClientService, address: str, call: Call, relay: AnswerRelay
+) -> Refusal | None:
+    """Send a call to the upstream at an address; ``None`` means answered."""
+    remaining_ms = max(0, round((call.deadline - time.monotonic()) * 1000))
+    headers = (*call.headers, (DEADLINE_HEADER, b"%d" % remaining_ms))
+    request = OutgoingRequest(
+        call.method, call.target, headers, call.body, call.deadline
+    )
+    refusal = await client.send(address, request, relay, fresh=not call.idempotent)
+    if refusal is None and relay.not_executed:
+        return Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
+    return refusal
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -102,7 +102,7 @@
 
     def _publish_members(self) -> None:
         members = self.membership.list_all()
-        self._kernel.get("calls").set_members(members)
+        self._kernel.get("attempts").set_members(members)
         self._kernel.get("metrics").set_gauge(
             "members", self.membership.count_members()
         )
--- a/flamingohead/services/keys.py
+++ b/flamingohead/services/keys.py
@@ -13,9 +13,14 @@
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import Claim, KeyLedger, KeyState, StoredAnswer
 from flamingohead.protocol import peers_pb2 as pb
+from flamingohead.services.dispatch import AnswerRelay
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from flamingohead.core.calls import Call
     from flamingohead.kernel import Kernel
+    from flamingohead.services.http_server import ServerResponse
 
 logger = logging.getLogger(__name__)
 
@@ -71,6 +76,35 @@
         self.ledger.forget(claim)
         return await self._ask_owner(owner)
 
+    async def run_once(
+        self,
+        call: Call,
+        response: ServerResponse,
+        run: Callable[[AnswerRelay], Awaitable[Refusal | None]],
+    ) -> Refusal | None:
+        """Run a keyed call unless an attempt with its key may have run."""
+        claim = self.build_claim(call.service, call.key)
+        known = await self.claim(claim)
+        if isinstance(known, Refusal):
+            return known
+        if known is not None:
+            response.send(known.status, list(known.headers), known.body)
+            return None
+        relay = AnswerRelay(response, keep=True)
+        self.ledger.mark(claim, KeyState.RUNNING)
+        refusal = await run(relay)
+        if relay.whole and not relay.not_executed:
+            answer = relay.build_stored_answer()
+            if answer is None:
+                self.ledger.mark(claim, KeyState.UNKNOWN)
+            else:
+                self.ledger.finish(claim, answer)
+        elif refusal is not None and refusal.ran.value == "no":
+            self.ledger.mark(claim, KeyState.NOT_RUN)
+        else:
+            self.ledger.mark(claim, KeyState.UNKNOWN)
+        return refusal
+
     def fetch_outcome(
         self, service: str, key: str, nonce: str
     ) -> StoredAnswer | KeyState:
--- /dev/null
+++ b/flamingohead/services/relay.py
@@ -0,0 +1,111 @@
+"""Passing a call from one daemon to the daemon that owns the upstream."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from flamingohead.core.calls import Call
+from flamingohead.core.errors import ERROR_ANSWERS, ErrorKind, Refusal
+from flamingohead.services.http_client import OutgoingRequest
+from flamingohead.services.http_server import RAN_HEADER, REFUSAL_HEADER
+
+if TYPE_CHECKING:
+    from flamingohead.core.balancing import Candidate
+    from flamingohead.services.http_server import (
+        Headers,
+        IncomingRequest,
+        ServerResponse,
+    )
+
+KEY_HEADER = b"idempotency-key"
+TIMEOUT_HEADER = b"request-timeout-ms"
+RELAY_PREFIX = b"flamingohead-"
+RELAY_UPSTREAM = b"flamingohead-upstream"
+RELAY_SERVICE = b"flamingohead-service"
+RELAY_RANK = b"flamingohead-rank"
+RELAY_IDEMPOTENT = b"flamingohead-idempotent"
+RETRY_HEADER = b"flamingohead-retry-after-ms"
+
+
+class RelaySink:
+    """Pass the answer of another daemon on, or take in its refusal."""
+
+    def __init__(self, response: ServerResponse) -> None:
+        self._response = response
+        self.refusal: Refusal | None = None
+
+    @property
+    def started(self) -> bool:
+        return self._response.started
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        self.refusal = _read_refusal(headers, time.monotonic())
+        if self.refusal is None:
+            self._response.start(status, headers, length=length)
+
+    def write(self, data: bytes) -> None:
+        if self.refusal is None:
+            self._response.write(data)
+
+    def finish(self) -> None:
+        if self.refusal is None:
+            self._response.finish()
+
+
+def build_relay_request(
+    candidate: Candidate, call: Call, now: float
+) -> OutgoingRequest:
+    """Return the request that passes a call to the host of a candidate."""
+    remaining_ms = max(0, round((call.deadline - now) * 1000))
+    headers = (
+        *call.headers,
+        (TIMEOUT_HEADER, b"%d" % remaining_ms),
+        (RELAY_UPSTREAM, candidate.upstream.encode()),
+        (RELAY_SERVICE, call.service.encode()),
+        (RELAY_RANK, call.rank.encode()),
+        (RELAY_IDEMPOTENT, b"yes" if call.idempotent else b"no"),
+    )
+    return OutgoingRequest(call.method, call.target, headers, call.body, call.deadline)
+
+
+def read_relayed_call(request: IncomingRequest, now: float) -> Call | Refusal:
+    """Return the call that another daemon passed on."""
+    timeout = request.get_header(TIMEOUT_HEADER) or b""
+    service = request.get_header(RELAY_SERVICE)
+    rank = request.get_header(RELAY_RANK)
+    if service is None or rank is None or not timeout.isdigit():
+        return Refusal(ErrorKind.MALFORMED_REQUEST, "not a request of a daemon")
+    key = request.get_header(KEY_HEADER)
+    headers = tuple(
+        (name, value)
+        for name, value in request.headers
+        if not name.startswith(RELAY_PREFIX) and name != TIMEOUT_HEADER
+    )
+    return Call(
+        service=service.decode(),
+        rank=rank.decode(),
+        method=request.method,
+        target=request.target,
+        headers=headers,
+        body=request.body,
+        deadline=now + int(timeout) / 1000,
+        idempotent=request.get_header(RELAY_IDEMPOTENT) == b"yes",
+        key=None if key is None else key.decode("latin-1"),
+    )
+
+
+def _read_refusal(headers: Headers, now: float) -> Refusal | None:
+    values = dict(headers)
+    name = values.get(REFUSAL_HEADER)
+    if name is None:
+        return None
+    try:
+        kind = ErrorKind(name.decode())
+    except ValueError:
+        kind = ErrorKind.INTERNAL
+    retry_ms = values.get(RETRY_HEADER)
+    retry_at = now + int(retry_ms) / 1000 if retry_ms else None
+    if values.get(RAN_HEADER) != ERROR_ANSWERS[kind].ran.value.encode():
+        kind = ErrorKind.INTERNAL
+    return Refusal(kind, "refused by the upstream's host", retry_at)
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -12,37 +12,19 @@
 
 from flamingohead.core.admission import Admission, Ticket
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.idempotency import KeyState, StoredAnswer
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.events import Event, log_event
-from flamingohead.services.http_client import OutgoingRequest
+from flamingohead.services.dispatch import AnswerRelay, dispatch_call
 
 if TYPE_CHECKING:
+    from flamingohead.core.calls import Call
     from flamingohead.core.routing import RouteTable
     from flamingohead.kernel import Kernel
-    from flamingohead.services.http_server import Headers, ServerResponse
+    from flamingohead.services.http_server import ServerResponse
 
 logger = logging.getLogger(__name__)
 
 TICK_PERIOD = 0.02
-NOT_EXECUTED_HEADER = b"request-executed"
-DEADLINE_HEADER = b"request-timeout-ms"
-MAX_KEPT_ANSWER_BYTES = 1024 * 1024
-
-
-@dataclass(frozen=True)
-class Call:
-    """Describe one request on its way; ``deadline`` in monotonic seconds."""
-
-    service: str
-    rank: str
-    method: str
-    target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    deadline: float
-    idempotent: bool
-    key: str | None = None
 
 
 @dataclass
@@ -56,56 +38,6 @@
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
 
 
-class AnswerRelay:
-    """Pass an answer on to the caller as it arrives.
-
-    Holds back answers by which an upstream states that it did not execute, so
-    that the request can be tried elsewhere. Keeps a copy where one is asked for.
-    """
-
-    def __init__(self, response: ServerResponse, *, keep: bool = False) -> None:
-        self._response = response
-        self._keep = keep
-        self._kept: list[bytes] = []
-        self._kept_size = 0
-        self.status = 0
-        self.headers: Headers = []
-        self.not_executed = False
-        self.whole = False
-
-    @property
-    def started(self) -> bool:
-        return self._response.started
-
-    def start(self, status: int, headers: Headers, length: int | None) -> None:
-        self.status = status
-        self.headers = headers
-        if status == 503 and (NOT_EXECUTED_HEADER, b"no") in headers:
-            self.not_executed = True
-            return
-        self._response.start(status, headers, length=length)
-
-    def write(self, data: bytes) -> None:
-        if self.not_executed:
-            return
-        if self._keep:
-            self._kept_size += len(data)
-            if self._kept_size <= MAX_KEPT_ANSWER_BYTES:
-                self._kept.append(data)
-        self._response.write(data)
-
-    def finish(self) -> None:
-        self.whole = True
-        if not self.not_executed:
-            self._response.finish()
-
-    def build_stored_answer(self) -> StoredAnswer | None:
-        """Return the answer kept, or ``None`` if it was too large."""
-        if self._kept_size > MAX_KEPT_ANSWER_BYTES:
-            return None
-        return StoredAnswer(self.status, tuple(self.headers), b"".join(self._kept))
-
-
 class SlotService:
     """Own the slots of the upstreams on this host."""
 
@@ -182,36 +114,14 @@
         try:
             if call.key is None or call.idempotent:
                 return await self._run(upstream, call, AnswerRelay(response))
-            return await self._run_once(upstream, call, response)
+            return await self._kernel.get("keys").run_once(
+                call,
+                response,
+                lambda relay: self._run(upstream, call, relay),
+            )
         finally:
             self.in_flight -= 1
 
-    async def _run_once(
-        self, upstream: LocalUpstream, call: Call, response: ServerResponse
-    ) -> Refusal | None:
-        keys = self._kernel.get("keys")
-        claim = keys.build_claim(call.service, call.key)
-        known = await keys.claim(claim)
-        if isinstance(known, Refusal):
-            return known
-        if known is not None:
-            response.send(known.status, list(known.headers), known.body)
-            return None
-        relay = AnswerRelay(response, keep=True)
-        keys.ledger.mark(claim, KeyState.RUNNING)
-        refusal = await self._run(upstream, call, relay)
-        if relay.whole and not relay.not_executed:
-            answer = relay.build_stored_answer()
-            if answer is None:
-                keys.ledger.mark(claim, KeyState.UNKNOWN)
-            else:
-                keys.ledger.finish(claim, answer)
-        elif refusal is not None and refusal.ran.value == "no":
-            keys.ledger.mark(claim, KeyState.NOT_RUN)
-        else:
-            keys.ledger.mark(claim, KeyState.UNKNOWN)
-        return refusal
-
     async def _run(
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
@@ -220,7 +130,9 @@
         if refusal is not None:
             return refusal
         try:
-            return await self._dispatch(upstream, call, relay)
+            return await dispatch_call(
+                self._kernel.get("http_client"), upstream.address, call, relay
+            )
         finally:
             self._release(upstream, ticket)
 
@@ -251,18 +163,3 @@
         future = upstream.waiters.get(ticket)
         if future is not None and not future.done():
             future.set_result(result)
-
-    async def _dispatch(
-        self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
-    ) -> Refusal | None:
-        remaining_ms = max(0, round((call.deadline - time.monotonic()) * 1000))
-        headers = (*call.headers, (DEADLINE_HEADER, b"%d" % remaining_ms))
-        request = OutgoingRequest(
-            call.method, call.target, headers, call.body, call.deadline
-        )
-        refusal = await self._kernel.get("http_client").send(
-            upstream.address, request, relay, fresh=not call.idempotent
-        )
-        if refusal is None and relay.not_executed:
-            return Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
-        return refusal
