Run the request path's protocols on the transports of asyncio

Cause: a transport of Twisted's asyncio reactor queues each write until the socket is reported writable on a later turn of the loop, at the price of two registrations and a turn for each message. Ruled out: Twisted's epoll reactor (it can't share its one loop with grpclib, and a second thread is against the house style); uvloop (its library's use of io_uring is not known). Change: services/transport.py gives the same Twisted protocol classes the part of ITCPTransport that they use on asyncio's transports, which write at once.

--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import time
 from typing import TYPE_CHECKING
 
-from twisted.internet import reactor
-
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.events import Event, log_event
-from flamingohead.services.http_server import HttpServerFactory
+from flamingohead.services.http_server import HttpServerFactory, HttpServerProtocol
 from flamingohead.services.relay import (
     KEY_HEADER,
     RELAY_PREFIX,
@@ -20,6 +19,7 @@
     TIMEOUT_HEADER,
     read_relayed_call,
 )
+from flamingohead.services.transport import listen
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
@@ -60,13 +60,13 @@
             host, port = split_address(address)
             factory = HttpServerFactory(handler, count)
             self._factories.append(factory)
-            self._ports.append(reactor.listenTCP(port, factory, interface=host))
+            build = functools.partial(HttpServerProtocol, factory)
+            self._ports.append(await listen(build, host, port))
 
     async def stop(self) -> None:
         """Finish the calls in progress, up to the stop deadline."""
-        loop = asyncio.get_running_loop()
         for port in self._ports:
-            await port.stopListening().asFuture(loop)
+            port.close()
         for factory in self._factories:
             factory.drain()
         if self._tasks:
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -8,12 +8,11 @@
 from typing import TYPE_CHECKING, Protocol as TypingProtocol
 
 import httptools
-from twisted.internet import reactor
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.services.http_server import HOP_HEADERS
+from flamingohead.services.transport import connect
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
@@ -166,16 +165,6 @@
         self.transport.abortConnection()
 
 
-class _ConnectionFactory(Factory):
-    noisy = False
-
-    def __init__(self, address: str) -> None:
-        self._address = address
-
-    def buildProtocol(self, address) -> ClientConnection:  # noqa: N802
-        return ClientConnection(self._address)
-
-
 class HttpClientService:
     """Keep idle connections by address and make exchanges on them."""
 
@@ -240,14 +229,14 @@
         timeout = min(CONNECT_TIMEOUT, deadline - time.monotonic())
         if timeout <= 0:
             return Refusal(ErrorKind.DEADLINE_PASSED, "no time left to connect")
-        endpoint = TCP4ClientEndpoint(reactor, host, port, timeout=timeout)
+        connection = ClientConnection(address)
         try:
-            return await endpoint.connect(_ConnectionFactory(address)).asFuture(
-                asyncio.get_running_loop()
-            )
-        except Exception as error:
+            async with asyncio.timeout(timeout):
+                await connect(connection, host, port)
+        except OSError as error:
             detail = f"can't connect to {address}: {type(error).__name__}"
             return Refusal(ErrorKind.UPSTREAM_UNREACHABLE, detail)
+        return connection
 
     def _take_idle(self, address: str) -> ClientConnection | None:
         idle = self._idle.get(address)
--- /dev/null
+++ b/flamingohead/services/transport.py
@@ -0,0 +1,102 @@
+"""Twisted protocols on the transports of asyncio.
+
+The request path runs Twisted's protocol classes, but on asyncio's own transports:
+those write to the socket at once, where a transport of Twisted's asyncio reactor
+waits for the next turn of the loop to become writable.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.python.failure import Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.protocol import Protocol
+
+LISTEN_BACKLOG = 512
+WRITE_HIGH_WATER_BYTES = 64 * 1024
+
+
+class AsyncioTransport(asyncio.Protocol):
+    """Give a Twisted protocol the part of ``ITCPTransport`` that it uses."""
+
+    def __init__(self, protocol: Protocol) -> None:
+        self._protocol = protocol
+        self._transport: asyncio.Transport | None = None
+        self._producer = None
+        self._reading = True
+        self.data_received = protocol.dataReceived
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self.write = transport.write
+        self._protocol.makeConnection(self)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        reason = ConnectionDone() if error is None else ConnectionLost(str(error))
+        self._protocol.connectionLost(Failure(reason))
+
+    def pause_writing(self) -> None:
+        if self._producer is not None:
+            self._producer.pauseProducing()
+
+    def resume_writing(self) -> None:
+        if self._producer is not None:
+            self._producer.resumeProducing()
+
+    # Twisted
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self._transport.close()
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self._transport.abort()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        if self._reading and not self._transport.is_closing():
+            self._reading = False
+            self._transport.pause_reading()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        if not self._reading and not self._transport.is_closing():
+            self._reading = True
+            self._transport.resume_reading()
+
+    def registerProducer(self, producer, streaming: bool) -> None:  # noqa: N802
+        self._producer = producer
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        self._producer = None
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        connection = self._transport.get_extra_info("socket")
+        if connection is not None:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, int(enabled))
+
+
+async def listen(
+    build_protocol: Callable[[], Protocol], host: str, port: int
+) -> asyncio.Server:
+    """Accept connections, each with a protocol of its own."""
+    return await asyncio.get_running_loop().create_server(
+        lambda: AsyncioTransport(build_protocol()), host, port, backlog=LISTEN_BACKLOG
+    )
+
+
+async def connect(protocol: Protocol, host: str, port: int) -> None:
+    """Connect a protocol; raise ``OSError``."""
+    await asyncio.get_running_loop().create_connection(
+        lambda: AsyncioTransport(protocol), host, port
+    )
