Split the HTTP server and client by job; refuse answers that can't be known whole

Cause: a timer was set and cancelled several times for each request, reading was paused and resumed for each request (two changes of the poll set), and head and body of an answer left in two writes. Pausing also hid a caller's disconnect. An answer delimited by the end of its connection was passed on as whole, a malformed pipelined request cut the answer before it, trailers were taken as headers, any Expect got a 100 Continue (also in the middle of another response), and a header or a pipeline without end was held in memory. Change: messages, parser with limits, response and connection are modules of their own. Answers with neither a length nor chunks, with another request's id, or with a head over 64 KiB are refused as upstream_malformed; surplus data ends the connection. Headers that Connection names are dropped; Connection must not name the key, the timeout or the host.

--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -31,6 +31,7 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_CUT = "upstream_cut"
     UPSTREAM_TIMEOUT = "upstream_timeout"
+    UPSTREAM_MALFORMED = "upstream_malformed"
     HOST_UNREACHABLE = "host_unreachable"
     HOST_CUT = "host_cut"
     DRAINING = "draining"
@@ -72,6 +73,7 @@
     ErrorKind.UPSTREAM_UNREACHABLE: ErrorAnswer(503, Ran.NO, 500),
     ErrorKind.UPSTREAM_CUT: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.UPSTREAM_TIMEOUT: ErrorAnswer(504, Ran.UNKNOWN, 500),
+    ErrorKind.UPSTREAM_MALFORMED: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.HOST_UNREACHABLE: ErrorAnswer(503, Ran.NO, 500),
     ErrorKind.HOST_CUT: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.DRAINING: ErrorAnswer(503, Ran.NO, 100),
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -11,7 +10,7 @@
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.events import Event, log_event
-from flamingohead.services.http_server import HttpServerFactory, HttpServerProtocol
+from flamingohead.services.http_server import HttpServerFactory
 from flamingohead.services.relay import (
     KEY_HEADER,
     RELAY_PREFIX,
@@ -25,10 +24,8 @@
 if TYPE_CHECKING:
     from flamingohead.core.routing import ResolvedRoute
     from flamingohead.kernel import Kernel
-    from flamingohead.services.http_server import (
-        IncomingRequest,
-        ServerResponse,
-    )
+    from flamingohead.services.http_messages import IncomingRequest
+    from flamingohead.services.http_response import ServerResponse
 
 logger = logging.getLogger(__name__)
 
@@ -60,8 +57,7 @@
             host, port = split_address(address)
             factory = HttpServerFactory(handler, count)
             self._factories.append(factory)
-            build = functools.partial(HttpServerProtocol, factory)
-            self._ports.append(await listen(build, host, port))
+            self._ports.append(await listen(factory, host, port))
 
     async def stop(self) -> None:
         """Finish the calls in progress, up to the stop deadline."""
@@ -69,6 +65,7 @@
             port.close()
         for factory in self._factories:
             factory.drain()
+            factory.close_idle()
         if self._tasks:
             _, cut = await asyncio.wait(self._tasks, timeout=self._stop_timeout)
             for task in cut:
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -7,12 +7,13 @@
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import StoredAnswer
-from flamingohead.services.http_client import OutgoingRequest
+from flamingohead.services.http_messages import OutgoingRequest
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
     from flamingohead.services.http_client import HttpClientService
-    from flamingohead.services.http_server import Headers, ServerResponse
+    from flamingohead.services.http_messages import Headers
+    from flamingohead.services.http_response import ServerResponse
 
 NOT_EXECUTED_HEADER = b"request-executed"
 DEADLINE_HEADER = b"request-timeout-ms"
--- /dev/null
+++ b/flamingohead/services/http_connection.py
@@ -0,0 +1,195 @@
+"""One connection to an upstream or to another daemon, as a Twisted protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol as TypingProtocol
+
+import httptools
+from twisted.internet.protocol import Protocol, connectionDone
+
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.http_messages import (
+    REQUEST_ID_HEADER,
+    drop_hop_headers,
+    find_header,
+    list_connection_options,
+)
+
+if TYPE_CHECKING:
+    from flamingohead.services.http_messages import Headers, OutgoingRequest
+
+MAX_ANSWER_HEAD_BYTES = 64 * 1024
+FIRST_FINAL_STATUS = 200
+BODILESS_STATUSES = (204, 304)
+
+
+class AnswerSink(TypingProtocol):
+    """Take an answer as it arrives."""
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None: ...
+
+    def write(self, data: bytes) -> None: ...
+
+    def finish(self) -> None: ...
+
+
+class ClientConnection(Protocol):
+    """Carry one exchange at a time; unusable after a cut or a timeout."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.idle_since = 0.0
+        self.is_open = True
+        self._parser = None
+        self._sink: AnswerSink | None = None
+        self._done: asyncio.Future | None = None
+        self._refusal: Refusal | None = None
+        self._status = 0
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._in_head = False
+        self._method = ""
+        self._request_id: bytes | None = None
+
+    def exchange(self, request: OutgoingRequest, sink: AnswerSink) -> asyncio.Future:
+        """Send a request; the future gives ``None`` when the answer is whole."""
+        self._parser = httptools.HttpResponseParser(self)
+        self._sink = sink
+        self._headers = []
+        self._head_bytes = 0
+        self._in_head = True
+        self._method = request.method
+        self._request_id = find_header(request.headers, REQUEST_ID_HEADER)
+        self._done = asyncio.get_running_loop().create_future()
+        self.transport.write(request.encode(self.address))
+        return self._done
+
+    def expire(self) -> None:
+        """Give up an exchange at its deadline."""
+        self._fail(Refusal(ErrorKind.UPSTREAM_TIMEOUT, "deadline passed"))
+
+    def close(self) -> None:
+        """Drop the connection and what may still arrive on it."""
+        self.is_open = False
+        self._sink = None
+        self.transport.abortConnection()
+
+    def pause(self) -> None:
+        """Stop reading the answer until ``resume``."""
+        if self.is_open:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Go on reading the answer."""
+        if self.is_open:
+            self.transport.resumeProducing()
+
+    # Transport
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._sink is None:
+            # Nothing was asked, so what follows can't be matched to a request.
+            self.close()
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            refusal = self._refusal
+            if refusal is None:
+                detail = f"answer not understood: {error}"
+                refusal = Refusal(ErrorKind.UPSTREAM_MALFORMED, detail)
+            self._fail(refusal)
+            return
+        if self._in_head and self._head_bytes > MAX_ANSWER_HEAD_BYTES:
+            detail = f"head of the answer over {MAX_ANSWER_HEAD_BYTES} bytes"
+            self._fail(Refusal(ErrorKind.UPSTREAM_MALFORMED, detail))
+
+    def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
+        detail = "connection lost before the answer ended"
+        self._fail(Refusal(ErrorKind.UPSTREAM_CUT, detail))
+
+    # Parser
+
+    def on_message_begin(self) -> None:
+        if self._sink is None:
+            # More than one answer to one request.
+            self.is_open = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._in_head:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        if self._sink is None:
+            return
+        self._status = self._parser.get_status_code()
+        if self._status < FIRST_FINAL_STATUS:
+            self._headers = []
+            return
+        self._in_head = False
+        length = self._find_length()
+        self._check_request_id()
+        options = list_connection_options(self._headers)
+        headers = drop_hop_headers(self._headers, options)
+        self._sink.start(self._status, headers, length)
+        if self._method == "HEAD":
+            # The parser would wait for the body that the length speaks of.
+            self._finish(reusable=False)
+
+    def on_body(self, body: bytes) -> None:
+        if self._sink is not None:
+            self._sink.write(body)
+
+    def on_message_complete(self) -> None:
+        if self._status < FIRST_FINAL_STATUS or self._sink is None:
+            return
+        self._finish(reusable=self._parser.should_keep_alive())
+
+    # Checks
+
+    def _find_length(self) -> int | None:
+        """Return the length; refuse an answer whose end can't be told from a cut."""
+        length = find_header(self._headers, b"content-length")
+        if length is not None:
+            return int(length)
+        if self._method == "HEAD" or self._status in BODILESS_STATUSES:
+            return None
+        coding = find_header(self._headers, b"transfer-encoding") or b""
+        if coding.strip().lower() != b"chunked":
+            self._reject("answer with neither a length nor chunks")
+        return None
+
+    def _check_request_id(self) -> None:
+        answered_id = find_header(self._headers, REQUEST_ID_HEADER)
+        expected = self._request_id
+        if expected is not None and answered_id not in (None, expected):
+            self._reject("answer to another request")
+
+    def _reject(self, detail: str) -> None:
+        self._refusal = Refusal(ErrorKind.UPSTREAM_MALFORMED, detail)
+        raise ValueError(detail)
+
+    # Ends
+
+    def _finish(self, *, reusable: bool) -> None:
+        sink, self._sink = self._sink, None
+        done, self._done = self._done, None
+        if not reusable or self.transport.get_unsent_bytes():
+            self.is_open = False
+        sink.finish()
+        if done is not None and not done.done():
+            done.set_result(None)
+
+    def _fail(self, refusal: Refusal) -> None:
+        self.is_open = False
+        self._sink = None
+        done, self._done = self._done, None
+        if done is not None and not done.done():
+            done.set_result(refusal)
+        self.transport.abortConnection()
--- /dev/null
+++ b/flamingohead/services/http_messages.py
@@ -0,0 +1,114 @@
+"""HTTP messages between callers, daemons and upstreams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+Headers = list[tuple[bytes, bytes]]
+
+RAN_HEADER = b"flamingohead-ran"
+REFUSAL_HEADER = b"flamingohead-refusal"
+RELAY_PREFIX = b"flamingohead-"
+KEY_HEADER = b"idempotency-key"
+TIMEOUT_HEADER = b"request-timeout-ms"
+REQUEST_ID_HEADER = b"request-id"
+
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+# A Connection header that names one of these would change what the request means.
+UNDROPPABLE_HEADERS = frozenset((b"host", b"expect", KEY_HEADER, TIMEOUT_HEADER))
+# These the sender of a request sets itself.
+SENDER_HEADERS = HOP_HEADERS | {b"host", b"expect"}
+
+
+@dataclass
+class IncomingRequest:
+    """Hold one whole request."""
+
+    method: str
+    target: bytes
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    keep_alive: bool = True
+    version: str = "1.1"
+
+    def get_header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` in lower case."""
+        return find_header(self.headers, name)
+
+
+@dataclass(frozen=True)
+class OutgoingRequest:
+    """Hold one request to send; ``deadline`` in monotonic seconds."""
+
+    method: str
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    deadline: float
+
+    def encode(self, host: str) -> bytes:
+        """Return the wire form; raise ``ValueError`` if it isn't one request."""
+        parts = [
+            b"%b %b HTTP/1.1\r\nhost: %b\r\n"
+            % (self.method.encode(), self.target, host.encode())
+        ]
+        for name, value in self.headers:
+            if name not in SENDER_HEADERS:
+                parts.append(b"%b: %b\r\n" % (name, value))
+        if self.body or self.method in ("POST", "PUT", "PATCH"):
+            parts.append(b"content-length: %d\r\n" % len(self.body))
+        parts.append(b"\r\n")
+        head = b"".join(parts)
+        check_head(head, lines=len(parts) + 1)
+        if b" " in self.target:
+            raise ValueError(f"space in the target {self.target!r}")
+        return head + self.body
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header; ``name`` in lower case."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def check_head(head: bytes, *, lines: int) -> None:
+    """Raise ``ValueError`` if names or values have added lines to a head."""
+    breaks = head.count(b"\r\n")
+    stray = head.count(b"\r") != breaks or head.count(b"\n") != breaks
+    if breaks != lines or stray or b"\0" in head:
+        raise ValueError("line break or NUL byte in a header")
+
+
+def list_connection_options(headers: Headers) -> frozenset[bytes]:
+    """Return the header names that the Connection headers list."""
+    options = [
+        option.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for option in value.split(b",")
+    ]
+    return frozenset(options)
+
+
+def drop_hop_headers(headers: Headers, options: frozenset[bytes]) -> Headers:
+    """Return the headers that are meant for the other end."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_HEADERS and name not in options
+    ]
--- /dev/null
+++ b/flamingohead/services/http_parser.py
@@ -0,0 +1,166 @@
+"""Requests read from a connection, within limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httptools
+
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.http_messages import (
+    UNDROPPABLE_HEADERS,
+    IncomingRequest,
+    drop_hop_headers,
+    list_connection_options,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_HEAD_BYTES = 32 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
+VERSIONS = ("1.0", "1.1")
+
+
+class RequestReader:
+    """Parse bytes into whole requests; refuse what can't be read as requests.
+
+    ``take_begin`` is called at the first byte of a request, ``take_head`` when its
+    head has been read and a body is awaited on ``Expect: 100-continue``, and
+    ``take_request`` when the request is whole.
+    """
+
+    def __init__(
+        self,
+        *,
+        take_begin: Callable[[], None],
+        take_head: Callable[[], None],
+        take_request: Callable[[IncomingRequest], None],
+    ) -> None:
+        self._take_begin = take_begin
+        self._take_head = take_head
+        self._take_request = take_request
+        self._parser = httptools.HttpRequestParser(self)
+        self._request: IncomingRequest | None = None
+        self._in_head = False
+        self._head_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._refusal: Refusal | None = None
+
+    @property
+    def is_reading(self) -> bool:
+        """Tell whether a request has begun and is not whole yet."""
+        return self._request is not None
+
+    def feed(self, data: bytes) -> Refusal | None:
+        """Parse data; a refusal means that nothing more can be read."""
+        if self._refusal is not None:
+            return self._refusal
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refusal = Refusal(
+                ErrorKind.MALFORMED_REQUEST, "upgrade not supported"
+            )
+        except httptools.HttpParserError as error:
+            if self._refusal is None:
+                self._refusal = Refusal(ErrorKind.MALFORMED_REQUEST, str(error))
+        if self._refusal is None and self._in_head:
+            self._check_head_bytes()
+        return self._refusal
+
+    def reject(self, kind: ErrorKind, detail: str) -> None:
+        """Refuse from within a callback; raise to end the parsing."""
+        self._refusal = Refusal(kind, detail)
+        raise ValueError(detail)
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        self._request = IncomingRequest("", b"")
+        self._in_head = True
+        self._head_bytes = 0
+        self._body = []
+        self._body_bytes = 0
+        self._take_begin()
+
+    def on_url(self, url: bytes) -> None:
+        self._request.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        # Trailers arrive here too, and are dropped.
+        if self._in_head:
+            self._request.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        request = self._request
+        request.method = self._parser.get_method().decode()
+        request.version = self._parser.get_http_version()
+        request.keep_alive = self._parser.should_keep_alive()
+        if request.version not in VERSIONS:
+            self.reject(ErrorKind.MALFORMED_REQUEST, f"HTTP version {request.version}")
+        self._check_head()
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_BODY_BYTES:
+            self._reject_body()
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        request = self._request
+        self._request = None
+        request.body = b"".join(self._body)
+        self._body = []
+        self._take_request(request)
+
+    # Checks
+
+    def _check_head(self) -> None:
+        request = self._request
+        size = len(request.target)
+        size += sum(len(name) + len(value) for name, value in request.headers)
+        if size > MAX_HEAD_BYTES:
+            self._reject_head()
+        hosts = expects = False
+        for name, value in request.headers:
+            if name == b"host":
+                if hosts:
+                    self.reject(ErrorKind.MALFORMED_REQUEST, "two Host headers")
+                hosts = True
+            elif name == b"content-length" and int(value) > MAX_BODY_BYTES:
+                self._reject_body()
+            elif name == b"expect":
+                expects = True
+                if value.lower() != b"100-continue":
+                    detail = f"Expect: {value[:40]!r} is not supported"
+                    self.reject(ErrorKind.MALFORMED_REQUEST, detail)
+        if not hosts and request.version == "1.1":
+            self.reject(ErrorKind.MALFORMED_REQUEST, "no Host header")
+        options = list_connection_options(request.headers)
+        forbidden = options & UNDROPPABLE_HEADERS
+        if forbidden:
+            detail = f"Connection must not name {min(forbidden).decode()}"
+            self.reject(ErrorKind.MALFORMED_REQUEST, detail)
+        request.headers = drop_hop_headers(request.headers, options)
+        if expects and request.version == "1.1":
+            self._take_head()
+
+    def _check_head_bytes(self) -> None:
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._refusal = _refuse_head()
+
+    def _reject_head(self) -> None:
+        self._refusal = _refuse_head()
+        raise ValueError(self._refusal.detail)
+
+    def _reject_body(self) -> None:
+        self.reject(ErrorKind.REQUEST_TOO_LARGE, f"body over {MAX_BODY_BYTES} bytes")
+
+
+def _refuse_head() -> Refusal:
+    return Refusal(ErrorKind.REQUEST_TOO_LARGE, f"head over {MAX_HEAD_BYTES} bytes")
--- /dev/null
+++ b/flamingohead/services/http_response.py
@@ -0,0 +1,143 @@
+"""The response to one request of a caller or of another daemon."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from flamingohead.services.http_messages import (
+    RAN_HEADER,
+    REFUSAL_HEADER,
+    check_head,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flamingohead.core.errors import Ran, Refusal
+    from flamingohead.services.http_messages import Headers, IncomingRequest
+    from flamingohead.services.http_server import HttpServerProtocol
+
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+
+
+def _build_status_line(status: int) -> bytes:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"HTTP/1.1 {status} {phrase}\r\n".encode()
+
+
+STATUS_LINES = {status.value: _build_status_line(status) for status in HTTPStatus}
+
+
+class ServerResponse:
+    """Write the response to one request.
+
+    A response that ends early aborts the connection, so that the caller can't
+    take it for a whole one. The head waits for the first part of the body, at most
+    until the next turn of the loop, so that both leave in one write.
+
+    ``on_pause`` and ``on_resume`` are called as the caller's connection fills up
+    and drains, ``on_disconnect`` when the caller has gone. ``must_complete`` is set
+    by whoever serves the request while it must go on even so.
+    """
+
+    def __init__(self, protocol: HttpServerProtocol, request: IncomingRequest) -> None:
+        self._protocol = protocol
+        self._request = request
+        self._chunked = False
+        self._head: bytes | None = None
+        self.started = False
+        self.finished = False
+        self.closes = False
+        self.must_complete = False
+        self.on_disconnect: Callable[[], None] | None = None
+        self.on_pause: Callable[[], None] | None = None
+        self.on_resume: Callable[[], None] | None = None
+
+    def start(self, status: int, headers: Headers, *, length: int | None) -> None:
+        """Begin; ``length`` of the body in bytes, or ``None`` if it isn't known."""
+        has_body = status not in (NO_CONTENT, NOT_MODIFIED)
+        sends_chunks = has_body and length is None and self._request.method != "HEAD"
+        if sends_chunks and self._request.version == "1.0":
+            # Such a caller can't tell the end of the body from a cut.
+            self.abort()
+            return
+        self.started = True
+        self._chunked = sends_chunks
+        self.closes = not self._request.keep_alive or self._protocol.is_draining
+        parts = [STATUS_LINES.get(status) or _build_status_line(status)]
+        for name, value in headers:
+            parts.append(b"%b: %b\r\n" % (name, value))
+        if length is not None and status != NO_CONTENT:
+            parts.append(b"content-length: %d\r\n" % length)
+        elif sends_chunks:
+            parts.append(b"transfer-encoding: chunked\r\n")
+        if self.closes:
+            parts.append(b"connection: close\r\n")
+        parts.append(b"\r\n")
+        head = b"".join(parts)
+        check_head(head, lines=len(parts))
+        self._head = head
+        self._protocol.call_soon(self.flush)
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not data or self.finished:
+            return
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if self._head is not None:
+            data = self._head + data
+            self._head = None
+        self._protocol.write(data)
+
+    def flush(self) -> None:
+        """Send the head if it is still held back."""
+        if self._head is not None and not self.finished:
+            head, self._head = self._head, None
+            self._protocol.write(head)
+
+    def finish(self) -> None:
+        """End a whole response."""
+        if self.finished:
+            return
+        end = b"0\r\n\r\n" if self._chunked else b""
+        if self._head is not None:
+            end = self._head + end
+            self._head = None
+        self.finished = True
+        if end:
+            self._protocol.write(end)
+        self._protocol.finish_response(self)
+
+    def abort(self) -> None:
+        """Cut the connection in place of the rest of the response."""
+        if not self.finished:
+            self.finished = True
+            self._protocol.abort()
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole response at once."""
+        self.start(status, headers, length=len(body))
+        if self._request.method != "HEAD":
+            self.write(body)
+        self.finish()
+
+    def refuse(self, refusal: Refusal, now: float, *, ran: Ran | None = None) -> None:
+        """Send the final answer for a refusal."""
+        headers: Headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (REFUSAL_HEADER, refusal.kind.value.encode()),
+            (RAN_HEADER, (ran or refusal.ran).value.encode()),
+        ]
+        retry_after_ms = refusal.compute_retry_after_ms(now)
+        if retry_after_ms is not None:
+            seconds = max(1, -(-retry_after_ms // 1000))
+            headers.append((b"retry-after", b"%d" % seconds))
+            headers.append((b"flamingohead-retry-after-ms", b"%d" % retry_after_ms))
+        body = f"{refusal.kind.value}: {refusal.detail}\n".encode()
+        self.send(refusal.answer.status, headers, body)
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -1,168 +1,64 @@
-"""HTTP/1.1 towards callers: Twisted protocols around the httptools parser."""
+"""Connections of callers and of other daemons, as Twisted protocols."""
 
 from __future__ import annotations
 
-import logging
+import math
+import time
 from collections import deque
-from dataclasses import dataclass, field
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import httptools
-from twisted.internet import reactor
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
-from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.http_messages import IncomingRequest
+from flamingohead.services.http_parser import MAX_BODY_BYTES, RequestReader
+from flamingohead.services.http_response import ServerResponse
+from flamingohead.services.reactor import install_reactor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-logger = logging.getLogger(__name__)
-
-MAX_HEAD_BYTES = 32 * 1024
-MAX_BODY_BYTES = 8 * 1024 * 1024
 READ_TIMEOUT = 15.0
 IDLE_TIMEOUT = 120.0
-
-RAN_HEADER = b"flamingohead-ran"
-REFUSAL_HEADER = b"flamingohead-refusal"
-
-HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-    )
-)
-
-Headers = list[tuple[bytes, bytes]]
-
-
-@dataclass
-class IncomingRequest:
-    """Hold one whole request."""
-
-    method: str
-    target: bytes
-    headers: Headers = field(default_factory=list)
-    body: bytes = b""
-    keep_alive: bool = True
-
-    def get_header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header; ``name`` in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-def _build_status_line(status: int) -> bytes:
-    try:
-        phrase = HTTPStatus(status).phrase
-    except ValueError:
-        phrase = "Unknown"
-    return f"HTTP/1.1 {status} {phrase}\r\n".encode()
-
-
-class ServerResponse:
-    """Write the response to one request.
-
-    A response that ends early aborts the connection, so that the caller can't
-    take it for a whole one.
-    """
-
-    def __init__(self, protocol: HttpServerProtocol, request: IncomingRequest) -> None:
-        self._protocol = protocol
-        self._request = request
-        self._chunked = False
-        self.started = False
-        self.finished = False
-        self.on_disconnect: Callable[[], None] | None = None
-        self.on_pause: Callable[[], None] | None = None
-        self.on_resume: Callable[[], None] | None = None
-
-    def start(self, status: int, headers: Headers, *, length: int | None) -> None:
-        """Send the head; ``length`` in bytes, or ``None`` for a chunked body."""
-        self.started = True
-        parts = [_build_status_line(status)]
-        for name, value in headers:
-            parts.append(b"%b: %b\r\n" % (name, value))
-        no_body = status in (204, 304)
-        if length is not None:
-            parts.append(b"content-length: %d\r\n" % length)
-        elif not no_body and self._request.method != "HEAD":
-            self._chunked = True
-            parts.append(b"transfer-encoding: chunked\r\n")
-        if not self._request.keep_alive:
-            parts.append(b"connection: close\r\n")
-        parts.append(b"\r\n")
-        self._protocol.write(b"".join(parts))
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if self._chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._protocol.write(data)
-
-    def finish(self) -> None:
-        """End a whole response."""
-        if self.finished:
-            return
-        self.finished = True
-        if self._chunked:
-            self._protocol.write(b"0\r\n\r\n")
-        self._protocol.finish_response(self, keep_alive=self._request.keep_alive)
-
-    def abort(self) -> None:
-        """Cut the connection in place of the rest of the response."""
-        self.finished = True
-        self._protocol.abort()
-
-    def send(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole response at once."""
-        self.start(status, headers, length=len(body))
-        if body and self._request.method != "HEAD":
-            self.write(body)
-        self.finish()
-
-    def refuse(self, refusal: Refusal, now: float, *, ran: Ran | None = None) -> None:
-        """Send the final answer for a refusal."""
-        headers: Headers = [
-            (b"content-type", b"text/plain; charset=utf-8"),
-            (REFUSAL_HEADER, refusal.kind.value.encode()),
-            (RAN_HEADER, (ran or refusal.ran).value.encode()),
-        ]
-        retry_after_ms = refusal.compute_retry_after_ms(now)
-        if retry_after_ms is not None:
-            seconds = max(1, -(-retry_after_ms // 1000))
-            headers.append((b"retry-after", b"%d" % seconds))
-            headers.append((b"flamingohead-retry-after-ms", b"%d" % retry_after_ms))
-        body = f"{refusal.kind.value}: {refusal.detail}\n".encode()
-        self.send(refusal.answer.status, headers, body)
+CLOSE_TIMEOUT = 10.0
+SWEEP_PERIOD = 0.25
+MAX_PIPELINED_REQUESTS = 32
 
 
 class HttpServerProtocol(Protocol):
-    """Parse requests one by one and hand each whole one to the handler."""
+    """Hand whole requests to the handler, one after the other.
+
+    Goes on reading while a request is served: only so is it noticed that the caller
+    has gone.
+    """
 
     def __init__(self, factory: HttpServerFactory) -> None:
         self._factory = factory
-        self._parser = httptools.HttpRequestParser(self)
-        self._current: IncomingRequest | None = None
-        self._body: list[bytes] = []
-        self._head_bytes = 0
-        self._body_bytes = 0
+        self._reader = RequestReader(
+            take_begin=self._take_begin,
+            take_head=self._take_head,
+            take_request=self._take_request,
+        )
         self._pending: deque[IncomingRequest] = deque()
+        self._pending_bytes = 0
         self._active: ServerResponse | None = None
-        self._refusal: Refusal | None = None
+        self._rejection: Refusal | None = None
         self._closing = False
-        self._timer = None
+        self._write_paused = False
+        self._read_deadline = math.inf
+        self._idle_deadline = math.inf
+        self._close_deadline = math.inf
+        self.call_soon = factory.call_soon
+
+    @property
+    def is_draining(self) -> bool:
+        return self._factory.draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read, served or waiting."""
+        waiting = self._pending or self._rejection is not None
+        return self._active is None and not waiting and not self._reader.is_reading
 
     # Transport
 
@@ -170,89 +66,76 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._factory.connections.add(self)
-        self._set_timer(IDLE_TIMEOUT)
+        self._idle_deadline = self._factory.clock() + IDLE_TIMEOUT
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self._factory.connections.discard(self)
         self._closing = True
-        self._cancel_timer()
+        self._pending.clear()
+        self.resumeProducing()
         active, self._active = self._active, None
         if active is not None and active.on_disconnect is not None:
             active.on_disconnect()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self._closing:
+        if self._closing or self._rejection is not None:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(Refusal(ErrorKind.MALFORMED_REQUEST, "upgrade not supported"))
-        except httptools.HttpParserError as error:
-            refusal = self._refusal
-            if refusal is None:
-                refusal = Refusal(ErrorKind.MALFORMED_REQUEST, str(error))
+        refusal = self._reader.feed(data)
+        if refusal is not None:
             self._reject(refusal)
+        elif self._pending_bytes > MAX_BODY_BYTES:
+            self.transport.pauseProducing()
         self._start_next()
 
     def pauseProducing(self) -> None:  # noqa: N802
+        self._write_paused = True
         if self._active is not None and self._active.on_pause is not None:
             self._active.on_pause()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        if self._active is not None and self._active.on_resume is not None:
-            self._active.on_resume()
+        was_paused, self._write_paused = self._write_paused, False
+        active = self._active
+        if was_paused and active is not None and active.on_resume is not None:
+            active.on_resume()
 
     def stopProducing(self) -> None:  # noqa: N802
         pass
 
-    # Parser
+    # Requests
 
-    def on_message_begin(self) -> None:
-        self._current = IncomingRequest("", b"")
-        self._body = []
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._set_timer(READ_TIMEOUT)
+    def _take_begin(self) -> None:
+        self._read_deadline = self._factory.clock() + READ_TIMEOUT
 
-    def on_url(self, url: bytes) -> None:
-        self._current.target += url
-        self._count_head(len(url))
+    def _take_head(self) -> None:
+        # In the middle of another response it would be taken for a part of that.
+        if self._active is None and not self._pending:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._count_head(len(name) + len(value))
-        self._current.headers.append((name.lower(), value))
+    def _take_request(self, request: IncomingRequest) -> None:
+        self._read_deadline = math.inf
+        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            detail = f"over {MAX_PIPELINED_REQUESTS} requests waiting on a connection"
+            self._reader.reject(ErrorKind.MALFORMED_REQUEST, detail)
+        self._pending.append(request)
+        self._pending_bytes += len(request.body)
 
-    def on_headers_complete(self) -> None:
-        request = self._current
-        request.method = self._parser.get_method().decode()
-        request.keep_alive = self._parser.should_keep_alive()
-        if request.get_header(b"expect") is not None:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    def _reject(self, refusal: Refusal) -> None:
+        self._read_deadline = math.inf
+        self._rejection = refusal
+        self._factory.count_refusal(refusal)
 
-    def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
-            self._refuse_parse(
-                ErrorKind.REQUEST_TOO_LARGE, f"body over {MAX_BODY_BYTES} bytes"
-            )
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        self._current.body = b"".join(self._body)
-        self._pending.append(self._current)
-        self._current = None
-        self._cancel_timer()
-
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._refuse_parse(
-                ErrorKind.REQUEST_TOO_LARGE, f"head over {MAX_HEAD_BYTES} bytes"
-            )
-
-    def _refuse_parse(self, kind: ErrorKind, detail: str) -> None:
-        self._refusal = Refusal(kind, detail)
-        raise ValueError(detail)
+    def _start_next(self) -> None:
+        if self._active is not None or self._closing:
+            return
+        if self._pending:
+            request = self._pending.popleft()
+            self._pending_bytes -= len(request.body)
+            response = self._active = ServerResponse(self, request)
+            self._factory.handler(request, response)
+        elif self._rejection is not None:
+            request = IncomingRequest("", b"", keep_alive=False)
+            response = self._active = ServerResponse(self, request)
+            response.refuse(self._rejection, self._factory.clock())
 
     # Responses
 
@@ -261,68 +144,44 @@
             self.transport.write(data)
 
     def abort(self) -> None:
+        """Drop the connection and what was not sent yet."""
         self._closing = True
         self.transport.abortConnection()
 
-    def finish_response(self, response: ServerResponse, *, keep_alive: bool) -> None:
+    def finish_response(self, response: ServerResponse) -> None:
+        """Go on to the next request, or close."""
         if response is not self._active:
             return
         self._active = None
-        if not keep_alive or self._factory.draining:
-            self._close()
+        if response.closes:
+            self.close()
             return
-        self.transport.resumeProducing()
-        self._set_timer(IDLE_TIMEOUT)
+        self._idle_deadline = self._factory.clock() + IDLE_TIMEOUT
+        if self._pending_bytes <= MAX_BODY_BYTES:
+            self.transport.resumeProducing()
         self._start_next()
 
-    def close_when_idle(self) -> None:
-        """Close now, or after the response in progress."""
-        if self._active is None and not self._pending:
-            self._close()
-
-    def _start_next(self) -> None:
-        if self._active is not None or self._closing or not self._pending:
-            return
-        request = self._pending.popleft()
-        response = self._active = ServerResponse(self, request)
-        self.transport.pauseProducing()
-        self._cancel_timer()
-        self._factory.handler(request, response)
-
-    def _reject(self, refusal: Refusal) -> None:
-        self._factory.count_refusal(refusal)
-        if self._active is None and not self._pending:
-            request = IncomingRequest("", b"", keep_alive=False)
-            self._active = ServerResponse(self, request)
-            self._active.refuse(refusal, 0.0)
-        else:
-            self._closing = True
-            self.transport.loseConnection()
-
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Close once everything written has been sent."""
         self._closing = True
+        self._close_deadline = self._factory.clock() + CLOSE_TIMEOUT
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
-    def _set_timer(self, seconds: float) -> None:
-        self._cancel_timer()
-        self._timer = reactor.callLater(seconds, self._time_out)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        self._timer = None
-
-    def _time_out(self) -> None:
-        self._timer = None
-        if self._active is None and self._current is None:
-            self._close()
-        elif self._active is None:
+    def check_deadlines(self, now: float) -> None:
+        """Close if the caller is too slow or has been idle for long."""
+        if self._closing:
+            if now >= self._close_deadline:
+                self.transport.abortConnection()
+        elif now >= self._read_deadline:
             self._reject(Refusal(ErrorKind.MALFORMED_REQUEST, "request too slow"))
+            self._start_next()
+        elif now >= self._idle_deadline and self.is_idle:
+            self.close()
 
 
 class HttpServerFactory(Factory):
-    """Build server protocols that share one handler."""
+    """Build server protocols that share one handler and one sweep of deadlines."""
 
     noisy = False
 
@@ -331,16 +190,44 @@
         handler: Callable[[IncomingRequest, ServerResponse], None],
         count_refusal: Callable[[Refusal], None],
     ) -> None:
+        self._loop = install_reactor()
+        self._sweep_handle = None
         self.handler = handler
         self.count_refusal = count_refusal
         self.connections: set[HttpServerProtocol] = set()
         self.draining = False
+        self.clock = time.monotonic
+        self.call_soon = self._loop.call_soon
+
+    def startFactory(self) -> None:  # noqa: N802
+        self._schedule_sweep()
+
+    def stopFactory(self) -> None:  # noqa: N802
+        if self._sweep_handle is not None:
+            self._sweep_handle.cancel()
 
     def buildProtocol(self, address) -> HttpServerProtocol:  # noqa: N802
         return HttpServerProtocol(self)
 
     def drain(self) -> None:
-        """Close idle connections, and the others after their response."""
+        """Let every further response close its connection."""
         self.draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+
+    def sweep(self) -> None:
+        """Check the deadlines of every connection."""
+        now = self.clock()
         for connection in list(self.connections):
-            connection.close_when_idle()
+            connection.check_deadlines(now)
+
+    def _schedule_sweep(self) -> None:
+        self._sweep_handle = self._loop.call_later(SWEEP_PERIOD, self._run_sweep)
+
+    def _run_sweep(self) -> None:
+        self.sweep()
+        self._schedule_sweep()
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -7,20 +7,20 @@
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ERROR_ANSWERS, ErrorKind, Refusal
-from flamingohead.services.http_client import OutgoingRequest
-from flamingohead.services.http_server import RAN_HEADER, REFUSAL_HEADER
+from flamingohead.services.http_messages import (
+    KEY_HEADER,
+    RAN_HEADER,
+    REFUSAL_HEADER,
+    RELAY_PREFIX,
+    TIMEOUT_HEADER,
+    OutgoingRequest,
+)
 
 if TYPE_CHECKING:
     from flamingohead.core.balancing import Candidate
-    from flamingohead.services.http_server import (
-        Headers,
-        IncomingRequest,
-        ServerResponse,
-    )
+    from flamingohead.services.http_messages import Headers, IncomingRequest
+    from flamingohead.services.http_response import ServerResponse
 
-KEY_HEADER = b"idempotency-key"
-TIMEOUT_HEADER = b"request-timeout-ms"
-RELAY_PREFIX = b"flamingohead-"
 RELAY_UPSTREAM = b"flamingohead-upstream"
 RELAY_SERVICE = b"flamingohead-service"
 RELAY_RANK = b"flamingohead-rank"
--- a/flamingohead/services/transport.py
+++ b/flamingohead/services/transport.py
@@ -15,9 +15,7 @@
 from twisted.python.failure import Failure
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from twisted.internet.protocol import Protocol
+    from twisted.internet.protocol import Factory, Protocol
 
 LISTEN_BACKLOG = 512
 WRITE_HIGH_WATER_BYTES = 64 * 1024
@@ -74,6 +72,10 @@
             self._reading = True
             self._transport.resume_reading()
 
+    def get_unsent_bytes(self) -> int:
+        """Return the size of what was written and not yet sent."""
+        return self._transport.get_write_buffer_size()
+
     def registerProducer(self, producer, streaming: bool) -> None:  # noqa: N802
         self._producer = producer
 
@@ -86,12 +88,14 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, int(enabled))
 
 
-async def listen(
-    build_protocol: Callable[[], Protocol], host: str, port: int
-) -> asyncio.Server:
-    """Accept connections, each with a protocol of its own."""
+async def listen(factory: Factory, host: str, port: int) -> asyncio.Server:
+    """Accept connections, each with a protocol of the factory."""
+    factory.doStart()
     return await asyncio.get_running_loop().create_server(
-        lambda: AsyncioTransport(build_protocol()), host, port, backlog=LISTEN_BACKLOG
+        lambda: AsyncioTransport(factory.buildProtocol(None)),
+        host,
+        port,
+        backlog=LISTEN_BACKLOG,
     )
 
 
