--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -92,7 +92,11 @@
         sink = RelaySink(response)
         request = build_relay_request(candidate, call, time.monotonic())
         refusal = await self._kernel.get("http_client").send(
-            candidate.relay_address, request, sink, fresh=not call.idempotent
+            candidate.relay_address,
+            request,
+            sink,
+            fresh=not call.idempotent,
+            on_connection=sink.attach,
         )
         if refusal is None:
             return sink.refusal
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -100,6 +100,7 @@
         task = asyncio.get_running_loop().create_task(self._guard(coroutine, response))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        response.on_disconnect = task.cancel
 
     async def _guard(self, coroutine, response: ServerResponse) -> None:
         try:
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -7,11 +7,12 @@
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import StoredAnswer
-from flamingohead.services.http_messages import OutgoingRequest
+from flamingohead.services.http_messages import RELAY_PREFIX, OutgoingRequest
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
     from flamingohead.services.http_client import HttpClientService
+    from flamingohead.services.http_connection import ClientConnection
     from flamingohead.services.http_messages import Headers
     from flamingohead.services.http_response import ServerResponse
 
@@ -36,12 +37,20 @@
         self.headers: Headers = []
         self.not_executed = False
         self.whole = False
+        self.dispatched = False
 
     @property
     def started(self) -> bool:
         return self._response.started
 
+    def attach(self, connection: ClientConnection) -> None:
+        """Let the caller's pace hold back the connection of the answer."""
+        self.dispatched = True
+        self._response.on_pause = connection.pause
+        self._response.on_resume = connection.resume
+
     def start(self, status: int, headers: Headers, length: int | None) -> None:
+        headers = [h for h in headers if not h[0].startswith(RELAY_PREFIX)]
         self.status = status
         self.headers = headers
         if status == 503 and (NOT_EXECUTED_HEADER, b"no") in headers:
@@ -79,7 +88,13 @@
     request = OutgoingRequest(
         call.method, call.target, headers, call.body, call.deadline
     )
-    refusal = await client.send(address, request, relay, fresh=not call.idempotent)
+    refusal = await client.send(
+        address,
+        request,
+        relay,
+        fresh=not call.idempotent,
+        on_connection=relay.attach,
+    )
     if refusal is None and relay.not_executed:
         return Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
     return refusal
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import time
 from typing import TYPE_CHECKING
 
@@ -24,21 +25,55 @@
 MAX_IDLE_CONNECTIONS = 64
 
 
-class HttpClientService:
-    """Keep idle connections by address and make exchanges on them."""
+class ConnectionPool:
+    """Keep idle connections by address."""
 
     def __init__(self) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
 
-    async def start(self) -> None:
-        pass
+    def take(self, address: str, now: float) -> ClientConnection | None:
+        """Return a connection that may be used again, if there is one."""
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_open and now < connection.idle_until:
+                return connection
+            connection.close()
+        return None
 
-    async def stop(self) -> None:
+    def give_back(
+        self, connection: ClientConnection, result: Refusal | None, now: float
+    ) -> None:
+        """Keep a connection after a whole answer; close it after anything else."""
+        idle = self._idle.setdefault(connection.address, [])
+        reusable = result is None and connection.is_open
+        if not reusable or len(idle) >= MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        connection.idle_until = now + MAX_IDLE_SECONDS
+        connection.resume()
+        idle.append(connection)
+
+    def close(self) -> None:
+        """Close every idle connection."""
         for connections in self._idle.values():
             for connection in connections:
                 connection.close()
         self._idle.clear()
 
+
+class HttpClientService:
+    """Make exchanges on new connections and on those kept."""
+
+    def __init__(self) -> None:
+        self._pool = ConnectionPool()
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        self._pool.close()
+
     async def send(
         self,
         address: str,
@@ -54,7 +89,7 @@
         connection used, before anything is sent. A refusal of a kind other than
         ``UPSTREAM_UNREACHABLE`` means that the request may have run.
         """
-        connection = None if fresh else self._take_idle(address)
+        connection = None if fresh else self._pool.take(address, time.monotonic())
         if connection is None:
             connection = await self._connect(address, request.deadline)
         if isinstance(connection, Refusal):
@@ -67,17 +102,17 @@
         self, connection: ClientConnection, request: OutgoingRequest, sink: AnswerSink
     ) -> Refusal | None:
         result: Refusal | None = Refusal(ErrorKind.INTERNAL, "exchange cancelled")
-        timer = asyncio.get_running_loop().call_later(
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        timer = loop.call_later(
             max(0.0, request.deadline - time.monotonic()), connection.expire
         )
         try:
-            result = await connection.exchange(request, sink)
+            connection.exchange(request, sink, functools.partial(_resolve, future))
+            result = await future
         finally:
             timer.cancel()
-            if result is None and connection.is_open:
-                self._keep_idle(connection)
-            else:
-                connection.close()
+            self._pool.give_back(connection, result, time.monotonic())
         return result
 
     async def _connect(
@@ -96,22 +131,8 @@
             return Refusal(ErrorKind.UPSTREAM_UNREACHABLE, detail)
         return connection
 
-    def _take_idle(self, address: str) -> ClientConnection | None:
-        idle = self._idle.get(address)
-        oldest = time.monotonic() - MAX_IDLE_SECONDS
-        while idle:
-            connection = idle.pop()
-            if connection.is_open and connection.idle_since > oldest:
-                return connection
-            if connection.is_open:
-                connection.close()
-        return None
 
-    def _keep_idle(self, connection: ClientConnection) -> None:
-        idle = self._idle.setdefault(connection.address, [])
-        if len(idle) >= MAX_IDLE_CONNECTIONS:
-            connection.close()
-            return
-        connection.idle_since = time.monotonic()
-        connection.resume()
-        idle.append(connection)
+def _resolve(future: asyncio.Future, result: Refusal | None) -> None:
+    # The task that waits may have been cancelled at the same moment.
+    if not future.done():
+        future.set_result(result)
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Protocol as TypingProtocol
 
 import httptools
@@ -17,6 +16,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingohead.services.http_messages import Headers, OutgoingRequest
 
 MAX_ANSWER_HEAD_BYTES = 64 * 1024
@@ -39,11 +40,11 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self.idle_since = 0.0
+        self.idle_until = 0.0
         self.is_open = True
         self._parser = None
         self._sink: AnswerSink | None = None
-        self._done: asyncio.Future | None = None
+        self._on_done: Callable[[Refusal | None], None] | None = None
         self._refusal: Refusal | None = None
         self._status = 0
         self._headers: Headers = []
@@ -52,8 +53,13 @@
         self._method = ""
         self._request_id: bytes | None = None
 
-    def exchange(self, request: OutgoingRequest, sink: AnswerSink) -> asyncio.Future:
-        """Send a request; the future gives ``None`` when the answer is whole."""
+    def exchange(
+        self,
+        request: OutgoingRequest,
+        sink: AnswerSink,
+        on_done: Callable[[Refusal | None], None],
+    ) -> None:
+        """Send a request; ``on_done`` gets ``None`` once the answer is whole."""
         self._parser = httptools.HttpResponseParser(self)
         self._sink = sink
         self._headers = []
@@ -61,9 +67,8 @@
         self._in_head = True
         self._method = request.method
         self._request_id = find_header(request.headers, REQUEST_ID_HEADER)
-        self._done = asyncio.get_running_loop().create_future()
+        self._on_done = on_done
         self.transport.write(request.encode(self.address))
-        return self._done
 
     def expire(self) -> None:
         """Give up an exchange at its deadline."""
@@ -73,6 +78,7 @@
         """Drop the connection and what may still arrive on it."""
         self.is_open = False
         self._sink = None
+        self._on_done = None
         self.transport.abortConnection()
 
     def pause(self) -> None:
@@ -179,17 +185,18 @@
 
     def _finish(self, *, reusable: bool) -> None:
         sink, self._sink = self._sink, None
-        done, self._done = self._done, None
         if not reusable or self.transport.get_unsent_bytes():
             self.is_open = False
         sink.finish()
-        if done is not None and not done.done():
-            done.set_result(None)
+        self._end(None)
 
     def _fail(self, refusal: Refusal) -> None:
         self.is_open = False
         self._sink = None
-        done, self._done = self._done, None
-        if done is not None and not done.done():
-            done.set_result(refusal)
+        self._end(refusal)
         self.transport.abortConnection()
+
+    def _end(self, result: Refusal | None) -> None:
+        on_done, self._on_done = self._on_done, None
+        if on_done is not None:
+            on_done(result)
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -41,8 +41,7 @@
     until the next turn of the loop, so that both leave in one write.
 
     ``on_pause`` and ``on_resume`` are called as the caller's connection fills up
-    and drains, ``on_disconnect`` when the caller has gone. ``must_complete`` is set
-    by whoever serves the request while it must go on even so.
+    and drains, ``on_disconnect`` when the caller has gone.
     """
 
     def __init__(self, protocol: HttpServerProtocol, request: IncomingRequest) -> None:
@@ -53,11 +52,21 @@
         self.started = False
         self.finished = False
         self.closes = False
-        self.must_complete = False
         self.on_disconnect: Callable[[], None] | None = None
-        self.on_pause: Callable[[], None] | None = None
+        self._on_pause: Callable[[], None] | None = None
         self.on_resume: Callable[[], None] | None = None
 
+    @property
+    def on_pause(self) -> Callable[[], None] | None:
+        return self._on_pause
+
+    @on_pause.setter
+    def on_pause(self, handler: Callable[[], None] | None) -> None:
+        self._on_pause = handler
+        # An earlier response may have filled the connection up already.
+        if handler is not None and self._protocol.is_write_paused:
+            handler()
+
     def start(self, status: int, headers: Headers, *, length: int | None) -> None:
         """Begin; ``length`` of the body in bytes, or ``None`` if it isn't known."""
         has_body = status not in (NO_CONTENT, NOT_MODIFIED)
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -44,7 +44,7 @@
         self._active: ServerResponse | None = None
         self._rejection: Refusal | None = None
         self._closing = False
-        self._write_paused = False
+        self.is_write_paused = False
         self._read_deadline = math.inf
         self._idle_deadline = math.inf
         self._close_deadline = math.inf
@@ -88,12 +88,12 @@
         self._start_next()
 
     def pauseProducing(self) -> None:  # noqa: N802
-        self._write_paused = True
+        self.is_write_paused = True
         if self._active is not None and self._active.on_pause is not None:
             self._active.on_pause()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        was_paused, self._write_paused = self._write_paused, False
+        was_paused, self.is_write_paused = self.is_write_paused, False
         active = self._active
         if was_paused and active is not None and active.on_resume is not None:
             active.on_resume()
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from flamingohead.core.balancing import Candidate
+    from flamingohead.services.http_connection import ClientConnection
     from flamingohead.services.http_messages import Headers, IncomingRequest
     from flamingohead.services.http_response import ServerResponse
 
@@ -39,6 +40,11 @@
     def started(self) -> bool:
         return self._response.started
 
+    def attach(self, connection: ClientConnection) -> None:
+        """Let the caller's pace hold back the connection of the answer."""
+        self._response.on_pause = connection.pause
+        self._response.on_resume = connection.resume
+
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         self.refusal = _read_refusal(headers, time.monotonic())
         if self.refusal is None:
--- /dev/null
+++ b/flamingohead/testing/transports.py
@@ -0,0 +1,68 @@
+"""A transport that only records, for tests of protocols without sockets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
+if TYPE_CHECKING:
+    from twisted.internet.protocol import Protocol
+
+
+class FakeTransport:
+    """Record what a protocol does with its transport.
+
+    ``unsent_bytes`` may be set to pretend that the other end reads slowly.
+    """
+
+    def __init__(self, protocol: Protocol) -> None:
+        self.protocol = protocol
+        self.written = b""
+        self.is_reading = True
+        self.is_closed = False
+        self.is_lost = False
+        self.unsent_bytes = 0
+        protocol.makeConnection(self)
+
+    def deliver(self, data: bytes) -> None:
+        """Hand data to the protocol as if it had arrived."""
+        if not self.is_closed and data:
+            self.protocol.dataReceived(data)
+
+    def lose(self) -> None:
+        """Tell the protocol that the connection has ended."""
+        if not self.is_lost:
+            self.is_closed = self.is_lost = True
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    # Transport
+
+    def write(self, data: bytes) -> None:
+        if not self.is_closed:
+            self.written += data
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self.is_closed = True
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.is_closed = True
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self.is_reading = False
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self.is_reading = True
+
+    def registerProducer(self, producer, streaming: bool) -> None:  # noqa: N802
+        pass
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        pass
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        pass
+
+    def get_unsent_bytes(self) -> int:
+        return self.unsent_bytes
