--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -220,7 +220,7 @@
     async def _print_control_bytes(self) -> None:
         sent = []
         for host_id in self._mesh.daemons:
-            body = (await self._ask(host_id, "/counters")).body
+            body = (await self._ask(host_id, "/metrics")).body
             sent.append(body["counters"].get("datagram.sent_bytes", 0))
         print(f"control bytes sent by datagram, each daemon: {sent}")
 
--- a/flamingohead/__main__.py
+++ b/flamingohead/__main__.py
@@ -1,6 +1,6 @@
 """Run the command line with ``python -m flamingohead``."""
 
-from flamingohead.command import main
+from flamingohead.commands import run_main
 
 if __name__ == "__main__":
-    main(prog_name="flamingohead")
+    run_main()
--- /dev/null
+++ b/flamingohead/commands/changes.py
@@ -0,0 +1,217 @@
+"""Commands that make or check changes: apply, check, revert."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import secrets
+import sys
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import click
+
+from flamingohead.commands.exits import ExitCode
+from flamingohead.commands.sessions import (
+    add_control_options,
+    report_refusal,
+    run_session,
+)
+from flamingohead.core.sheets import check_sheet
+
+if TYPE_CHECKING:
+    from flamingohead.control import ControlClient
+
+WAIT_PERIOD = 0.2
+
+
+@dataclass(frozen=True)
+class ChangeOptions:
+    """Hold the options that each change takes."""
+
+    author: str
+    change_id: str
+    base: int | None
+    wait: bool
+    timeout: float
+    dry_run: bool = False
+
+
+def add_change_options(command):
+    """Add the options that each change takes."""
+    options = (
+        click.option("--wait", is_flag=True, help="wait until it is in force"),
+        click.option(
+            "--timeout", default=30.0, show_default=True, help="seconds to wait"
+        ),
+        click.option("--base", type=int, help="version that the change is made from"),
+        click.option("--author", default=getpass.getuser, help="name kept with it"),
+        click.option("--change-id", help="id of a try whose answer was lost"),
+    )
+    for option in options:
+        command = option(command)
+    return add_control_options(command)
+
+
+@click.command()
+@click.argument("sheet", type=click.Path(exists=True, dir_okay=False))
+def check(sheet: str) -> None:
+    """Check SHEET without asking a daemon.
+
+    Example: flamingohead check examples/kente-mirror.csv
+    """
+    text = _read_checked(sheet)
+    count = len(check_sheet(text).resources)
+    click.echo(f"{sheet}: {count} resources, no problem")
+
+
+@click.command()
+@click.argument("sheet", type=click.Path(exists=True, dir_okay=False))
+@click.option("--dry-run", is_flag=True, help="show what would change, change nothing")
+@add_change_options
+def apply(
+    sheet: str,
+    dry_run: bool,
+    wait: bool,
+    timeout: float,
+    base: int | None,
+    author: str,
+    change_id: str | None,
+    control_address: str,
+    control_token: str,
+) -> None:
+    """Turn SHEET into an accepted version.
+
+    Example: flamingohead apply examples/kente-mirror.csv --wait
+    """
+    text = _read_checked(sheet)
+    options = ChangeOptions(
+        author, change_id or secrets.token_hex(12), base, wait, timeout, dry_run
+    )
+
+    async def operate(client: ControlClient) -> int:
+        return await _change(client, "/changes", {"sheet": text}, options)
+
+    run_session(control_address, control_token, operate)
+
+
+@click.command()
+@click.argument("version", type=click.IntRange(min=1))
+@add_change_options
+def revert(
+    version: int,
+    wait: bool,
+    timeout: float,
+    base: int | None,
+    author: str,
+    change_id: str | None,
+    control_address: str,
+    control_token: str,
+) -> None:
+    """Put the content of VERSION in force again, as a new version.
+
+    Example: flamingohead revert 12 --wait
+    """
+    options = ChangeOptions(
+        author, change_id or secrets.token_hex(12), base, wait, timeout
+    )
+
+    async def operate(client: ControlClient) -> int:
+        return await _change(client, "/reverts", {"version": version}, options)
+
+    run_session(control_address, control_token, operate)
+
+
+def _read_checked(path: str) -> str:
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except UnicodeDecodeError as error:
+        click.echo(f"{path}: not UTF-8 at byte {error.start}", err=True)
+        sys.exit(ExitCode.REFUSED)
+    problems = check_sheet(text).problems
+    for problem in problems:
+        click.echo(f"{path}: {problem}", err=True)
+    if problems:
+        click.echo(f"{path}: nothing was changed", err=True)
+        sys.exit(ExitCode.REFUSED)
+    return text
+
+
+async def _change(
+    client: ControlClient, path: str, content: dict, options: ChangeOptions
+) -> int:
+    base = options.base
+    if base is None:
+        status = await client.get("/status")
+        if not status.is_ok:
+            return report_refusal(status)
+        base = status.body["version"]
+    body = {
+        "change_id": options.change_id,
+        "author": options.author,
+        "base_version": base,
+        **content,
+    }
+    if options.dry_run:
+        body["dry_run"] = True
+    try:
+        answer = await client.post(path, body)
+    except (OSError, TimeoutError) as error:
+        return _report_unknown(options.change_id, base, error)
+    if not answer.is_ok:
+        if answer.body.get("ran") == "unknown":
+            return _report_unknown(options.change_id, base, answer.body.get("detail"))
+        return report_refusal(answer)
+    for line in answer.body.get("differences", []):
+        click.echo(line)
+    if options.dry_run:
+        click.echo(
+            f"nothing was changed; {len(answer.body['differences'])} differences"
+        )
+        return ExitCode.DONE
+    version = answer.body["version"]
+    click.echo(f"accepted as version {version}")
+    if not options.wait:
+        return ExitCode.DONE
+    return await _wait_in_force(client, version, time.monotonic() + options.timeout)
+
+
+def _report_unknown(change_id: str, base: int, error: object) -> ExitCode:
+    click.echo(
+        f"not known yet whether the change was accepted ({error}); ask again with "
+        f"--change-id {change_id} --base {base}",
+        err=True,
+    )
+    return ExitCode.UNKNOWN
+
+
+async def _wait_in_force(client: ControlClient, version: int, deadline: float) -> int:
+    started_at = time.monotonic()
+    behind: list[str] = []
+    while time.monotonic() < deadline:
+        answer = await client.get("/convergence")
+        if answer.is_ok:
+            behind, total = count_behind(answer.body, version)
+            if not behind:
+                seconds = time.monotonic() - started_at
+                click.echo(f"in force on {total} of {total} after {seconds:.2f} s")
+                return ExitCode.DONE
+        await asyncio.sleep(WAIT_PERIOD)
+    click.echo("not in force on: " + ", ".join(behind), err=True)
+    return ExitCode.NOT_IN_FORCE
+
+
+def count_behind(convergence: dict, version: int) -> tuple[list[str], int]:
+    """Return the daemons that hold less than ``version``, and the total asked."""
+    behind = []
+    total = 0
+    for domain in convergence["domains"]:
+        total += len(domain["members"]) + len(domain["unreachable"])
+        behind += [h for h, held in domain["members"].items() if held < version]
+        behind += [f"{domain['failure_domain']}/{h}" for h in domain["unreachable"]]
+    return behind, total
+
+
+COMMANDS = (apply, check, revert)
--- /dev/null
+++ b/flamingohead/commands/sessions.py
@@ -0,0 +1,65 @@
+"""Calls of commands to the operators' endpoint of a daemon."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import click
+
+from flamingohead.commands.exits import ExitCode
+from flamingohead.services.reactor import install_reactor, run_until_stopped
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from flamingohead.control import ControlAnswer, ControlClient
+
+
+def add_control_options(command):
+    """Add the options that locate the operators' endpoint of a daemon."""
+    command = click.option(
+        "--control-token",
+        envvar="FLAMINGOHEAD_CONTROL_TOKEN",
+        show_envvar=True,
+        required=True,
+        help="token of the operators' endpoint",
+    )(command)
+    return click.option(
+        "--control-address",
+        envvar="FLAMINGOHEAD_CONTROL_ADDRESS",
+        show_envvar=True,
+        required=True,
+        help="IP:PORT of any daemon's operators' endpoint",
+    )(command)
+
+
+def run_session(
+    control_address: str,
+    control_token: str,
+    operate: Callable[[ControlClient], Awaitable[int]],
+) -> None:
+    """Run ``operate`` with a client and exit with the code that it returns."""
+    install_reactor()
+    from flamingohead.control import ControlClient
+
+    client = ControlClient(control_address, control_token)
+
+    async def run() -> int:
+        try:
+            return await operate(client)
+        except (OSError, TimeoutError) as error:
+            click.echo(f"can't reach {control_address}: {error}", err=True)
+            return ExitCode.UNREACHABLE
+
+    sys.exit(run_until_stopped(run))
+
+
+def report_refusal(answer: ControlAnswer) -> ExitCode:
+    """Print a refusal to the operator and return the exit code for it."""
+    detail = f"{answer.body.get('error')}: {answer.body.get('detail')}"
+    click.echo(f"refused: {detail}", err=True)
+    retry_after_ms = answer.body.get("retry_after_ms")
+    if retry_after_ms is not None:
+        click.echo(f"try again after {retry_after_ms} ms", err=True)
+    return ExitCode.REFUSED
--- /dev/null
+++ b/flamingohead/commands/state.py
@@ -0,0 +1,131 @@
+"""Commands about the running mesh: status, drain, undrain."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import click
+
+from flamingohead.commands.changes import count_behind
+from flamingohead.commands.exits import ExitCode
+from flamingohead.commands.sessions import (
+    add_control_options,
+    report_refusal,
+    run_session,
+)
+
+if TYPE_CHECKING:
+    from flamingohead.control import ControlClient
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="print JSON")
+@add_control_options
+def status(as_json: bool, control_address: str, control_token: str) -> None:
+    """Show versions held, daemons behind, services, upstreams and their load.
+
+    Exits with 5 if a daemon is behind. Example: flamingohead status
+    """
+
+    async def operate(client: ControlClient) -> int:
+        own = await client.get("/status")
+        if not own.is_ok:
+            return report_refusal(own)
+        convergence = await client.get("/convergence")
+        if not convergence.is_ok:
+            return report_refusal(convergence)
+        version = _find_newest(own.body, convergence.body)
+        behind, total = count_behind(convergence.body, version)
+        if as_json:
+            body = {
+                "version": version,
+                "daemons": total,
+                "behind": behind,
+                "daemon": own.body,
+                "domains": convergence.body["domains"],
+            }
+            click.echo(json.dumps(body, indent=1))
+        else:
+            _print_status(own.body, version, behind, total)
+        return ExitCode.NOT_IN_FORCE if behind else ExitCode.DONE
+
+    run_session(control_address, control_token, operate)
+
+
+def _find_newest(own: dict, convergence: dict) -> int:
+    held = [own["version"]]
+    for domain in convergence["domains"]:
+        held += domain["members"].values()
+    return max(held)
+
+
+def _print_status(own: dict, version: int, behind: list[str], total: int) -> None:
+    held = total - len(behind)
+    click.echo(f"version {version} in force on {held} of {total} daemons")
+    if behind:
+        click.echo("behind: " + ", ".join(behind))
+    for rejected in own.get("rejected", []):
+        click.echo(f"not taken: version {rejected['version']}: {rejected['reason']}")
+    click.echo(f"asked: {own['host_id']} in {own['failure_domain']}")
+    click.echo(
+        f"{'host':<20} {'state':<8} {'upstream':<28} {'service':<18} "
+        f"{'state':<9} {'slots':>5} {'in use':>6} {'waiting':>7}"
+    )
+    for member in own["members"]:
+        upstreams = member["upstreams"] or [None]
+        for upstream in upstreams:
+            click.echo(_format_member(member, upstream))
+
+
+def _format_member(member: dict, upstream: dict | None) -> str:
+    text = f"{member['host_id']:<20} {member['status']:<8}"
+    if upstream is None:
+        return text
+    in_use = upstream.get("in_use", "")
+    waiting = upstream.get("waiting", "")
+    return (
+        f"{text} {upstream['name']:<28} {upstream['service']:<18} "
+        f"{upstream['status']:<9} {upstream['slots']:>5} {in_use:>6} {waiting:>7}"
+    )
+
+
+@click.command()
+@click.argument("upstream")
+@add_control_options
+def drain(upstream: str, control_address: str, control_token: str) -> None:
+    """Give UPSTREAM no new work; requests in progress finish.
+
+    Lasts until undrain, or until the daemon of its host restarts.
+    Example: flamingohead drain stall-ledger-3
+    """
+    _set_drain(upstream, True, control_address, control_token)
+
+
+@click.command()
+@click.argument("upstream")
+@add_control_options
+def undrain(upstream: str, control_address: str, control_token: str) -> None:
+    """Give UPSTREAM new work again.
+
+    Example: flamingohead undrain stall-ledger-3
+    """
+    _set_drain(upstream, False, control_address, control_token)
+
+
+def _set_drain(
+    upstream: str, draining: bool, control_address: str, control_token: str
+) -> None:
+    async def operate(client: ControlClient) -> int:
+        body = {"upstream": upstream, "draining": draining}
+        answer = await client.post("/drains", body)
+        if not answer.is_ok:
+            return report_refusal(answer)
+        state = "drains" if draining else "takes work again"
+        click.echo(f"{upstream} on {answer.body['host_id']} {state}")
+        return ExitCode.DONE
+
+    run_session(control_address, control_token, operate)
+
+
+COMMANDS = (status, drain, undrain)
--- a/flamingohead/core/sheets.py
+++ b/flamingohead/core/sheets.py
@@ -4,10 +4,20 @@
 
 import csv
 import io
-from dataclasses import dataclass
+import re
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from flamingohead.core.resources import Pool, Rank, Resource, Route, Service
+from flamingohead.core.resources import (
+    Pool,
+    Rank,
+    Resource,
+    ResourceKey,
+    Route,
+    Service,
+    Snapshot,
+)
+from flamingohead.core.validation import validate_snapshot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,32 +39,39 @@
     "share",
 )
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
-MAX_ROWS = 100_000
+MAX_LINES = 100_000
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
+_PATH = re.compile(r"/[!-~]{0,1023}")
 
 
 @dataclass(frozen=True)
 class SheetProblem:
-    """Locate a problem by line (from 1) and column name."""
+    """Locate a problem by line and column, both counted from 1.
+
+    ``position`` is 0 where the sheet lacks the column.
+    """
 
     line: int
     column: str
     found: str
     expected: str
+    position: int = 0
 
     def __str__(self) -> str:
         return (
-            f"line {self.line}, column {self.column!r}: "
+            f"line {self.line}, column {self.position} ({self.column}): "
             f"found {self.found!r}, expected {self.expected}"
         )
 
 
 @dataclass(frozen=True)
 class Sheet:
-    """Hold the resources of a sheet, or its problems."""
+    """Hold the resources of a sheet, its problems and the line of each resource."""
 
     resources: tuple[Resource, ...]
     problems: tuple[SheetProblem, ...]
-    lines: dict
+    lines: dict[ResourceKey, int]
+    columns: tuple[str, ...] = ()
 
 
 class _Row:
@@ -65,10 +82,16 @@
         self.problems: list[SheetProblem] = []
         self._cells = cells
 
-    def read_text(self, column: str) -> str:
+    def read_name(self, column: str) -> str:
         value = self._cells.get(column, "")
-        if not value:
-            self.add_problem(column, value, "a value")
+        if not _NAME.fullmatch(value):
+            self.add_problem(column, value, "up to 63 letters, digits, '.', '_', '-'")
+        return value
+
+    def read_path(self) -> str:
+        value = self._cells.get("path", "")
+        if not _PATH.fullmatch(value):
+            self.add_problem("path", value, "a path that starts with '/'")
         return value
 
     def read_choice(
@@ -126,19 +149,19 @@
 @register_row_reader("service")
 def _read_service(row: _Row) -> Service:
     mode = row.read_choice("mode", ("observe", "enforce"), default="enforce")
-    return Service(row.read_text("service"), mode)
+    return Service(row.read_name("service"), mode)
 
 
 @register_row_reader("pool")
 def _read_pool(row: _Row) -> Pool:
-    return Pool(row.read_text("name"), row.read_text("service"))
+    return Pool(row.read_name("name"), row.read_name("service"))
 
 
 @register_row_reader("rank")
 def _read_rank(row: _Row) -> Rank:
     return Rank(
-        name=row.read_text("name"),
-        service=row.read_text("service"),
+        name=row.read_name("name"),
+        service=row.read_name("service"),
         order=row.read_integer("order", minimum=0),
         target_ms=row.read_integer("target_ms", minimum=1),
         worth=row.read_number("worth", low=0, high=1e9),
@@ -148,73 +171,114 @@
 
 @register_row_reader("route")
 def _read_route(row: _Row) -> Route:
-    path = row.read_text("path")
-    if path and not path.startswith("/"):
-        row.add_problem("path", path, "a path that starts with '/'")
     return Route(
-        name=row.read_text("name"),
-        service=row.read_text("service"),
-        path=path,
+        name=row.read_name("name"),
+        service=row.read_name("service"),
+        path=row.read_path(),
         methods=row.read_methods(),
-        pool=row.read_text("pool"),
-        rank=row.read_text("rank"),
+        pool=row.read_name("pool"),
+        rank=row.read_name("rank"),
         timeout_ms=row.read_integer("timeout_ms", minimum=1),
         idempotent=row.read_choice("idempotent", ("yes", "no")) == "yes",
     )
 
 
+class _SheetReader:
+    """Collect the resources and problems of a sheet, line by line."""
+
+    def __init__(self) -> None:
+        self.resources: dict[ResourceKey, Resource] = {}
+        self.problems: list[SheetProblem] = []
+        self.lines: dict[ResourceKey, int] = {}
+        self.columns: tuple[str, ...] = ()
+
+    def read(self, text: str) -> Sheet:
+        """Read a whole sheet."""
+        rows = csv.reader(io.StringIO(text.removeprefix("\ufeff")), strict=True)
+        try:
+            self._read_header(next(rows, []))
+            if not self.problems:
+                self._read_lines(rows)
+        except csv.Error as error:
+            self._add_problem(rows.line_num, "kind", str(error), "valid CSV")
+        return Sheet(
+            tuple(self.resources.values()),
+            tuple(self.problems),
+            self.lines,
+            self.columns,
+        )
+
+    def _read_header(self, cells: list[str]) -> None:
+        self.columns = tuple(cell.strip() for cell in cells)
+        for name in self.columns:
+            if name not in COLUMNS:
+                expected = "a column among " + ", ".join(COLUMNS)
+                self._add_problem(1, name, name, expected)
+            elif self.columns.count(name) > 1:
+                self._add_problem(1, name, name, "each column once")
+        for name in ("kind", "service"):
+            if name not in self.columns:
+                self._add_problem(1, name, "", f"a column {name!r}")
+
+    def _read_lines(self, rows) -> None:
+        for cells in rows:
+            if rows.line_num > MAX_LINES:
+                expected = f"at most {MAX_LINES} lines"
+                self._add_problem(rows.line_num, "kind", "one more", expected)
+                return
+            if any(cell.strip() for cell in cells):
+                self._read_cells(rows.line_num, [cell.strip() for cell in cells])
+
+    def _read_cells(self, line: int, cells: list[str]) -> None:
+        row = _Row(line, dict(zip(self.columns, cells, strict=False)))
+        if len(cells) > len(self.columns):
+            extra = cells[len(self.columns)]
+            row.add_problem(self.columns[-1], extra, "no more cells")
+        kind = row.read_choice("kind", tuple(ROW_READERS))
+        if kind in ROW_READERS:
+            self._add_resource(row, ROW_READERS[kind](row))
+        for problem in row.problems:
+            self._add_problem(line, problem.column, problem.found, problem.expected)
+
+    def _add_resource(self, row: _Row, resource: Resource) -> None:
+        key = resource.key
+        if key in self.lines:
+            expected = f"no second {key.kind} of this name (see line {self.lines[key]})"
+            row.add_problem("name", key.name, expected)
+        self.resources[key] = resource
+        self.lines[key] = row.line
+
+    def _add_problem(self, line: int, column: str, found: str, expected: str) -> None:
+        self.problems.append(
+            locate_problem(self.columns, line, column, found, expected)
+        )
+
+
+def locate_problem(
+    columns: tuple[str, ...], line: int, column: str, found: str, expected: str
+) -> SheetProblem:
+    """Return a problem with the position of its column filled in."""
+    position = columns.index(column) + 1 if column in columns else 0
+    return SheetProblem(line, column, found, expected, position)
+
+
 def parse_sheet(text: str) -> Sheet:
     """Return the resources of a CSV sheet and the problems of its lines."""
-    reader = csv.reader(io.StringIO(text.removeprefix("\ufeff")), strict=True)
-    problems: list[SheetProblem] = []
-    lines: dict = {}
-    resources: dict = {}
-    try:
-        header = next(reader, [])
-        problems += _check_header(header)
-        if problems:
-            return Sheet((), tuple(problems), {})
-        for cells in reader:
-            if not any(cell.strip() for cell in cells):
-                continue
-            if reader.line_num > MAX_ROWS:
-                problems.append(
-                    SheetProblem(
-                        reader.line_num, "kind", "a row", f"at most {MAX_ROWS} lines"
-                    )
-                )
-                break
-            _read_row(header, cells, reader.line_num, resources, lines, problems)
-    except csv.Error as error:
-        problems.append(SheetProblem(reader.line_num, "kind", str(error), "valid CSV"))
-    return Sheet(tuple(resources.values()), tuple(problems), lines)
-
-
-def _check_header(header: list[str]) -> list[SheetProblem]:
+    return _SheetReader().read(text)
+
+
+def check_sheet(text: str) -> Sheet:
+    """Parse a sheet and check it as a whole configuration."""
+    sheet = parse_sheet(text)
+    if sheet.problems:
+        return sheet
+    snapshot = Snapshot.build(1, {r.key: r for r in sheet.resources})
     problems = []
-    for name in header:
-        if name.strip() not in COLUMNS:
-            expected = "a column among " + ", ".join(COLUMNS)
-            problems.append(SheetProblem(1, name, name, expected))
-    for name in ("kind", "service"):
-        if name not in [cell.strip() for cell in header]:
-            problems.append(SheetProblem(1, name, "", f"a column {name!r}"))
-    return problems
-
-
-def _read_row(header, cells, line, resources, lines, problems) -> None:
-    row = _Row(
-        line,
-        {name.strip(): cell.strip() for name, cell in zip(header, cells, strict=False)},
-    )
-    if len(cells) > len(header):
-        row.add_problem(header[-1], cells[len(header)], "no more cells")
-    kind = row.read_choice("kind", tuple(ROW_READERS))
-    if kind in ROW_READERS:
-        resource = ROW_READERS[kind](row)
-        if resource.key in lines:
-            expected = f"no second {kind} of this name (see line {lines[resource.key]})"
-            row.add_problem("name", resource.key.name, expected)
-        resources[resource.key] = resource
-        lines[resource.key] = line
-    problems.extend(row.problems)
+    for problem in validate_snapshot(snapshot):
+        line = sheet.lines[problem.key]
+        found = getattr(snapshot.resources[problem.key], problem.field)
+        expected = f"a consistent value ({problem.message})"
+        problems.append(
+            locate_problem(sheet.columns, line, problem.field, str(found), expected)
+        )
+    return replace(sheet, problems=tuple(problems))
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
 import signal
@@ -12,6 +11,7 @@
 
 from flamingohead.events import Event, log_event
 from flamingohead.kernel import Kernel
+from flamingohead.logs import configure_logging
 from flamingohead.services.reactor import install_reactor
 
 if TYPE_CHECKING:
@@ -20,35 +20,6 @@
 logger = logging.getLogger(__name__)
 
 
-class JsonFormatter(logging.Formatter):
-    """Format each record as one JSON object."""
-
-    def format(self, record: logging.LogRecord) -> str:
-        entry = {
-            "time": record.created,
-            "level": record.levelname,
-            "logger": record.name,
-            "event": getattr(record, "event", None),
-            "message": record.getMessage(),
-        }
-        fields = getattr(record, "fields", {})
-        entry["fields"] = {name: str(value) for name, value in fields.items()}
-        if record.exc_info:
-            entry["exception"] = self.formatException(record.exc_info)
-        return json.dumps(entry)
-
-
-def configure_logging(settings: DaemonSettings) -> None:
-    """Send log records to standard error in the format of the settings."""
-    handler = logging.StreamHandler()
-    if settings.log_format == "json":
-        handler.setFormatter(JsonFormatter())
-    else:
-        text = "%(asctime)s %(levelname)s %(name)s %(message)s"
-        handler.setFormatter(logging.Formatter(text))
-    logging.basicConfig(level=settings.log_level, handlers=[handler], force=True)
-
-
 def build_kernel(settings: DaemonSettings) -> Kernel:
     """Return a kernel with every service of a daemon, not yet started."""
     install_reactor()
@@ -63,6 +34,7 @@
     from flamingohead.services.calls import CallService
     from flamingohead.services.configuration import ConfigurationService
     from flamingohead.services.gossip import GossipService
+    from flamingohead.services.history import HistoryService
     from flamingohead.services.http_client import HttpClientService
     from flamingohead.services.keys import KeyService
     from flamingohead.services.metrics import MetricsService
@@ -70,6 +42,7 @@
     from flamingohead.services.peers import PeersService
     from flamingohead.services.platform import ObjectClient, TableClient
     from flamingohead.services.slots import SlotService
+    from flamingohead.services.status import StatusService
 
     generator = random.Random()
     myself = Member(
@@ -102,6 +75,8 @@
         ),
     )
     kernel.add("announcements", AnnouncementService(kernel, settings.announce_address))
+    kernel.add("history", HistoryService(kernel))
+    kernel.add("status", StatusService(kernel))
     kernel.add(
         "operators",
         OperatorService(kernel, settings.control_address, settings.control_token),
--- a/flamingohead/protocol/peers_grpc.py
+++ b/flamingohead/protocol/peers_grpc.py
@@ -34,6 +34,10 @@
     async def FetchDomainStatus(self, stream: 'grpclib.server.Stream[flamingohead.protocol.peers_pb2.DomainStatusRequest, flamingohead.protocol.peers_pb2.DomainStatusReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def SetDrain(self, stream: 'grpclib.server.Stream[flamingohead.protocol.peers_pb2.SetDrainRequest, flamingohead.protocol.peers_pb2.SetDrainReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/flamingohead.protocol.Peers/Join': grpclib.const.Handler(
@@ -66,6 +70,12 @@
                 flamingohead.protocol.peers_pb2.DomainStatusRequest,
                 flamingohead.protocol.peers_pb2.DomainStatusReply,
             ),
+            '/flamingohead.protocol.Peers/SetDrain': grpclib.const.Handler(
+                self.SetDrain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                flamingohead.protocol.peers_pb2.SetDrainRequest,
+                flamingohead.protocol.peers_pb2.SetDrainReply,
+            ),
         }
 
 
@@ -102,3 +112,9 @@
             flamingohead.protocol.peers_pb2.DomainStatusRequest,
             flamingohead.protocol.peers_pb2.DomainStatusReply,
         )
+        self.SetDrain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/flamingohead.protocol.Peers/SetDrain',
+            flamingohead.protocol.peers_pb2.SetDrainRequest,
+            flamingohead.protocol.peers_pb2.SetDrainReply,
+        )
--- a/flamingohead/services/announcements.py
+++ b/flamingohead/services/announcements.py
@@ -10,9 +10,9 @@
 from klein import Klein
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 from twisted.internet import reactor
-from twisted.web.server import Site
 
 from flamingohead.core.members import UpstreamState, UpstreamStatus
+from flamingohead.services.bounded_site import BoundedSite
 from flamingohead.settings import Name, check_address, split_address
 
 if TYPE_CHECKING:
@@ -51,9 +51,7 @@
 
     async def start(self) -> None:
         host, port = split_address(self._address)
-        site = Site(self.app.resource())
-        site.noisy = False
-        site.displayTracebacks = False
+        site = BoundedSite(self.app.resource(), max_body_bytes=MAX_BODY_BYTES)
         self._port = reactor.listenTCP(port, site, interface=host)
 
     async def stop(self) -> None:
@@ -63,11 +61,8 @@
     def _announce(self, request, name: str):
         request.setHeader("content-type", "application/json")
         try:
-            body = request.content.read(MAX_BODY_BYTES + 1)
-            if len(body) > MAX_BODY_BYTES:
-                raise ValueError(f"body over {MAX_BODY_BYTES} bytes")
-            announcement = Announcement.model_validate_json(body)
-        except (ValidationError, ValueError) as error:
+            announcement = Announcement.model_validate_json(request.content.read())
+        except ValidationError as error:
             request.setResponseCode(400)
             return json.dumps({"error": str(error)}).encode()
         state = UpstreamState(
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -173,7 +173,7 @@
                 return rows
             records = []
             for row in rows:
-                record = await self._load_record(row.value)
+                record = await self.load_record(row.value)
                 if isinstance(record, Refusal):
                     return record
                 records.append(record)
@@ -182,7 +182,8 @@
             if len(rows) < SCAN_LIMIT or self.replica.version == before:
                 return None
 
-    async def _load_record(self, data: bytes) -> VersionRecord | Refusal:
+    async def load_record(self, data: bytes) -> VersionRecord | Refusal:
+        """Decode a row of the log, with its change read from the object store."""
         try:
             record = codec.parse_record(data)
             if record.change is not None:
--- /dev/null
+++ b/flamingohead/services/history.py
@@ -0,0 +1,112 @@
+"""Reading of the version log for operators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from flamingohead.core.changes import apply_change, compute_change
+from flamingohead.core.differences import Difference, describe_change
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.resources import EMPTY_SNAPSHOT, Snapshot
+from flamingohead.services.configuration import LOG_PREFIX, get_log_key
+
+if TYPE_CHECKING:
+    from flamingohead.core.versions import VersionRecord
+    from flamingohead.kernel import Kernel
+
+SCAN_LIMIT = 500
+MAX_LISTED = 1000
+
+
+@dataclass(frozen=True)
+class VersionSummary:
+    """Describe one accepted version; ``accepted_at`` in seconds since the epoch."""
+
+    version: int
+    change_id: str
+    author: str
+    accepted_at: float
+    touched: int
+
+
+class HistoryService:
+    """Answer questions about earlier versions from the table's log."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    async def list_versions(self, limit: int) -> list[VersionSummary] | Refusal:
+        """Return the newest ``limit`` versions, newest first."""
+        configuration = self._kernel.get("configuration")
+        refusal = await configuration.catch_up()
+        if refusal is not None:
+            return refusal
+        newest = configuration.replica.version
+        records = await self._read_records(newest - limit, newest)
+        if isinstance(records, Refusal):
+            return records
+        return [_summarize(record) for record in reversed(records)]
+
+    async def read_snapshot(self, version: int) -> Snapshot | Refusal:
+        """Return the snapshot of a version."""
+        held = self._kernel.get("configuration").replica.snapshot
+        if held.version == version:
+            return held
+        records = await self._read_records(0, version)
+        if isinstance(records, Refusal):
+            return records
+        snapshot = EMPTY_SNAPSHOT
+        for record in records:
+            snapshot = apply_change(snapshot, record.change, version=record.version)
+        if snapshot.version != version:
+            return Refusal(ErrorKind.NOT_FOUND, f"there is no version {version}")
+        return snapshot
+
+    async def compare(self, before: int, after: int) -> list[Difference] | Refusal:
+        """Return what changed from one version to another."""
+        first = await self.read_snapshot(before)
+        if isinstance(first, Refusal):
+            return first
+        second = await self.read_snapshot(after)
+        if isinstance(second, Refusal):
+            return second
+        change = compute_change(first, second.resources.values())
+        return describe_change(first.resources, change)
+
+    async def _read_records(
+        self, after: int, last: int
+    ) -> list[VersionRecord] | Refusal:
+        configuration = self._kernel.get("configuration")
+        records: list[VersionRecord] = []
+        position = max(after, 0)
+        while position < last:
+            rows = await self._kernel.get("table").scan(
+                LOG_PREFIX,
+                after=get_log_key(position),
+                limit=min(SCAN_LIMIT, last - position),
+            )
+            if isinstance(rows, Refusal):
+                return rows
+            if not rows:
+                break
+            for row in rows:
+                record = await configuration.load_record(row.value)
+                if isinstance(record, Refusal):
+                    return record
+                records.append(record)
+            position = records[-1].version
+        return records
+
+
+def _summarize(record: VersionRecord) -> VersionSummary:
+    touched = len(record.change.upserts) + len(record.change.removals)
+    return VersionSummary(
+        record.version, record.change_id, record.author, record.accepted_at, touched
+    )
--- a/flamingohead/services/operators.py
+++ b/flamingohead/services/operators.py
@@ -5,37 +5,66 @@
 import asyncio
 import hmac
 import json
+import logging
 import time
-from typing import TYPE_CHECKING
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Annotated, TypeVar
 
 from klein import Klein
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
-from twisted.web.server import Site
+from werkzeug.exceptions import HTTPException
 
+from flamingohead.core.changes import compute_change
+from flamingohead.core.differences import describe_change
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.sheets import parse_sheet
-from flamingohead.protocol import peers_pb2 as pb
-from flamingohead.services.bootstrap import HOST_PREFIX
-from flamingohead.settings import split_address
+from flamingohead.core.sheets import check_sheet
+from flamingohead.events import Event, log_event
+from flamingohead.services.bounded_site import BoundedSite
+from flamingohead.services.history import MAX_LISTED
+from flamingohead.settings import Name, split_address
 
 if TYPE_CHECKING:
+    from flamingohead.core.resources import Resource
     from flamingohead.kernel import Kernel
 
+logger = logging.getLogger(__name__)
+
 MAX_BODY_BYTES = 8 * 1024 * 1024
-DOMAIN_STATUS_TIMEOUT = 3.0
+Text = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[ -~]+$")]
+VersionNumber = Annotated[int, Field(ge=0, le=2**53)]
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class _BorderModel(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
 
 
-class ChangeRequest(BaseModel):
-    """Hold one checked request for a change."""
+class _ChangeFields(_BorderModel):
+    change_id: Annotated[Text, Field(min_length=8)]
+    author: Text
+    base_version: VersionNumber
 
-    model_config = ConfigDict(extra="forbid")
 
-    change_id: str = Field(min_length=8, max_length=128)
-    author: str = Field(min_length=1, max_length=128)
-    base_version: int = Field(ge=0)
+class ChangeRequest(_ChangeFields):
+    """Hold one checked request to make a sheet the configuration."""
+
     sheet: str
+    dry_run: bool = False
+
+
+class RevertRequest(_ChangeFields):
+    """Hold one checked request to put an earlier version in force again."""
+
+    version: Annotated[VersionNumber, Field(ge=1)]
+
+
+class DrainRequest(_BorderModel):
+    """Hold one checked request to start or end a drain."""
+
+    upstream: Name
+    draining: bool
 
 
 class OperatorService:
@@ -51,39 +80,76 @@
 
     async def start(self) -> None:
         host, port = split_address(self._address)
-        site = Site(self.app.resource())
-        site.noisy = False
-        site.displayTracebacks = False
+        site = BoundedSite(self.app.resource(), max_body_bytes=MAX_BODY_BYTES)
         self._port = reactor.listenTCP(port, site, interface=host)
 
     async def stop(self) -> None:
         await self._port.stopListening().asFuture(asyncio.get_running_loop())
 
+    # Routes
+
     @app.route("/v1/status", methods=["GET"])
     def _get_status(self, request):
         return self._answer(request, self._describe_status)
 
     @app.route("/v1/convergence", methods=["GET"])
     def _get_convergence(self, request):
-        return self._answer(request, self._collect_convergence)
+        return self._answer(request, self._kernel.get("status").describe_convergence)
+
+    @app.route("/v1/metrics", methods=["GET"])
+    def _get_metrics(self, request):
+        return self._answer(request, self._describe_metrics)
+
+    @app.route("/v1/versions", methods=["GET"])
+    def _get_versions(self, request):
+        return self._answer(request, lambda: self._list_versions(request))
+
+    @app.route("/v1/versions/<int:version>", methods=["GET"])
+    def _get_version(self, request, version: int):
+        return self._answer(request, lambda: self._describe_version(version))
+
+    @app.route("/v1/differences", methods=["GET"])
+    def _get_differences(self, request):
+        return self._answer(request, lambda: self._compare_versions(request))
 
     @app.route("/v1/changes", methods=["POST"])
     def _post_change(self, request):
         return self._answer(request, lambda: self._accept_change(request))
 
-    @app.route("/v1/counters", methods=["GET"])
-    def _get_counters(self, request):
-        return self._answer(request, self._describe_counters)
+    @app.route("/v1/reverts", methods=["POST"])
+    def _post_revert(self, request):
+        return self._answer(request, lambda: self._accept_revert(request))
+
+    @app.route("/v1/drains", methods=["POST"])
+    def _post_drain(self, request):
+        return self._answer(request, lambda: self._set_drain(request))
+
+    @app.handle_errors(HTTPException)
+    def _refuse_unknown(self, request, failure):
+        error = failure.value
+        kind = ErrorKind.NOT_FOUND if error.code == 404 else ErrorKind.MALFORMED_REQUEST
+        request.setHeader("content-type", "application/json")
+        return _write(request, Refusal(kind, f"{error.code} {error.name}"))
 
     # Answers
 
     def _answer(self, request, build) -> Deferred | bytes:
         request.setHeader("content-type", "application/json")
         if not self._is_authorized(request):
-            return _write(request, Refusal(ErrorKind.UNAUTHORIZED, "wrong token"))
+            refusal = Refusal(ErrorKind.UNAUTHORIZED, "wrong or missing token")
+            self._kernel.get("metrics").count_refusal(refusal)
+            return _write(request, refusal)
 
         async def run() -> bytes:
-            return _write(request, await build())
+            try:
+                result = await build()
+            except Exception:
+                logger.exception("operators' request failed")
+                log_event(logger, Event.REQUEST_FAILED, path=request.path.decode())
+                result = Refusal(ErrorKind.INTERNAL, "see the daemon's log")
+            if isinstance(result, Refusal):
+                self._kernel.get("metrics").count_refusal(result)
+            return _write(request, result)
 
         task = asyncio.get_running_loop().create_task(run())
         return Deferred.fromFuture(task)
@@ -91,113 +157,137 @@
     def _is_authorized(self, request) -> bool:
         given = request.getHeader("authorization") or ""
         expected = f"Bearer {self._token}"
-        return hmac.compare_digest(given.encode(), expected.encode())
+        return hmac.compare_digest(
+            given.encode("utf-8", "replace"), expected.encode("utf-8")
+        )
 
     async def _describe_status(self) -> dict:
-        membership = self._kernel.get("gossip").membership
-        configuration = self._kernel.get("configuration")
+        return self._kernel.get("status").describe_daemon()
+
+    async def _describe_metrics(self) -> dict:
+        return self._kernel.get("status").describe_metrics()
+
+    async def _list_versions(self, request) -> dict | Refusal:
+        limit = _read_number(request, "limit", low=1, high=MAX_LISTED, default=20)
+        if isinstance(limit, Refusal):
+            return limit
+        versions = await self._kernel.get("history").list_versions(limit)
+        if isinstance(versions, Refusal):
+            return versions
+        return {"versions": [asdict(version) for version in versions]}
+
+    async def _describe_version(self, version: int) -> dict | Refusal:
+        snapshot = await self._kernel.get("history").read_snapshot(version)
+        if isinstance(snapshot, Refusal):
+            return snapshot
+        resources = [
+            {"kind": key.kind, **asdict(resource)}
+            for key, resource in sorted(snapshot.resources.items())
+        ]
         return {
-            "host_id": membership.myself.host_id,
-            "failure_domain": membership.myself.failure_domain,
-            "version": configuration.replica.version,
-            "digest": configuration.replica.snapshot.digest.hex(),
-            "activated_at": configuration.activated_at,
-            "members": [
-                {
-                    "host_id": member.host_id,
-                    "status": member.status.name.lower(),
-                    "upstreams": [
-                        {
-                            "name": upstream.name,
-                            "service": upstream.service,
-                            "status": upstream.status.name.lower(),
-                            "slots": upstream.slots,
-                        }
-                        for upstream in member.upstreams
-                    ],
-                }
-                for member in membership.list_all()
-            ],
+            "version": version,
+            "digest": snapshot.digest.hex(),
+            "resources": resources,
         }
 
-    async def _describe_counters(self) -> dict:
-        metrics = self._kernel.get("metrics")
-        return {"counters": dict(metrics.counters), "gauges": metrics.gauges}
+    async def _compare_versions(self, request) -> dict | Refusal:
+        before = _read_number(request, "before", low=0, high=2**53)
+        if isinstance(before, Refusal):
+            return before
+        after = _read_number(request, "after", low=0, high=2**53)
+        if isinstance(after, Refusal):
+            return after
+        differences = await self._kernel.get("history").compare(before, after)
+        if isinstance(differences, Refusal):
+            return differences
+        return {"differences": [str(difference) for difference in differences]}
 
     async def _accept_change(self, request) -> dict | Refusal:
-        body = request.content.read(MAX_BODY_BYTES + 1)
-        if len(body) > MAX_BODY_BYTES:
-            return Refusal(
-                ErrorKind.REQUEST_TOO_LARGE, f"body over {MAX_BODY_BYTES} bytes"
-            )
-        try:
-            change = ChangeRequest.model_validate_json(body)
-        except ValidationError as error:
-            return Refusal(ErrorKind.MALFORMED_REQUEST, str(error))
-        sheet = parse_sheet(change.sheet)
+        change = _read_model(request, ChangeRequest)
+        if isinstance(change, Refusal):
+            return change
+        sheet = check_sheet(change.sheet)
         if sheet.problems:
-            detail = "; ".join(str(problem) for problem in sheet.problems)
+            detail = "; ".join(str(problem) for problem in sheet.problems[:20])
             return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
+        if change.dry_run:
+            return await self._preview(sheet.resources)
+        return await self._accept(change, list(sheet.resources))
+
+    async def _preview(self, resources: tuple[Resource, ...]) -> dict | Refusal:
+        configuration = self._kernel.get("configuration")
+        refusal = await configuration.catch_up()
+        if refusal is not None:
+            return refusal
+        held = configuration.replica.snapshot
+        differences = describe_change(held.resources, compute_change(held, resources))
+        return {
+            "base_version": held.version,
+            "differences": [str(difference) for difference in differences],
+        }
+
+    async def _accept_revert(self, request) -> dict | Refusal:
+        revert = _read_model(request, RevertRequest)
+        if isinstance(revert, Refusal):
+            return revert
+        snapshot = await self._kernel.get("history").read_snapshot(revert.version)
+        if isinstance(snapshot, Refusal):
+            return snapshot
+        return await self._accept(revert, list(snapshot.resources.values()))
+
+    async def _accept(
+        self, change: _ChangeFields, resources: list[Resource]
+    ) -> dict | Refusal:
         result = await self._kernel.get("configuration").accept(
-            list(sheet.resources),
+            resources,
             change_id=change.change_id,
             author=change.author,
             base_version=change.base_version,
         )
         if isinstance(result, Refusal):
-            return result
-        return {
-            "version": result.version,
-            "change_id": result.change_id,
-            "accepted_at": result.accepted_at,
-        }
-
-    async def _collect_convergence(self) -> dict:
-        peers = self._kernel.get("peers")
-        own = await peers.collect_domain_status()
-        remote = await asyncio.gather(
-            *(
-                self._ask_domain(domain, addresses)
-                for domain, addresses in (await self._list_domains()).items()
-                if domain != own.failure_domain
+            log_event(
+                logger,
+                Event.CHANGE_REFUSED,
+                change=change.change_id,
+                author=change.author,
+                kind=result.kind.value,
             )
+            return result
+        return asdict(result)
+
+    async def _set_drain(self, request) -> dict | Refusal:
+        drain = _read_model(request, DrainRequest)
+        if isinstance(drain, Refusal):
+            return drain
+        status = self._kernel.get("status")
+        return await status.set_drain(drain.upstream, drain.draining)
+
+
+def _read_model(request, model: type[Model]) -> Model | Refusal:
+    try:
+        return model.model_validate_json(request.content.read())
+    except ValidationError as error:
+        problems = "; ".join(
+            f"{'.'.join(str(part) for part in problem['loc']) or 'body'}: "
+            f"{problem['msg']}"
+            for problem in error.errors(include_url=False, include_input=False)
         )
-        domains = [own, *remote]
-        return {
-            "domains": [
-                {
-                    "failure_domain": domain.failure_domain,
-                    "members": {m.host_id: m.version for m in domain.members},
-                    "unreachable": list(domain.unreachable),
-                }
-                for domain in domains
-            ]
-        }
-
-    async def _list_domains(self) -> dict[str, list[str]]:
-        rows = await self._kernel.get("table").scan(HOST_PREFIX, limit=1000)
-        domains: dict[str, list[str]] = {}
-        if isinstance(rows, Refusal):
-            return domains
-        for row in rows:
-            domain = row.key.split("/")[1]
-            address = json.loads(row.value)["peer_address"]
-            domains.setdefault(domain, []).append(address)
-        return domains
-
-    async def _ask_domain(
-        self, domain: str, addresses: list[str]
-    ) -> pb.DomainStatusReply:
-        for address in addresses[:3]:
-            reply = await self._kernel.get("peers").call(
-                address,
-                "FetchDomainStatus",
-                pb.DomainStatusRequest(),
-                timeout=DOMAIN_STATUS_TIMEOUT,
-            )
-            if not isinstance(reply, Refusal):
-                return reply
-        return pb.DomainStatusReply(failure_domain=domain, unreachable=["*"])
+        return Refusal(ErrorKind.MALFORMED_REQUEST, problems)
+
+
+def _read_number(
+    request, name: str, *, low: int, high: int, default: int | None = None
+) -> int | Refusal:
+    values = request.args.get(name.encode(), [])
+    if not values and default is not None:
+        return default
+    text = values[0].decode("latin-1") if values else ""
+    if not (text.isascii() and text.isdigit()) or not low <= int(text) <= high:
+        return Refusal(
+            ErrorKind.MALFORMED_REQUEST,
+            f"{name}: found {text[:20]!r}, expected a whole number {low} to {high}",
+        )
+    return int(text)
 
 
 def _write(request, result: dict | Refusal) -> bytes:
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -127,6 +127,12 @@
         await stream.recv_message()
         await stream.send_message(await self.collect_domain_status())
 
+    async def SetDrain(self, stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        slots = self._kernel.get("slots")
+        found = slots.set_drain(request.upstream, draining=request.draining)
+        await stream.send_message(pb.SetDrainReply(found=found))
+
     # Status
 
     def describe_myself(self) -> pb.StatusReply:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from twisted.internet.task import LoopingCall
@@ -24,6 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
+READY = UpstreamStatus.READY
 TICK_PERIOD = 0.02
 
 
@@ -46,6 +47,7 @@
         self.upstreams: dict[str, LocalUpstream] = {}
         self._routes: RouteTable | None = None
         self._ticks = LoopingCall(self._tick)
+        self._drained: set[str] = set()
         self.in_flight = 0
 
     async def start(self) -> None:
@@ -80,6 +82,24 @@
             )
         self._publish()
 
+    def set_drain(self, name: str, *, draining: bool) -> bool:
+        """Start or end an operator's drain; return whether the upstream exists."""
+        if name not in self.upstreams:
+            return False
+        if draining:
+            self._drained.add(name)
+        else:
+            self._drained.discard(name)
+        self._publish()
+        return True
+
+    def get_status(self, name: str) -> UpstreamStatus:
+        """Return the status of an upstream, operators' drains included."""
+        status = self.upstreams[name].state.status
+        if status is UpstreamStatus.READY and name in self._drained:
+            return UpstreamStatus.DRAINING
+        return status
+
     def set_routes(self, routes: RouteTable) -> None:
         """Take the ranks of a new configuration."""
         self._routes = routes
@@ -87,7 +107,10 @@
             upstream.admission.set_ranks(routes.list_ranks(upstream.state.service))
 
     def _publish(self) -> None:
-        states = [upstream.state for upstream in self.upstreams.values()]
+        states = [
+            replace(upstream.state, status=self.get_status(name))
+            for name, upstream in self.upstreams.items()
+        ]
         self._kernel.get("gossip").set_upstreams(states)
 
     def _tick(self) -> None:
@@ -108,7 +131,7 @@
     ) -> Refusal | None:
         """Run a call on an upstream of this host; ``None`` means answered."""
         upstream = self.upstreams.get(upstream_name)
-        if upstream is None or upstream.state.status is not UpstreamStatus.READY:
+        if upstream is None or self.get_status(upstream_name) is not READY:
             return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
         self.in_flight += 1
         try:
--- a/flamingohead/settings.py
+++ b/flamingohead/settings.py
@@ -2,17 +2,79 @@
 
 from __future__ import annotations
 
-import os
 import re
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, field_validator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
 
 ENVIRONMENT_PREFIX = "FLAMINGOHEAD_"
-_ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+SECRET_SETTINGS = frozenset(("control_token",))
+ADDRESS_SETTINGS = (
+    "ingress_address",
+    "relay_address",
+    "peer_address",
+    "announce_address",
+    "control_address",
+)
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+LOG_FORMATS = ("text", "json")
+_ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
+_URL = re.compile(r"http://[^/\s]+(/\S*)?")
+
+
+def check_address(value: str) -> str:
+    """Return ``value``; raise ``ValueError`` unless it is IPv4:PORT."""
+    match = _ADDRESS.fullmatch(value)
+    if match is None:
+        raise ValueError("expected IP:PORT, such as 10.0.0.7:8080")
+    *octets, port = (int(part) for part in match.groups())
+    if max(octets) > 255 or not 0 < port < 65536:
+        raise ValueError("expected octets up to 255 and a port from 1 to 65535")
+    return value
+
+
+def _check_optional_address(value: str) -> str:
+    return check_address(value) if value else value
+
+
+def _check_addresses(value: str) -> str:
+    for part in value.split(","):
+        _check_optional_address(part.strip())
+    return value
+
+
+def _check_url(value: str) -> str:
+    if not _URL.fullmatch(value):
+        raise ValueError("expected a URL such as http://10.0.0.1:9000")
+    return value.rstrip("/")
+
+
+def _check_log_level(value: str) -> str:
+    if value.upper() not in LOG_LEVELS:
+        raise ValueError("expected one of " + ", ".join(LOG_LEVELS))
+    return value.upper()
+
+
+def _check_log_format(value: str) -> str:
+    if value not in LOG_FORMATS:
+        raise ValueError("expected one of " + ", ".join(LOG_FORMATS))
+    return value
+
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
-Address = Annotated[str, Field(description="IP:PORT")]
+Address = Annotated[str, AfterValidator(check_address)]
+OptionalAddress = Annotated[str, AfterValidator(_check_optional_address)]
+Addresses = Annotated[str, AfterValidator(_check_addresses)]
+Url = Annotated[str, AfterValidator(_check_url)]
+LogLevel = Annotated[str, AfterValidator(_check_log_level)]
+LogFormat = Annotated[str, AfterValidator(_check_log_format)]
 
 
 class DaemonSettings(BaseModel):
@@ -28,71 +90,75 @@
     announce_address: Address = Field(description="IP:PORT for upstreams on this host")
     control_address: Address = Field(description="IP:PORT for operators")
     control_token: str = Field(min_length=8, description="token that operators send")
-    table_url: str = Field(description="base URL of the table service")
-    objects_url: str = Field(description="base URL of the object store")
-    seeds: str = Field("", description="peer addresses, separated by commas")
-    statsd_address: str = Field("", description="IP:PORT of a statsd server, or empty")
-    log_level: str = Field("INFO", description="DEBUG, INFO, WARNING or ERROR")
-    log_format: str = Field("text", description="text or json")
+    table_url: Url = Field(description="base URL of the table service")
+    objects_url: Url = Field(description="base URL of the object store")
+    seeds: Addresses = Field("", description="peer addresses, separated by commas")
+    statsd_address: OptionalAddress = Field(
+        "", description="IP:PORT of a statsd server, or empty for none"
+    )
+    log_level: LogLevel = Field("INFO", description=", ".join(LOG_LEVELS))
+    log_format: LogFormat = Field("text", description=" or ".join(LOG_FORMATS))
     stop_timeout: float = Field(
         10.0, gt=0, le=300, description="seconds that a stop may wait for requests"
     )
     key_lifetime: float = Field(
-        3600.0, ge=1, description="seconds that answers to keyed requests are kept"
+        3600.0,
+        ge=1,
+        le=604_800,
+        description="seconds that answers to keyed requests are kept",
     )
 
-    @field_validator(
-        "ingress_address",
-        "relay_address",
-        "peer_address",
-        "announce_address",
-        "control_address",
-    )
-    @classmethod
-    def _check_address(cls, value: str) -> str:
-        check_address(value)
-        return value
-
-    @field_validator("log_level")
-    @classmethod
-    def _check_log_level(cls, value: str) -> str:
-        if value.upper() not in ("DEBUG", "INFO", "WARNING", "ERROR"):
-            raise ValueError("expected DEBUG, INFO, WARNING or ERROR")
-        return value.upper()
-
-    @field_validator("log_format")
-    @classmethod
-    def _check_log_format(cls, value: str) -> str:
-        if value not in ("text", "json"):
-            raise ValueError("expected text or json")
-        return value
+    @model_validator(mode="after")
+    def _check_distinct(self) -> DaemonSettings:
+        owners: dict[str, str] = {}
+        for name in ADDRESS_SETTINGS:
+            address = getattr(self, name)
+            other = owners.setdefault(address, name)
+            if other != name:
+                raise ValueError(
+                    f"{get_flag(other)} and {get_flag(name)} are both {address!r}, "
+                    "expected different addresses"
+                )
+        return self
 
     def list_seeds(self) -> list[str]:
         return [seed.strip() for seed in self.seeds.split(",") if seed.strip()]
 
 
-def check_address(value: str) -> None:
-    """Raise ``ValueError`` unless ``value`` is an IPv4 address and a port."""
-    host, _, port = value.rpartition(":")
-    valid = bool(_ADDRESS.match(value)) and 0 < int(port) < 65536
-    if not valid or any(int(part) > 255 for part in host.split(".")):
-        raise ValueError(f"expected IP:PORT, found {value!r}")
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of ``IP:PORT``."""
     host, _, port = address.rpartition(":")
     return host, int(port)
 
 
-def get_environment_name(field: str) -> str:
-    """Return the environment variable of a setting."""
-    return ENVIRONMENT_PREFIX + field.upper()
+def get_flag(setting: str) -> str:
+    """Return the flag of a setting."""
+    return "--" + setting.replace("_", "-")
 
 
-def read_environment() -> dict[str, str]:
-    """Return the settings given by environment variables."""
-    names = {
-        field: get_environment_name(field) for field in DaemonSettings.model_fields
-    }
-    return {f: os.environ[name] for f, name in names.items() if name in os.environ}
+def get_environment_name(setting: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + setting.upper()
+
+
+def describe_problems(error: ValidationError) -> list[str]:
+    """Return one line for each wrong setting: its name, its value, its range."""
+    lines = []
+    for problem in error.errors():
+        message = problem["msg"].removeprefix("Value error, ")
+        if not problem["loc"]:
+            lines.append(message)
+            continue
+        name = str(problem["loc"][0])
+        label = f"{get_flag(name)} ({get_environment_name(name)})"
+        if problem["type"] == "missing":
+            lines.append(f"{label} is missing: {_get_description(name)}")
+        else:
+            value = "(hidden)" if name in SECRET_SETTINGS else repr(problem["input"])
+            lines.append(f"{label}: found {value}: {message}")
+    return lines
+
+
+def _get_description(name: str) -> str:
+    field = DaemonSettings.model_fields.get(name)
+    return field.description if field is not None else "not a setting"
