Prove that the operators' endpoint changes nothing without a right to it

Cause: the endpoint, the commands, the settings and the catalogues had no checks.

Conclusion: wrong token and malformed bodies are covered; slow senders at this endpoint rest on twisted.web's idle timeout and have no test.

--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -207,3 +207,23 @@
         process = Process(name, popen, log_path)
         self.processes.append(process)
         return process
+
+
+def run_command(
+    mesh: LocalMesh,
+    *arguments: str,
+    token: str = TOKEN,
+    control: str | None = None,
+    timeout: float = 60.0,
+) -> subprocess.CompletedProcess:
+    """Run an operators' command against the first daemon of a mesh."""
+    if control is None:
+        control = next(iter(mesh.daemons.values())).addresses.control
+    options = ["--control-address", control, "--control-token", token]
+    return subprocess.run(
+        [sys.executable, "-m", "flamingohead", *arguments, *options],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=timeout,
+    )
--- /dev/null
+++ b/flamingohead/tests/test_commands.py
@@ -0,0 +1,115 @@
+"""Tests of the operators' commands against daemons in separate processes."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+
+import pytest
+
+from flamingohead.testing.processes import ROOT, TOKEN, LocalMesh, run_command
+
+SHEET = ROOT / "examples" / "kente-mirror.csv"
+PATIENCE = 20.0
+
+
+@pytest.fixture(scope="module")
+def mesh(tmp_path_factory):
+    with LocalMesh(tmp_path_factory.mktemp("commands")) as mesh:
+        mesh.start_platform()
+        for number in range(2):
+            mesh.start_daemon(f"tema-{number}", "tema")
+        for host_id in mesh.daemons:
+            mesh.start_upstream(f"ledger-{host_id}", "stall-ledger", host_id)
+        mesh.wait_until_listening()
+        yield mesh
+
+
+def wait_for_output(mesh, text, *arguments):
+    deadline = time.monotonic() + PATIENCE
+    while True:
+        result = run_command(mesh, *arguments)
+        if text in result.stdout or time.monotonic() > deadline:
+            return result
+        time.sleep(0.1)
+
+
+class TestChangeCommands:
+    def test_dry_run_shows_differences_and_changes_nothing(self, mesh):
+        result = run_command(mesh, "apply", str(SHEET), "--dry-run")
+        assert result.returncode == 0, result.stderr
+        assert "added service stall-ledger/stall-ledger" in result.stdout
+        assert "14 differences" in result.stdout
+        assert '"version": 0' in run_command(mesh, "status", "--json").stdout
+
+    def test_bad_sheet_names_line_and_column_and_changes_nothing(self, mesh, tmp_path):
+        sheet = tmp_path / "bad.csv"
+        text = SHEET.read_text()
+        sheet.write_text(text.replace("GET HEAD,stall-ledger-workers", "GET HEAD,none"))
+        result = run_command(mesh, "apply", str(sheet))
+        assert result.returncode == 3
+        assert "line 6, column 7 (pool): found 'none'" in result.stderr
+        assert '"version": 0' in run_command(mesh, "status", "--json").stdout
+
+    def test_versions_through_their_whole_life(self, mesh, tmp_path):
+        assert run_command(mesh, "apply", str(SHEET), "--wait").returncode == 0
+        sheet = tmp_path / "second.csv"
+        sheet.write_text(SHEET.read_text().replace("0,60,10,0.4", "0,80,10,0.4"))
+        second = run_command(mesh, "apply", str(sheet), "--wait", "--base", "1")
+        assert "accepted as version 2" in second.stdout, second.stderr
+        stale = run_command(mesh, "apply", str(SHEET), "--base", "1")
+        assert stale.returncode == 3
+        assert "version 2 was taken by" in stale.stderr
+        diff = run_command(mesh, "diff", "1", "2")
+        assert diff.returncode == 7
+        changed = "changed rank stall-ledger/lookup target_ms: 60 -> 80"
+        assert diff.stdout.strip() == changed
+        assert run_command(mesh, "revert", "1", "--wait").returncode == 0
+        assert run_command(mesh, "diff", "1", "3").returncode == 0
+        history = json.loads(run_command(mesh, "history", "--json").stdout)
+        assert [row["version"] for row in history] == [3, 2, 1]
+        assert "target_ms=60" in run_command(mesh, "show", "3").stdout
+        assert run_command(mesh, "show", "4").returncode == 3
+
+    def test_repeated_change_id_gives_the_same_version(self, mesh, tmp_path):
+        newest = json.loads(run_command(mesh, "status", "--json").stdout)["version"]
+        sheet = tmp_path / "third.csv"
+        sheet.write_text(SHEET.read_text().replace("0,60,10,0.4", "0,70,10,0.4"))
+        options = ["--change-id", "asked-twice", "--base", str(newest)]
+        first = run_command(mesh, "apply", str(sheet), *options)
+        again = run_command(mesh, "apply", str(sheet), *options)
+        assert first.stdout == again.stdout == f"accepted as version {newest + 1}\n"
+
+
+class TestStateCommands:
+    def test_drain_is_seen_by_the_other_daemon_and_ends(self, mesh):
+        name = "ledger-tema-1"
+        ready = wait_for_output(mesh, name, "status")
+        assert name in ready.stdout
+        assert run_command(mesh, "drain", name).returncode == 0
+        assert "draining" in wait_for_output(mesh, "draining", "status").stdout
+        assert run_command(mesh, "undrain", name).returncode == 0
+        assert run_command(mesh, "drain", "unknown").returncode == 3
+
+    def test_wrong_token_is_refused(self, mesh):
+        result = run_command(mesh, "status", token="not-the-token")
+        assert result.returncode == 3
+        assert "unauthorized" in result.stderr
+
+    def test_daemon_that_is_away_is_named(self, mesh):
+        result = run_command(mesh, "status", control="127.0.0.1:9")
+        assert result.returncode == 6
+        assert "127.0.0.1:9" in result.stderr
+
+
+class TestBoundedBody:
+    def test_oversized_body_is_refused_before_it_is_read(self, mesh):
+        address = mesh.daemons["tema-0"].addresses.control
+        connection = http.client.HTTPConnection(address, timeout=10)
+        connection.putrequest("POST", "/v1/changes")
+        connection.putheader("Authorization", f"Bearer {TOKEN}")
+        connection.putheader("Content-Length", str(10**9))
+        connection.endheaders()
+        assert connection.getresponse().status == 413
+        connection.close()
--- a/flamingohead/tests/test_errors.py
+++ b/flamingohead/tests/test_errors.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
 
 from flamingohead.core.errors import ERROR_ANSWERS, ErrorKind, Refusal
+from flamingohead.testing.processes import ROOT
 
 
 class TestErrorAnswers:
@@ -15,6 +18,21 @@
     def test_status_is_an_error(self, kind):
         assert 400 <= ERROR_ANSWERS[kind].status < 600
 
+    def test_documented_table_agrees(self):
+        text = (ROOT / "docs" / "errors.md").read_text()
+        rows = re.findall(
+            r"^\| `([a-z_]+)` \| (\d+) \| (\w+) \| (\d+|-) \|", text, re.MULTILINE
+        )
+        listed = {row[0]: row[1:] for row in rows}
+        for kind, answer in ERROR_ANSWERS.items():
+            retry = "-" if answer.retry_after_ms is None else str(answer.retry_after_ms)
+            assert listed.pop(kind.value) == (
+                str(answer.status),
+                answer.ran.value,
+                retry,
+            )
+        assert not listed
+
 
 class TestRefusal:
     def test_retry_deadline_goes_before_the_default(self):
--- a/flamingohead/tests/test_path.py
+++ b/flamingohead/tests/test_path.py
@@ -4,13 +4,11 @@
 
 import http.client
 import json
-import subprocess
-import sys
 import time
 
 import pytest
 
-from flamingohead.testing.processes import ROOT, TOKEN, LocalMesh
+from flamingohead.testing.processes import ROOT, LocalMesh, run_command
 
 SHEET = ROOT / "examples" / "kente-mirror.csv"
 PATIENCE = 30.0
@@ -34,18 +32,6 @@
         time.sleep(0.1)
 
 
-def run_command(mesh, *arguments):
-    control = next(iter(mesh.daemons.values())).addresses.control
-    options = ["--control-address", control, "--control-token", TOKEN]
-    return subprocess.run(
-        [sys.executable, "-m", "flamingohead", *arguments, *options],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=60,
-    )
-
-
 def read_runs(mesh):
     runs = []
     for upstream in mesh.upstreams.values():
