Add the summary that one failure domain gives another, as a pure exchange

Cause: a call that finds no free slot in its own failure domain has nothing to choose from elsewhere.

Change: core/summaries.py. Services are grouped in 128 buckets by hash; a request carries a digest for each bucket and the reply holds the buckets that differ, whole, in datagrams of about 1000 bytes. No daemon keeps state about another, so any may answer any. RemoteSummaries.list_remote(service, now) gives RemoteSummary values, which hold a deadline; UpstreamState gains a load in steps of 0.25, and Member summaries weigh it by slots. Not wired to datagrams yet.

Ruled out: pushing every change to all daemons of the other failure domains (state for each pair), and carrying summaries by one chosen daemon (a lease to lose).

--- a/flamingohead/core/members.py
+++ b/flamingohead/core/members.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
+LOAD_STEP = 0.25
+
 
 class MemberStatus(IntEnum):
     """Order the statuses by precedence at equal incarnation."""
@@ -26,12 +28,17 @@
 
 @dataclass(frozen=True)
 class UpstreamState:
-    """Describe an upstream as announced; ``slots`` counts parallel requests."""
+    """Describe an upstream as announced.
+
+    ``slots`` counts parallel requests; ``load`` is the fraction of them in use, from
+    0 to 1 in steps of ``LOAD_STEP``.
+    """
 
     name: str
     service: str
     status: UpstreamStatus
     slots: int
+    load: float = 0.0
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/flamingohead/core/summaries.py
@@ -0,0 +1,363 @@
+"""Summaries of services between failure domains.
+
+A daemon asks one daemon of another failure domain at a time for what differs from
+the summary it holds. Services are grouped in buckets by hash; the request carries
+one digest for each bucket, and the reply holds the buckets that differ, whole. Any
+daemon can answer any other, since neither keeps state about the other one.
+"""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from flamingohead.core.members import UpstreamStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from flamingohead.core.members import Member
+
+BUCKETS = 128
+DIGEST_BYTES = 4
+MAX_RELAYS = 3
+MAX_CONTACTS = 8
+MAX_REPLY_BYTES = 1000
+MAX_REPLIES = 6
+
+
+@dataclass(frozen=True)
+class RelayPoint:
+    """Locate an upstream behind the relay address of its host."""
+
+    host_id: str
+    relay_address: str
+    upstream: str
+
+
+@dataclass(frozen=True)
+class ServiceSummary:
+    """Describe a service inside a failure domain.
+
+    ``slots`` counts the slots of its ready upstreams, ``load`` is the fraction of
+    them in use, from 0 to 1 in steps.
+    """
+
+    service: str
+    slots: int
+    load: float
+    relays: tuple[RelayPoint, ...]
+
+
+@dataclass(frozen=True)
+class RemoteSummary:
+    """Describe a service of another failure domain until ``expires_at``."""
+
+    failure_domain: str
+    service: str
+    slots: int
+    load: float
+    relays: tuple[RelayPoint, ...]
+    expires_at: float
+
+
+@dataclass(frozen=True)
+class SummaryRequest:
+    """Ask a failure domain for the buckets that differ from these digests."""
+
+    digests: bytes
+
+
+@dataclass(frozen=True)
+class SummaryBucket:
+    """Hold every service of one bucket."""
+
+    index: int
+    services: tuple[ServiceSummary, ...]
+
+
+@dataclass(frozen=True)
+class SummaryReply:
+    """Name the buckets that match the request, and hold some that differ."""
+
+    matching: bytes
+    buckets: tuple[SummaryBucket, ...]
+    contacts: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class AskSummary:
+    """Send a request to a daemon of another failure domain."""
+
+    address: str
+    sequence: int
+    request: SummaryRequest
+
+
+@dataclass(frozen=True)
+class SummarySettings:
+    """Set periods and lifetimes in seconds.
+
+    One request is sent each ``request_period``, to one failure domain at a time.
+    """
+
+    request_period: float = 1.0
+    reply_timeout: float = 3.0
+    lifetime: float = 60.0
+
+
+@dataclass(frozen=True)
+class _Asked:
+    failure_domain: str
+    expires_at: float
+
+
+@dataclass
+class _Domain:
+    contacts: dict[str, float] = field(default_factory=dict)
+    buckets: dict[int, tuple[RemoteSummary, ...]] = field(default_factory=dict)
+    digests: bytearray = field(
+        default_factory=lambda: bytearray(BUCKETS * DIGEST_BYTES)
+    )
+    expires_at: dict[int, float] = field(default_factory=dict)
+    asked_at: float = float("-inf")
+
+
+def compute_bucket(service: str) -> int:
+    """Return the bucket of a service."""
+    return zlib.crc32(service.encode()) % BUCKETS
+
+
+def compute_digest(services: Iterable[ServiceSummary]) -> bytes:
+    """Return the digest of a bucket; an empty bucket has a digest of zeros."""
+    ordered = sorted(services, key=lambda summary: summary.service)
+    if not ordered:
+        return bytes(DIGEST_BYTES)
+    return zlib.crc32(repr(ordered).encode()).to_bytes(DIGEST_BYTES, "big")
+
+
+def summarize_members(members: Iterable[Member]) -> list[ServiceSummary]:
+    """Return a summary of each service with ready upstreams among ``members``.
+
+    The result depends on the members alone, not on their order, so that daemons
+    with equal views give equal digests.
+    """
+    summaries: dict[str, ServiceSummary] = {}
+    busy: dict[str, float] = {}
+    for member in sorted(members, key=lambda m: m.host_id):
+        if not member.is_usable:
+            continue
+        for upstream in member.upstreams:
+            if upstream.status is not UpstreamStatus.READY:
+                continue
+            name = upstream.service
+            known = summaries.get(name, ServiceSummary(name, 0, 0.0, ()))
+            relay = RelayPoint(member.host_id, member.relay_address, upstream.name)
+            relays = (*known.relays, relay)[:MAX_RELAYS]
+            slots = known.slots + upstream.slots
+            busy[name] = busy.get(name, 0.0) + upstream.load * upstream.slots
+            load = round(busy[name] / slots, 2)
+            summaries[name] = ServiceSummary(name, slots, load, relays)
+    return list(summaries.values())
+
+
+class LocalSummary:
+    """Answer requests for the summary of this failure domain."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[int, tuple[ServiceSummary, ...]] = {}
+        self._digests = bytearray(BUCKETS * DIGEST_BYTES)
+
+    def set_services(self, services: Iterable[ServiceSummary]) -> None:
+        """Replace the services of this failure domain."""
+        buckets: dict[int, list[ServiceSummary]] = {}
+        for summary in services:
+            buckets.setdefault(compute_bucket(summary.service), []).append(summary)
+        self._buckets = {index: tuple(group) for index, group in buckets.items()}
+        for index in range(BUCKETS):
+            digest = compute_digest(self._buckets.get(index, ()))
+            _put_digest(self._digests, index, digest)
+
+    def answer(
+        self, request: SummaryRequest, contacts: tuple[str, ...], random: Random
+    ) -> list[SummaryReply]:
+        """Return replies, each within a datagram, for the buckets that differ.
+
+        What does not fit into ``MAX_REPLIES`` is left to a later request; the
+        buckets are taken in random order, so that none is left out for ever.
+        """
+        matching = bytearray(BUCKETS // 8)
+        differing: list[int] = []
+        for index in range(BUCKETS):
+            if _get_digest(request.digests, index) == _get_digest(self._digests, index):
+                matching[index // 8] |= 1 << index % 8
+            else:
+                differing.append(index)
+        random.shuffle(differing)
+        groups = self._pack(differing)[:MAX_REPLIES]
+        return [
+            SummaryReply(bytes(matching), tuple(group), contacts) for group in groups
+        ]
+
+    def _pack(self, indexes: list[int]) -> list[list[SummaryBucket]]:
+        groups: list[list[SummaryBucket]] = [[]]
+        size = 0
+        for index in indexes:
+            bucket = SummaryBucket(index, self._buckets.get(index, ()))
+            bucket_size = estimate_bucket_size(bucket)
+            if groups[-1] and size + bucket_size > MAX_REPLY_BYTES:
+                groups.append([])
+                size = 0
+            groups[-1].append(bucket)
+            size += bucket_size
+        return groups
+
+
+def estimate_bucket_size(bucket: SummaryBucket) -> int:
+    """Return an upper bound of the bytes of a bucket in a datagram."""
+    size = 8
+    for summary in bucket.services:
+        size += 24 + len(summary.service)
+        for relay in summary.relays:
+            size += 8 + len(relay.host_id)
+            size += len(relay.relay_address) + len(relay.upstream)
+    return size
+
+
+class RemoteSummaries:
+    """Hold the summaries of the other failure domains.
+
+    Times are seconds on the caller's monotonic clock.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        *,
+        random: Random,
+        settings: SummarySettings = SummarySettings(),
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._random = random
+        self._settings = settings
+        self._domains: dict[str, _Domain] = {}
+        self._by_service: dict[str, dict[str, RemoteSummary]] = {}
+        self._next_request_at = 0.0
+        self._sequence = random.getrandbits(32)
+        self._asked: dict[int, _Asked] = {}
+
+    # Views
+
+    def list_remote(self, service: str, now: float) -> list[RemoteSummary]:
+        """Return what other failure domains offer of a service at ``now``."""
+        known = self._by_service.get(service, {})
+        result = []
+        for domain_name, summary in known.items():
+            domain = self._domains[domain_name]
+            expires_at = domain.expires_at[compute_bucket(service)]
+            if now < expires_at:
+                result.append(replace(summary, expires_at=expires_at))
+        return result
+
+    def list_contacts(self, failure_domain: str) -> list[str]:
+        """Return peer addresses known in another failure domain."""
+        domain = self._domains.get(failure_domain)
+        return list(domain.contacts) if domain else []
+
+    def list_domains(self) -> list[str]:
+        """Return the names of the other failure domains heard of."""
+        return list(self._domains)
+
+    # Events
+
+    def add_contact(self, failure_domain: str, address: str, now: float) -> None:
+        """Note a daemon of another failure domain; the latest heard are kept."""
+        if failure_domain == self._failure_domain:
+            return
+        contacts = self._domains.setdefault(failure_domain, _Domain()).contacts
+        contacts.pop(address, None)
+        contacts[address] = now
+        while len(contacts) > MAX_CONTACTS:
+            del contacts[next(iter(contacts))]
+
+    def tick(self, now: float) -> list[AskSummary]:
+        """Ask the failure domain that was not asked for the longest time."""
+        if now < self._next_request_at or not self._domains:
+            return []
+        wait = self._random.uniform(0.5, 1.5) * self._settings.request_period
+        self._next_request_at = now + wait
+        name = min(self._domains, key=lambda d: self._domains[d].asked_at)
+        domain = self._domains[name]
+        domain.asked_at = now
+        self._sequence += 1
+        self._forget_asked(now)
+        expires_at = now + self._settings.reply_timeout
+        self._asked[self._sequence] = _Asked(name, expires_at)
+        address = self._random.choice(list(domain.contacts))
+        request = SummaryRequest(bytes(domain.digests))
+        return [AskSummary(address, self._sequence, request)]
+
+    def _forget_asked(self, now: float) -> None:
+        for sequence, asked in list(self._asked.items()):
+            if now >= asked.expires_at:
+                del self._asked[sequence]
+
+    def receive_reply(
+        self, failure_domain: str, sequence: int, reply: SummaryReply, now: float
+    ) -> None:
+        """Take the buckets of a reply; renew the matching ones that are held.
+
+        A reply that comes after ``reply_timeout`` is dropped: what it states may
+        have changed since.
+        """
+        asked = self._asked.get(sequence)
+        if asked is None or asked.failure_domain != failure_domain:
+            return
+        if now >= asked.expires_at or len(reply.matching) != BUCKETS // 8:
+            return
+        domain = self._domains[failure_domain]
+        expires_at = now + self._settings.lifetime
+        for index in domain.expires_at:
+            if reply.matching[index // 8] & 1 << index % 8:
+                domain.expires_at[index] = expires_at
+        for bucket in reply.buckets:
+            if 0 <= bucket.index < BUCKETS:
+                self._take_bucket(failure_domain, domain, bucket, expires_at)
+        for address in reply.contacts:
+            if address not in domain.contacts:
+                self.add_contact(failure_domain, address, now)
+
+    def _take_bucket(
+        self,
+        failure_domain: str,
+        domain: _Domain,
+        bucket: SummaryBucket,
+        expires_at: float,
+    ) -> None:
+        for old in domain.buckets.pop(bucket.index, ()):
+            self._by_service[old.service].pop(failure_domain, None)
+            if not self._by_service[old.service]:
+                del self._by_service[old.service]
+        summaries = tuple(
+            RemoteSummary(
+                failure_domain, s.service, s.slots, s.load, s.relays, expires_at
+            )
+            for s in bucket.services
+            if compute_bucket(s.service) == bucket.index
+        )
+        domain.buckets[bucket.index] = summaries
+        domain.expires_at[bucket.index] = expires_at
+        _put_digest(domain.digests, bucket.index, compute_digest(bucket.services))
+        for summary in summaries:
+            held = self._by_service.setdefault(summary.service, {})
+            held[failure_domain] = summary
+
+
+def _get_digest(digests: bytes | bytearray, index: int) -> bytes:
+    return bytes(digests[index * DIGEST_BYTES : (index + 1) * DIGEST_BYTES])
+
+
+def _put_digest(digests: bytearray, index: int, digest: bytes) -> None:
+    digests[index * DIGEST_BYTES : (index + 1) * DIGEST_BYTES] = digest
