Add the observe mode: compare with the old scripts, change nothing

Cause: users move in one service at a time beside their old scripts, and the mode in the sheet had no effect.

Change: a call for a service in observe is refused as not run; the old scripts (or the compare command) hand in what they made, and the daemon compares it with its own routes and ready upstreams, again every 5 s, logs and counts the differences.

Ruled out: serving calls of an observed service in shadow (a non-idempotent request would run twice) and reading the old scripts' files (hosts have no disks).

Conclusion: moving a service to enforce and back is a change of its mode.

--- a/flamingohead/commands/state.py
+++ b/flamingohead/commands/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from typing import TYPE_CHECKING
 
 import click
@@ -67,6 +68,11 @@
         click.echo("behind: " + ", ".join(behind))
     for rejected in own.get("rejected", []):
         click.echo(f"not taken: version {rejected['version']}: {rejected['reason']}")
+    for observed in own["observed"]:
+        count = len(observed["differences"])
+        click.echo(f"observed: {observed['service']}: {count} differences")
+        for line in observed["differences"]:
+            click.echo(f"    {line}")
     click.echo(f"asked: {own['host_id']} in {own['failure_domain']}")
     click.echo(
         f"{'host':<20} {'state':<8} {'upstream':<28} {'service':<18} "
@@ -128,4 +134,30 @@
     run_session(control_address, control_token, operate)
 
 
-COMMANDS = (status, drain, undrain)
+@click.command()
+@click.argument("service")
+@click.argument("file", type=click.File("rb"))
+@add_control_options
+def compare(service: str, file, control_address: str, control_token: str) -> None:
+    """Compare SERVICE with FILE, the JSON that the old scripts made for it.
+
+    Exits with 7 if they differ. Example: flamingohead compare booking old.json
+    """
+    try:
+        body = json.load(file)
+    except ValueError as error:
+        click.echo(f"{file.name}: not JSON: {error}", err=True)
+        sys.exit(ExitCode.USAGE)
+
+    async def operate(client: ControlClient) -> int:
+        answer = await client.put(f"/legacy/{service}", body)
+        if not answer.is_ok:
+            return report_refusal(answer)
+        for line in answer.body["differences"]:
+            click.echo(line)
+        return ExitCode.DIFFERENT if answer.body["differences"] else ExitCode.DONE
+
+    run_session(control_address, control_token, operate)
+
+
+COMMANDS = (status, drain, undrain, compare)
--- a/flamingohead/control.py
+++ b/flamingohead/control.py
@@ -38,6 +38,12 @@
         """Send a request to the operators' endpoint."""
         return await self._request("POST", path, json.dumps(body).encode(), timeout)
 
+    async def put(
+        self, path: str, body: dict, *, timeout: float = 10.0
+    ) -> ControlAnswer:
+        """Replace a resource of the operators' endpoint."""
+        return await self._request("PUT", path, json.dumps(body).encode(), timeout)
+
     async def _request(self, method, path, body, timeout) -> ControlAnswer:
         return await asyncio.wait_for(self._exchange(method, path, body), timeout)
 
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -23,6 +23,7 @@
     NOT_FOUND = "not_found"
     NO_ROUTE = "no_route"
     NO_CONFIGURATION = "no_configuration"
+    SERVICE_OBSERVED = "service_observed"
     NO_UPSTREAM = "no_upstream"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
@@ -64,6 +65,7 @@
     ErrorKind.NOT_FOUND: ErrorAnswer(404, Ran.NO, None),
     ErrorKind.NO_ROUTE: ErrorAnswer(404, Ran.NO, None),
     ErrorKind.NO_CONFIGURATION: ErrorAnswer(503, Ran.NO, 1000),
+    ErrorKind.SERVICE_OBSERVED: ErrorAnswer(503, Ran.NO, None),
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, Ran.NO, 1000),
     ErrorKind.QUEUE_FULL: ErrorAnswer(503, Ran.NO, 500),
     ErrorKind.DEADLINE_UNREACHABLE: ErrorAnswer(503, Ran.NO, 500),
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -51,7 +51,7 @@
         while True:
             resolved = self._routes.get((method, prefix))
             if resolved is not None:
-                return resolved
+                return _check_mode(resolved)
             if not prefix:
                 return Refusal(ErrorKind.NO_ROUTE, f"no route for {method} {path!r}")
             prefix = prefix.rpartition("/")[0]
@@ -59,3 +59,10 @@
     def list_ranks(self, service: str) -> tuple[Rank, ...]:
         """Return the ranks of a service, most urgent first."""
         return self._ranks.get(service, ())
+
+
+def _check_mode(resolved: ResolvedRoute) -> ResolvedRoute | Refusal:
+    if resolved.service.mode == "enforce":
+        return resolved
+    detail = f"service {resolved.service.name!r} is in observe"
+    return Refusal(ErrorKind.SERVICE_OBSERVED, detail)
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -38,6 +38,7 @@
     from flamingohead.services.http_client import HttpClientService
     from flamingohead.services.keys import KeyService
     from flamingohead.services.metrics import MetricsService
+    from flamingohead.services.observation import ObservationService
     from flamingohead.services.operators import OperatorService
     from flamingohead.services.peers import PeersService
     from flamingohead.services.platform import ObjectClient, TableClient
@@ -75,6 +76,7 @@
         ),
     )
     kernel.add("announcements", AnnouncementService(kernel, settings.announce_address))
+    kernel.add("observation", ObservationService(kernel))
     kernel.add("history", HistoryService(kernel))
     kernel.add("status", StatusService(kernel))
     kernel.add(
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -31,6 +31,7 @@
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
+    LEGACY_DIFFERENCE = EventKind(600, logging.WARNING, "old scripts differ")
     REQUEST_FAILED = EventKind(500, logging.ERROR, "request handler failed")
 
 
--- /dev/null
+++ b/flamingohead/services/observation.py
@@ -0,0 +1,72 @@
+"""Services in ``observe``: comparison with the old scripts, nothing changed."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from twisted.internet.task import LoopingCall
+
+from flamingohead.core.comparison import compare_legacy
+from flamingohead.events import Event, log_event
+
+if TYPE_CHECKING:
+    from flamingohead.core.comparison import LegacyDifference, LegacyState
+    from flamingohead.kernel import Kernel
+
+logger = logging.getLogger(__name__)
+
+COMPARE_PERIOD = 5.0
+MAX_SERVICES = 2000
+
+
+class ObservationService:
+    """Compare what the old scripts made with what this daemon holds."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._states: dict[str, LegacyState] = {}
+        self._differences: dict[str, tuple[LegacyDifference, ...]] = {}
+        self._ticks = LoopingCall(self._compare_all)
+
+    async def start(self) -> None:
+        self._ticks.start(COMPARE_PERIOD, now=False)
+
+    async def stop(self) -> None:
+        self._ticks.stop()
+
+    def take_state(self, state: LegacyState) -> list[LegacyDifference]:
+        """Keep what the old scripts made for a service, and compare at once."""
+        if state.service not in self._states and len(self._states) >= MAX_SERVICES:
+            self._states.pop(next(iter(self._states)))
+        self._states[state.service] = state
+        self._compare(state)
+        return list(self._differences[state.service])
+
+    def describe(self) -> list[dict]:
+        """Return the differences of each service that was compared."""
+        return [
+            {"service": service, "differences": [str(d) for d in differences]}
+            for service, differences in sorted(self._differences.items())
+        ]
+
+    def _compare_all(self) -> None:
+        for state in self._states.values():
+            self._compare(state)
+
+    def _compare(self, state: LegacyState) -> None:
+        snapshot = self._kernel.get("configuration").replica.snapshot
+        members = self._kernel.get("gossip").membership.list_all()
+        differences = tuple(compare_legacy(snapshot, members, state))
+        metrics = self._kernel.get("metrics")
+        metrics.count("observe.comparisons")
+        metrics.set_gauge(f"observe.differences.{state.service}", len(differences))
+        if differences != self._differences.get(state.service):
+            for difference in differences:
+                log_event(
+                    logger,
+                    Event.LEGACY_DIFFERENCE,
+                    service=state.service,
+                    difference=difference,
+                )
+        self._differences[state.service] = differences
--- a/flamingohead/services/operators.py
+++ b/flamingohead/services/operators.py
@@ -17,6 +17,7 @@
 from werkzeug.exceptions import HTTPException
 
 from flamingohead.core.changes import compute_change
+from flamingohead.core.comparison import LegacyRoute, LegacyState
 from flamingohead.core.differences import describe_change
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.sheets import check_sheet
@@ -67,6 +68,21 @@
     draining: bool
 
 
+class LegacyRouteModel(_BorderModel):
+    """Hold one checked route of the old scripts."""
+
+    path: Annotated[str, Field(pattern=r"^/[!-~]*$", max_length=1024)]
+    methods: Annotated[list[Text], Field(min_length=1, max_length=16)]
+    pool: Name
+
+
+class LegacyRequest(_BorderModel):
+    """Hold what the old scripts made for one service."""
+
+    routes: Annotated[list[LegacyRouteModel], Field(max_length=10_000)]
+    upstreams: Annotated[list[Name], Field(max_length=10_000)]
+
+
 class OperatorService:
     """Take changes and answer questions about the state of the mesh."""
 
@@ -124,6 +140,10 @@
     def _post_drain(self, request):
         return self._answer(request, lambda: self._set_drain(request))
 
+    @app.route("/v1/legacy/<service>", methods=["PUT"])
+    def _put_legacy(self, request, service: str):
+        return self._answer(request, lambda: self._take_legacy(request, service))
+
     @app.handle_errors(HTTPException)
     def _refuse_unknown(self, request, failure):
         error = failure.value
@@ -255,6 +275,18 @@
             return result
         return asdict(result)
 
+    async def _take_legacy(self, request, service: str) -> dict | Refusal:
+        legacy = _read_model(request, LegacyRequest)
+        if isinstance(legacy, Refusal):
+            return legacy
+        routes = tuple(
+            LegacyRoute(route.path, tuple(route.methods), route.pool)
+            for route in legacy.routes
+        )
+        state = LegacyState(service[:63], routes, tuple(legacy.upstreams))
+        differences = self._kernel.get("observation").take_state(state)
+        return {"differences": [str(difference) for difference in differences]}
+
     async def _set_drain(self, request) -> dict | Refusal:
         drain = _read_model(request, DrainRequest)
         if isinstance(drain, Refusal):
--- a/flamingohead/services/status.py
+++ b/flamingohead/services/status.py
@@ -42,6 +42,7 @@
             "version": configuration.replica.version,
             "digest": configuration.replica.snapshot.digest.hex(),
             "activated_at": configuration.activated_at,
+            "observed": self._kernel.get("observation").describe(),
             "members": [self._describe_member(member) for member in members],
         }
 
--- a/properties/test_operators_fuzz.py
+++ b/properties/test_operators_fuzz.py
@@ -27,6 +27,7 @@
     "/v1/changes",
     "/v1/reverts",
     "/v1/drains",
+    "/v1/legacy/booking",
 )
 METHODS = ("GET", "POST", "PUT", "DELETE", "PATCH")
 
