Judge a small mesh of real processes under random faults

Cause: the demo shows one kill; nothing brought kills, freezes, platform outages, lost answers and racing operators together against one judge.

Ruled out: cuts between processes (they need isolation tools); a freeze stands in for them where a process stops answering.

Conclusion: a tool to look for failures with; what it finds becomes a test.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import tempfile
 import time
-from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
+from benchmarks.judge import check_journal, check_load, collect_journal
 from benchmarks.load import LoadGenerator, Stream
 from flamingohead.core.sheets import parse_sheet
 from flamingohead.services.reactor import run_until_stopped
@@ -159,7 +158,10 @@
     async def _report(self) -> None:
         self._print_calls()
         self._check_outcomes()
-        self._check_journal(await self._collect_journal())
+        journal = await collect_journal(self._mesh.upstreams.values())
+        self._failures += check_load(self._load)
+        self._failures += check_journal(self._load, journal)
+        print(f"hand-overs sent {self._count_keys()}, run {len(journal)}")
         await self._print_control_bytes()
         for failure in self._failures:
             print("FAILED:", failure)
@@ -183,40 +185,17 @@
                 if outcome != "answered":
                     print(f"    {outcome}: {count}")
 
+    def _count_keys(self) -> int:
+        return len({attempt.key for attempt in self._load.keys})
+
     def _check_outcomes(self) -> None:
         for name, result in self._load.results.items():
-            if sum(result.outcomes.values()) != result.sent:
-                self._failures.append(f"{name}: requests without an outcome")
             for outcome in ("cut", "crossed"):
                 if result.outcomes[outcome]:
                     self._failures.append(f"{name}: {outcome} answers")
             if result.answered < 0.9 * result.sent:
                 self._failures.append(f"{name}: under nine in ten answered")
 
-    async def _collect_journal(self) -> Counter[str]:
-        import treq
-
-        runs: Counter[str] = Counter()
-        loop = asyncio.get_running_loop()
-        for upstream in self._mesh.upstreams.values():
-            url = f"http://{upstream.address}/standin/journal"
-            response = await treq.get(url, persistent=False).asFuture(loop)
-            body = json.loads(await response.content().asFuture(loop))
-            runs.update(entry["key"] for entry in body["entries"])
-        return runs
-
-    def _check_journal(self, runs: Counter[str]) -> None:
-        twice = [key for key, count in runs.items() if count > 1]
-        if twice:
-            self._failures.append(f"run twice: {twice}")
-        for sent in self._load.keys:
-            if sent.outcome == "answered" and sent.key not in runs:
-                self._failures.append(f"answered but not run: {sent.key}")
-            if sent.ran == "no" and sent.key in runs:
-                self._failures.append(f"told 'not run' but run: {sent.key}")
-        sent_count = len(self._load.keys)
-        print(f"hand-overs sent {sent_count}, run {len(runs)}, twice {len(twice)}")
-
     async def _print_control_bytes(self) -> None:
         sent = []
         for host_id in self._mesh.daemons:
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from flamingohead.services.http_server import Headers
 
+ATTEMPT_TIMEOUT = 30.0
+RETRY_WAIT = 0.3
 LOWEST_MICROSECONDS = 1
 HIGHEST_MICROSECONDS = 120_000_000
 DIGITS = 3
@@ -28,7 +30,11 @@
 
 @dataclass(frozen=True)
 class Stream:
-    """Describe one kind of request sent at a constant mean rate (1/s)."""
+    """Describe one kind of request sent at a constant mean rate (1/s).
+
+    A request that is not answered is sent again, up to ``attempts`` times, each
+    time through a daemon chosen at random and with the same idempotency key.
+    """
 
     name: str
     method: str
@@ -38,6 +44,7 @@
     worth: float = 1.0
     keyed: bool = False
     timeout_ms: int = 0
+    attempts: int = 1
 
 
 def _create_histogram() -> HdrHistogram:
@@ -102,12 +109,16 @@
 
 
 @dataclass
-class SentKey:
-    """Remember what a caller was told about a keyed request."""
+class KeyAttempt:
+    """Remember what a caller was told by one attempt of a keyed request.
+
+    ``told_at`` is in seconds since the epoch.
+    """
 
     key: str
     outcome: str
     ran: str
+    told_at: float
 
 
 class LoadGenerator:
@@ -118,7 +129,7 @@
     ) -> None:
         self.addresses = addresses
         self.results = {stream.name: StreamResult(stream) for stream in streams}
-        self.keys: list[SentKey] = []
+        self.keys: list[KeyAttempt] = []
         self._random = random.Random(seed)
         self._client = HttpClientService()
         self._tasks: set[asyncio.Task] = set()
@@ -157,20 +168,28 @@
             headers.append((b"idempotency-key", request_id.encode()))
         if stream.timeout_ms:
             headers.append((b"request-timeout-ms", b"%d" % stream.timeout_ms))
-        request = OutgoingRequest(
-            stream.method,
-            stream.path.encode(),
-            tuple(headers),
-            b"",
-            due + 30.0,
-        )
+        outcome = ""
+        for attempt in range(stream.attempts):
+            if attempt:
+                await asyncio.sleep(self._random.uniform(0.5, 1.5) * RETRY_WAIT)
+            outcome = await self._send_attempt(stream, request_id, tuple(headers))
+            if outcome == "answered":
+                break
+        self._record(result, outcome, time.monotonic() - due)
+
+    async def _send_attempt(
+        self, stream: Stream, request_id: str, headers: tuple
+    ) -> str:
+        deadline = time.monotonic() + ATTEMPT_TIMEOUT
+        path = stream.path.encode()
+        request = OutgoingRequest(stream.method, path, headers, b"", deadline)
         check = AnswerCheck(request_id.encode())
         address = self._random.choice(self.addresses)
         outcome = check.classify(await self._client.send(address, request, check))
-        self._record(result, outcome, time.monotonic() - due)
         if stream.keyed:
             ran = check.headers.get(b"flamingohead-ran", b"").decode()
-            self.keys.append(SentKey(request_id, outcome, ran))
+            self.keys.append(KeyAttempt(request_id, outcome, ran, time.time()))
+        return outcome
 
     def _record(self, result: StreamResult, outcome: str, seconds: float) -> None:
         result.outcomes[outcome] += 1
--- a/flamingohead/standins/upstream.py
+++ b/flamingohead/standins/upstream.py
@@ -221,7 +221,7 @@
 
     def _handle_control(self, request, response) -> None:
         if request.target == b"/standin/journal":
-            entries = [{"key": e.key, "path": e.path} for e in self.journal]
+            entries = [{"key": e.key, "path": e.path, "at": e.at} for e in self.journal]
             body = {"entries": entries, "counters": vars(self.counters)}
         elif request.target == b"/standin/load":
             body = self._describe_load()
--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -132,10 +132,16 @@
         wait_for_port(self.objects_address)
 
     def start_daemon(
-        self, host_id: str, failure_domain: str, *, seeds: str = "", **settings: object
+        self,
+        host_id: str,
+        failure_domain: str,
+        *,
+        seeds: str = "",
+        addresses: DaemonAddresses | None = None,
+        **settings: object,
     ) -> DaemonHandle:
         """Start a daemon; it may not be listening yet."""
-        addresses = DaemonAddresses()
+        addresses = addresses or DaemonAddresses()
         options = {
             "host-id": host_id,
             "failure-domain": failure_domain,
@@ -158,6 +164,13 @@
         self.daemons[host_id] = handle
         return handle
 
+    def restart_daemon(self, host_id: str) -> DaemonHandle:
+        """Start a daemon that has ended again, at the same addresses."""
+        ended = self.daemons[host_id]
+        return self.start_daemon(
+            host_id, ended.failure_domain, addresses=ended.addresses
+        )
+
     def start_upstream(
         self, name: str, service: str, host_id: str, **settings: object
     ) -> UpstreamHandle:
