Eject failing upstreams on the outcomes of real requests

Cause: the balancer went on choosing a dead host until membership gave it up, and each such choice cost a token of the retry budget.

Ruled out: waiting for the suspicion of membership (seconds); ejecting on refusals for load (they come from a live host, and taking it out moves its load to the others).

Change: failures count by kind towards ejection (a connection that can't be made and a stated drain at once, cuts and timeouts after two or three in a row, load never, a timeout that the caller set too short never). At most half of a pool is ejected. A jittered trial with one real request, first an idempotent one, takes an upstream back; the wait doubles up to 30 s. An upstream that is new or taken back is drawn less often for 10 s. Slowness is measured against the usual time of the same rank. Ejections are logged (540, 541) and counted by reason.

An upstream that answers every request with a status 500 is not ejected: the status does not reach the balancer yet.

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -32,6 +32,8 @@
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     REQUEST_FAILED = EventKind(500, logging.ERROR, "request handler failed")
+    UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
+    UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream taken back")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.retries import RetryBudget
+from flamingohead.events import Event, log_event
 from flamingohead.services.relay import RelaySink, build_relay_request
 
 if TYPE_CHECKING:
-    from flamingohead.core.balancing import Balancer, Candidate
+    from flamingohead.core.balancing import Balancer, Candidate, HealthChange
     from flamingohead.core.calls import Call
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_server import ServerResponse
 
+logger = logging.getLogger(__name__)
+
 
 class AttemptService:
     """Try a call on one upstream after another until it has its answer."""
@@ -33,7 +37,7 @@
 
     def set_members(self, members) -> None:
         """Take the members of the failure domain as candidates."""
-        self._balancer.set_members(members)
+        self._balancer.set_members(members, time.monotonic())
 
     async def serve(self, call: Call, response: ServerResponse) -> Refusal | None:
         """Answer a call, or return the refusal that ends it."""
@@ -64,16 +68,21 @@
         return refusal
 
     def _choose(self, call: Call, excluded: set) -> Candidate | None:
-        chosen = self._balancer.choose(call.service, excluded=frozenset(excluded))
+        now = time.monotonic()
+        chosen = self._balancer.choose(
+            call.service,
+            now,
+            excluded=frozenset(excluded),
+            idempotent=call.idempotent,
+        )
         if chosen is None and excluded:
-            chosen = self._balancer.choose(call.service)
+            chosen = self._balancer.choose(call.service, now)
         return chosen
 
     async def _attempt(
         self, candidate: Candidate, call: Call, response: ServerResponse
     ) -> Refusal | None:
-        self._balancer.start(candidate)
-        started_at = time.monotonic()
+        attempt = self._balancer.start(candidate, call.rank, time.monotonic())
         refusal: Refusal | None = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
         try:
             if candidate.host_id == self._host_id:
@@ -83,8 +92,22 @@
                 refusal = await self._relay(candidate, call, response)
             return refusal
         finally:
-            latency = time.monotonic() - started_at if refusal is None else None
-            self._balancer.finish(candidate, latency=latency)
+            change = self._balancer.finish(attempt, time.monotonic(), refusal)
+            if change is not None:
+                self._report(change, refusal)
+
+    def _report(self, change: HealthChange, refusal: Refusal | None) -> None:
+        event = Event.UPSTREAM_EJECTED if change.ejected else Event.UPSTREAM_READMITTED
+        reason = "answered" if refusal is None else refusal.kind.value
+        log_event(
+            logger,
+            event,
+            upstream=change.candidate.upstream,
+            host=change.candidate.host_id,
+            reason=reason,
+        )
+        name = "ejected" if change.ejected else "readmitted"
+        self._kernel.get("metrics").count(f"balancing.{name}.{reason}")
 
     async def _relay(
         self, candidate: Candidate, call: Call, response: ServerResponse
