--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -7,8 +7,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from twisted.internet import reactor
-
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.events import Event, log_event
@@ -20,15 +18,14 @@
     TIMEOUT_HEADER,
     read_relayed_call,
 )
+from flamingohead.services.transport import listen
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
     from flamingohead.core.routing import ResolvedRoute
     from flamingohead.kernel import Kernel
-    from flamingohead.services.http_server import (
-        IncomingRequest,
-        ServerResponse,
-    )
+    from flamingohead.services.http_messages import IncomingRequest
+    from flamingohead.services.http_response import ServerResponse
 
 logger = logging.getLogger(__name__)
 
@@ -60,15 +57,15 @@
             host, port = split_address(address)
             factory = HttpServerFactory(handler, count)
             self._factories.append(factory)
-            self._ports.append(reactor.listenTCP(port, factory, interface=host))
+            self._ports.append(await listen(factory, host, port))
 
     async def stop(self) -> None:
         """Finish the calls in progress, up to the stop deadline."""
-        loop = asyncio.get_running_loop()
         for port in self._ports:
-            await port.stopListening().asFuture(loop)
+            port.close()
         for factory in self._factories:
             factory.drain()
+            factory.close_idle()
         if self._tasks:
             _, cut = await asyncio.wait(self._tasks, timeout=self._stop_timeout)
             for task in cut:
