--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -31,7 +31,10 @@
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
+    LEGACY_DIFFERENCE = EventKind(600, logging.WARNING, "old scripts differ")
     REQUEST_FAILED = EventKind(500, logging.ERROR, "request handler failed")
+    UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
+    UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream taken back")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
