Refuse a kind that is documented twice

Measured: the check fails on the doubled row (counted 2 for upstream_malformed) and passes after.

Conclusion: stricter than before, nothing eased.

--- a/flamingohead/tests/test_errors.py
+++ b/flamingohead/tests/test_errors.py
@@ -24,6 +24,7 @@
             r"^\| `([a-z_]+)` \| (\d+) \| (\w+) \| (\d+|-) \|", text, re.MULTILINE
         )
         listed = {row[0]: row[1:] for row in rows}
+        assert len(listed) == len(rows)
         for kind, answer in ERROR_ANSWERS.items():
             retry = "-" if answer.retry_after_ms is None else str(answer.retry_after_ms)
             assert listed.pop(kind.value) == (
