Fuzz both sides of the hop's HTTP; refuse upgrades before they are served

Cause: an upgrade request was handed on and then refused, and data after a request with Connection: close counted as a refusal, depending on how the bytes were cut into reads. Both were found by the properties below. Change: upgrades are refused at the head; nothing is read after a closing request. Proof: properties/test_http_fuzz.py: what is passed on reads as exactly one request in a second parser (Twisted's server), each request gets an answer or a 4xx and a closed connection, pieces read the same as the whole, limits hold, and any upstream bytes give the caller one clean answer or none.

--- a/flamingohead/services/http_parser.py
+++ b/flamingohead/services/http_parser.py
@@ -47,6 +47,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._refusal: Refusal | None = None
+        self._ended = False
 
     @property
     def is_reading(self) -> bool:
@@ -55,18 +56,15 @@
 
     def feed(self, data: bytes) -> Refusal | None:
         """Parse data; a refusal means that nothing more can be read."""
-        if self._refusal is not None:
+        if self._refusal is not None or self._ended:
             return self._refusal
         if self._in_head:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refusal = Refusal(
-                ErrorKind.MALFORMED_REQUEST, "upgrade not supported"
-            )
         except httptools.HttpParserError as error:
-            if self._refusal is None:
+            # What follows the last request is not read.
+            if self._refusal is None and not self._ended:
                 self._refusal = Refusal(ErrorKind.MALFORMED_REQUEST, str(error))
         if self._refusal is None and self._in_head:
             self._check_head_bytes()
@@ -103,6 +101,8 @@
         request.keep_alive = self._parser.should_keep_alive()
         if request.version not in VERSIONS:
             self.reject(ErrorKind.MALFORMED_REQUEST, f"HTTP version {request.version}")
+        if self._parser.should_upgrade():
+            self.reject(ErrorKind.MALFORMED_REQUEST, "upgrade not supported")
         self._check_head()
 
     def on_body(self, body: bytes) -> None:
@@ -114,6 +114,7 @@
     def on_message_complete(self) -> None:
         request = self._request
         self._request = None
+        self._ended = not request.keep_alive
         request.body = b"".join(self._body)
         self._body = []
         self._take_request(request)
--- /dev/null
+++ b/properties/test_http_fuzz.py
@@ -0,0 +1,439 @@
+"""Whatever a caller or an upstream sends, what is passed on is one clean message.
+
+Twisted's own HTTP server reads what the daemon would send to an upstream: a second
+parser, so that two readings of the same bytes are noticed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import httptools
+import pytest
+from hypothesis import given, settings, strategies as st
+from twisted.internet.testing import StringTransport
+from twisted.web.http import HTTPChannel, Request
+
+from flamingohead.services.calls import _build_call
+from flamingohead.services.dispatch import AnswerRelay
+from flamingohead.services.http_connection import ClientConnection
+from flamingohead.services.http_messages import (
+    HOP_HEADERS,
+    RELAY_PREFIX,
+    SENDER_HEADERS,
+    OutgoingRequest,
+)
+from flamingohead.services.http_parser import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from flamingohead.services.http_server import (
+    MAX_PIPELINED_REQUESTS,
+    READ_TIMEOUT,
+    HttpServerFactory,
+)
+from flamingohead.testing.transports import FakeTransport
+
+ROUTE = SimpleNamespace(
+    route=SimpleNamespace(timeout_ms=1000, rank="lookup", idempotent=True),
+    pool=SimpleNamespace(service="stall-ledger"),
+)
+SMUGGLED = b"GET /smuggled HTTP/1.1\r\nhost: a\r\n\r\n"
+
+METHODS = (b"GET", b"POST", b"HEAD", b"PUT", b"get", b"PRI", b"G\0ET", b"CONNECT")
+TARGETS = (b"/", b"/a?b=c", b"http://b/x", b"*", b"/a b", b"/\0", b"/\xff", b"//x")
+VERSIONS = (b"HTTP/1.1", b"HTTP/1.1", b"HTTP/1.0", b"HTTP/2.0", b"RTSP/1.0", b"")
+ENDS = (b"\r\n", b"\r\n", b"\r\n", b"\r\n", b"\n", b"\r", b"\r\n ", b"\0\r\n")
+COLONS = (b": ", b": ", b":", b" : ", b"\t:", b"")
+NAMES = (
+    b"Content-Length",
+    b"Transfer-Encoding",
+    b"Connection",
+    b"Expect",
+    b"Upgrade",
+    b"Host",
+    b"X-Own",
+    b"flamingohead-upstream",
+    b"Idempotency-Key",
+    b"Te",
+    b"",
+    b"X\0Y",
+)
+VALUES = (
+    b"0",
+    b"5",
+    b"5, 5",
+    b"+5",
+    b"0x5",
+    b"chunked",
+    b"gzip, chunked",
+    b"chunked, identity",
+    b"close",
+    b"keep-alive, x-own",
+    b"idempotency-key",
+    b"100-continue",
+    b"h2c",
+    b"a\rb",
+    b"a\0b",
+    b"\xe9",
+)
+BODIES = (
+    b"",
+    b"hello",
+    b"0\r\n\r\n",
+    b"5\r\nhello\r\n0\r\n\r\n",
+    b"5;a=b\r\nhello\r\n0\r\nflamingohead-upstream: x\r\nx-own: y\r\n\r\n",
+    b"5 \r\nhello\r\n0\r\n\r\n",
+    b"5\nhello\n0\n\n",
+)
+HEADER_LINES = st.tuples(
+    st.sampled_from(NAMES),
+    st.sampled_from(COLONS),
+    st.sampled_from(VALUES),
+    st.sampled_from(ENDS),
+).map(b"".join)
+
+
+GOOD_LINES = (
+    b"X-Own: a\r\n",
+    b"Connection: keep-alive, x-own\r\n",
+    b"flamingohead-upstream: x\r\n",
+    b"Expect: 100-continue\r\n",
+    b"Idempotency-Key: k\r\n",
+    b"Te: trailers\r\n",
+)
+GOOD_BODIES = (
+    b"\r\n",
+    b"Content-Length: 5\r\n\r\nhello",
+    b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n" + BODIES[4],
+)
+
+
+def draw_mostly(draw, good, hostile):
+    return draw(st.sampled_from(hostile if draw(st.integers(0, 7)) == 7 else good))
+
+
+@st.composite
+def draw_requests(draw) -> bytes:
+    line = draw_mostly(draw, (b"GET", b"POST"), METHODS)
+    line += b" " + draw_mostly(draw, (b"/", b"/a?b=c"), TARGETS)
+    line += b" " + draw_mostly(draw, (b"HTTP/1.1",), VERSIONS) + b"\r\n"
+    lines = draw(st.lists(st.sampled_from(GOOD_LINES), max_size=3))
+    if draw(st.integers(0, 3)) == 3:
+        lines += draw(st.lists(HEADER_LINES, max_size=3))
+    host = draw_mostly(draw, (b"Host: a\r\n",), (b"",))
+    body = draw_mostly(draw, GOOD_BODIES, tuple(b"\r\n" + body for body in BODIES))
+    data = line + host + b"".join(lines) + body
+    if draw(st.integers(0, 3)) == 3:
+        place = draw(st.integers(0, len(data)))
+        data = data[:place] + draw(st.binary(max_size=2)) + data[place:]
+    return data + SMUGGLED
+
+
+class Oracle(HTTPChannel):
+    """Collect the requests that Twisted's own server reads."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.seen: list[Request] = []
+        oracle = self
+
+        class Collected(Request):
+            def process(self) -> None:
+                oracle.seen.append(self)
+                self.body = self.content.read()
+                self.finish()
+
+        self.requestFactory = lambda *a, **k: Collected(*a, **k)
+        self.makeConnection(StringTransport())
+
+
+@dataclass
+class Responses:
+    """Read the responses that a caller got; raise if they can't be read."""
+
+    data: bytes
+    statuses: list[int] = field(default_factory=list)
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._parser.feed_data(self.data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self.bodies.append(b"")
+
+    def on_body(self, body: bytes) -> None:
+        self.bodies[-1] += body
+
+    def on_message_complete(self) -> None:
+        self.statuses.append(self._parser.get_status_code())
+
+
+class Caller:
+    """Hold a caller's connection to a daemon and the requests that it read."""
+
+    def __init__(self, *, answers: bool = True) -> None:
+        self.requests = []
+        self.responses = []
+        self.refused = []
+        self.now = 0.0
+        self.answers = answers
+        factory = HttpServerFactory(self._handle, self.refused.append)
+        factory.clock = lambda: self.now
+        factory.call_soon = lambda function: None
+        self.protocol = factory.buildProtocol(None)
+        self.transport = FakeTransport(self.protocol)
+
+    def _handle(self, request, response) -> None:
+        self.requests.append(request)
+        self.responses.append(response)
+        if self.answers:
+            response.send(200, [], b"")
+
+    def deliver(self, data: bytes, size: int = 2**20) -> None:
+        for start in range(0, len(data), size):
+            self.transport.deliver(data[start : start + size])
+
+    def describe(self):
+        requests = [
+            (r.method, r.target, tuple(r.headers), r.body) for r in self.requests
+        ]
+        return requests, self.transport.written, self.transport.is_closed
+
+
+class TestRequests:
+    @given(data=draw_requests())
+    @settings(max_examples=400)
+    def test_what_is_passed_on_is_exactly_one_request(self, data):
+        caller = Caller()
+        caller.deliver(data)
+        for request in caller.requests:
+            call = _build_call(request, ROUTE, 0.0)
+            if not hasattr(call, "target"):
+                continue
+            outgoing = OutgoingRequest(
+                call.method, call.target, call.headers, call.body, 1.0
+            )
+            oracle = Oracle()
+            oracle.dataReceived(outgoing.encode("127.0.0.1:1"))
+            assert len(oracle.seen) == 1
+            seen = oracle.seen[0]
+            assert seen.method == request.method.encode()
+            assert seen.uri == request.target
+            assert seen.body == request.body
+            for name, _ in call.headers:
+                assert name not in HOP_HEADERS
+                assert not name.startswith(RELAY_PREFIX)
+
+    @given(data=draw_requests())
+    @settings(max_examples=400)
+    def test_each_gets_an_answer_or_a_clear_refusal_and_a_closed_connection(self, data):
+        caller = Caller()
+        caller.deliver(data)
+        caller.now = READ_TIMEOUT
+        caller.protocol.check_deadlines(caller.now)
+        written = caller.transport.written.replace(
+            b"HTTP/1.1 100 Continue\r\n\r\n", b""
+        )
+        heads = [request.method == "HEAD" for request in caller.requests]
+        if any(heads):
+            return
+        statuses = Responses(written).statuses
+        assert len(statuses) == len(caller.requests) + len(caller.refused)
+        if caller.refused:
+            assert 400 <= statuses[-1] < 500
+            assert caller.transport.is_closed
+
+    @given(data=draw_requests(), size=st.integers(1, 30))
+    @settings(max_examples=400)
+    def test_pieces_read_the_same_as_the_whole(self, data, size):
+        whole, pieces = Caller(), Caller()
+        whole.deliver(data)
+        pieces.deliver(data, size)
+        assert whole.describe() == pieces.describe()
+
+
+HOST = b"host: a\r\n"
+MALFORMED = {
+    "two lengths": HOST + b"content-length: 1\r\ncontent-length: 1\r\n\r\nx",
+    "length and chunks": HOST
+    + b"content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "unknown coding": HOST + b"transfer-encoding: gzip\r\n\r\n",
+    "coding after chunked": HOST + b"transfer-encoding: chunked, gzip\r\n\r\n",
+    "space before colon": HOST + b"x : a\r\n\r\n",
+    "folded line": HOST + b"x: a\r\n b\r\n\r\n",
+    "bare line feed": HOST + b"x: a\ny: b\r\n\r\n",
+    "bare carriage return": HOST + b"x: a\ry: b\r\n\r\n",
+    "nul": HOST + b"x: a\0b\r\n\r\n",
+    "two hosts": HOST + HOST + b"\r\n",
+    "no host": b"x: a\r\n\r\n",
+    "version": b"",
+    "other expectation": HOST + b"expect: 200-ok\r\n\r\n",
+    "connection drops the key": HOST
+    + b"idempotency-key: k\r\nconnection: idempotency-key\r\n\r\n",
+}
+
+
+class TestHeaders:
+    def test_headers_that_connection_names_and_trailers_are_dropped(self):
+        caller = Caller()
+        caller.deliver(
+            b"POST / HTTP/1.1\r\nhost: a\r\nx-own: a\r\nconnection: x-own\r\n"
+            b"x-kept: a\r\n" + GOOD_BODIES[3]
+        )
+        (request,) = caller.requests
+        assert request.headers == [(b"host", b"a"), (b"x-kept", b"a")]
+        assert request.body == b"hello"
+
+
+class TestMalformed:
+    @pytest.mark.parametrize("rest", MALFORMED.values(), ids=MALFORMED.keys())
+    def test_is_refused_and_never_served(self, rest):
+        caller = Caller()
+        version = b"HTTP/1.1" if rest else b"HTTP/2.0"
+        rest = rest or HOST + b"\r\n"
+        caller.deliver(b"POST / " + version + b"\r\n" + rest + SMUGGLED)
+        assert caller.requests == []
+        assert Responses(caller.transport.written).statuses == [400]
+        assert caller.transport.is_closed
+
+
+class TestLimits:
+    @pytest.mark.parametrize(
+        "start",
+        [
+            b"GET /" + b"a" * 2 * MAX_HEAD_BYTES,
+            b"GET / HTTP/1.1\r\nx: " + b"a" * 2 * MAX_HEAD_BYTES,
+            b"GET / HTTP/1.1\r\n" + b"x: a\r\n" * MAX_HEAD_BYTES,
+            b"GET / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
+            % (MAX_BODY_BYTES + 1),
+            b"GET / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n%x\r\n"
+            % (MAX_BODY_BYTES + 1)
+            + b"a" * (MAX_BODY_BYTES + 1),
+        ],
+        ids=["target", "value", "headers", "length", "chunks"],
+    )
+    def test_oversized_request_is_refused_before_its_end(self, start):
+        caller = Caller()
+        caller.deliver(start, 4096)
+        assert Responses(caller.transport.written).statuses == [413]
+        assert caller.transport.is_closed
+        assert caller.requests == []
+
+    def test_slow_sender_is_refused_at_the_read_deadline(self):
+        caller = Caller()
+        for second in range(int(READ_TIMEOUT) + 1):
+            caller.now = float(second)
+            caller.deliver(b"G" if second == 0 else b"E" if second == 1 else b"")
+            caller.protocol.check_deadlines(caller.now)
+        assert Responses(caller.transport.written).statuses == [400]
+        assert caller.transport.is_closed
+
+    @pytest.mark.parametrize(
+        "start", [b"CONNECT a:1 ", b"GET / "], ids=["connect", "upgrade"]
+    )
+    def test_upgrade_is_refused_and_not_served(self, start):
+        caller = Caller()
+        caller.deliver(start + b"HTTP/1.1\r\nhost: a\r\nupgrade: h2c\r\n")
+        caller.deliver(b"connection: upgrade\r\n\r\n")
+        assert caller.requests == []
+        assert Responses(caller.transport.written).statuses == [400]
+
+    def test_pipelined_requests_are_bounded(self):
+        caller = Caller()
+        caller.deliver(SMUGGLED * (MAX_PIPELINED_REQUESTS + 5))
+        statuses = Responses(caller.transport.written).statuses
+        assert statuses == [200] * MAX_PIPELINED_REQUESTS + [400]
+        assert caller.transport.is_closed
+
+    def test_malformed_request_does_not_cut_the_answer_before_it(self):
+        caller = Caller(answers=False)
+        caller.deliver(SMUGGLED + b"\0\r\n\r\n")
+        assert not caller.transport.is_closed
+        caller.responses[0].send(200, [], b"whole")
+        responses = Responses(caller.transport.written)
+        assert responses.statuses == [200, 400]
+        assert responses.bodies[0] == b"whole"
+        assert caller.transport.is_closed
+
+    def test_continue_is_not_sent_in_the_middle_of_an_answer(self):
+        caller = Caller(answers=False)
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+        caller.deliver(SMUGGLED + head + b"expect: 100-continue\r\n\r\n")
+        assert caller.transport.written == b""
+        caller.responses[0].send(200, [], b"")
+        caller.deliver(b"x")
+        assert caller.requests[1].body == b"x"
+
+    def test_caller_of_http_1_0_never_gets_an_answer_without_a_length(self):
+        caller = Caller(answers=False)
+        caller.deliver(b"GET / HTTP/1.0\r\n\r\n")
+        caller.responses[0].start(200, [], length=None)
+        caller.responses[0].write(b"part")
+        caller.responses[0].finish()
+        assert caller.transport.written == b""
+        assert caller.transport.is_closed
+
+
+ANSWER_LINES = st.tuples(
+    st.sampled_from((*NAMES, b"flamingohead-refusal", b"flamingohead-ran")),
+    st.sampled_from(COLONS),
+    st.sampled_from((*VALUES, b"draining", b"no")),
+    st.sampled_from(ENDS),
+).map(b"".join)
+
+
+class TestAnswers:
+    @given(
+        status=st.sampled_from((b"200 OK", b"204 No", b"304 N", b"503 S", b"99", b"x")),
+        lines=st.lists(ANSWER_LINES, max_size=4),
+        body=st.sampled_from(BODIES),
+        size=st.integers(1, 60),
+    )
+    @settings(max_examples=400)
+    def test_caller_sees_one_clean_answer_or_none(self, status, lines, body, size):
+        caller = Caller(answers=False)
+        caller.deliver(SMUGGLED)
+        relay = AnswerRelay(caller.responses[0])
+        connection = ClientConnection("127.0.0.1:1")
+        upstream = FakeTransport(connection)
+        ends = []
+        request = OutgoingRequest("GET", b"/", (), b"", 1.0)
+        connection.exchange(request, relay, ends.append)
+        data = b"HTTP/1.1 " + status + b"\r\n" + b"".join(lines) + b"\r\n" + body
+        for start in range(0, len(data), size):
+            upstream.deliver(data[start : start + size])
+        upstream.lose()
+        assert len(ends) == 1
+        responses = Responses(caller.transport.written)
+        assert len(responses.statuses) <= 1
+        framing = {b"content-length", b"transfer-encoding", b"connection"}
+        for name, _ in responses.headers:
+            assert not name.lower().startswith(RELAY_PREFIX)
+            assert name.lower() in framing or name.lower() not in HOP_HEADERS
+        if ends == [None] and not relay.not_executed:
+            assert len(responses.statuses) == 1
+
+
+class TestEncoding:
+    @given(
+        name=st.binary(min_size=1, max_size=6),
+        value=st.binary(max_size=6),
+        target=st.binary(max_size=6),
+    )
+    @settings(max_examples=300)
+    def test_line_breaks_never_leave_in_a_name_value_or_target(
+        self, name, value, target
+    ):
+        request = OutgoingRequest("GET", b"/" + target, ((name, value),), b"", 1.0)
+        try:
+            data = request.encode("a")
+        except ValueError:
+            return
+        assert data.count(b"\r\n") == 4 - (name in SENDER_HEADERS)
+        assert data.count(b"\r") == data.count(b"\n") == data.count(b"\r\n")
+        assert b"\0" not in data
