Guarantee shares of slots by rank and turns by caller

Cause: a ticket whose rank left the configuration could end in a KeyError or be refused as unknown; shares were rounded up, so that the least urgent rank of a small upstream could be starved; the expected wait ignored the shares of lower ranks; one caller could fill its rank's queue; counting the slots in use and cancelling took time linear in the queue; tickets that waited for an upstream that went away were never answered while nothing else ran there.

Ruled out: rounding each share up to one slot (with one slot, the second and third rank got nothing in 400 turns, found by the property); a fixed queue length as the bound.

Change: whole slots are guaranteed by count, the fraction that is left by credit collected at each turn. Callers of a rank are served round robin. The wait is estimated from the learned time between turns of the rank, held between what all slots and what its own share allow, and from the caller's own place; a ticket that could not meet the target of its rank, where an idle upstream could, or its deadline, is refused at once with the time to come back. A rank that is not in the configuration, or no longer, is served after the others with a small share. Tickets know their state, so that a second end does nothing. The waiters of an upstream that goes away are refused as not run. Call has a caller field, empty so far.

Failing first, guard taken out: - guaranteed slots: slots 4, shares 0, 0, 0.25: search held 0 slots of 1; - credit: one slot, shares 0.4, 0.3, 0.1: hand-over got 0 of 401 turns; - state check in release: the slot count falls on a second release; - limit at the offer: a second ticket admitted to one slot; - expiry: a ticket waits past its deadline; - fill after a raised limit: a slot idle while a ticket waits; - turns of callers: a quiet caller got 103 of 300 requests; - keeping removed ranks: 2 of 7 tickets served.

Whether the target is the right bound for the queue is to be measured against the deadline alone.

--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -2,17 +2,33 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
+import itertools
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.fairness import FairQueue
+from flamingohead.core.resources import Rank
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import Rank
+    from collections.abc import Iterable
 
-SERVICE_TIME_SMOOTHING = 0.1
-DEFAULT_QUEUE_LIMIT = 512
+SMOOTHING = 0.1
+QUEUE_LIMIT = 1024
+RETIRED_ORDER = 2**31
+RETIRED_SHARE = 0.05
+CLEANUP_MINIMUM = 64
+
+
+class TicketState(Enum):
+    """Name the steps of a ticket."""
+
+    NEW = "new"
+    WAITING = "waiting"
+    ADMITTED = "admitted"
+    ENDED = "ended"
 
 
 @dataclass(eq=False)
@@ -24,40 +40,93 @@
 
     rank: str
     deadline: float
-    admitted_at: float | None = None
+    caller: str = ""
+    state: TicketState = TicketState.NEW
+    admitted_at: float = 0.0
+    queue: _RankQueue | None = field(default=None, repr=False)
+    place: str = field(default="", repr=False)
+
+
+@dataclass(frozen=True)
+class Turn:
+    """Report the waiting tickets that were admitted and those that expired."""
+
+    admitted: tuple[Ticket, ...] = ()
+    expired: tuple[Ticket, ...] = ()
 
 
-@dataclass
+@dataclass(eq=False)
 class _RankQueue:
+    """Hold the waiting tickets of a rank and what is known of its pace.
+
+    ``guaranteed`` is the rank's share in whole slots. The ``fraction`` of the slots
+    that is left is collected as ``credit`` at each turn; at 1 a turn is owed.
+    """
+
     rank: Rank
-    waiting: deque[Ticket] = field(default_factory=deque)
+    waiting: FairQueue[Ticket] = field(default_factory=FairQueue)
     in_use: int = 0
+    guaranteed: int = 0
+    fraction: float = 0.0
+    credit: float = 0.0
+    service_time: float = 0.0
+    interval: float = 0.0
+    turn_at: float = 0.0
+
+    def record_turn(self, now: float) -> None:
+        """Learn the time between turns while tickets wait."""
+        self.interval += SMOOTHING * (now - self.turn_at - self.interval)
+        self.turn_at = now
+
+    def record_service(self, seconds: float) -> None:
+        """Learn the time for which a ticket holds its slot."""
+        if self.service_time:
+            seconds = self.service_time + SMOOTHING * (seconds - self.service_time)
+        self.service_time = seconds
+
+    def estimate_interval(self, limit: int) -> float:
+        """Return the expected time between turns, within what shares allow."""
+        lowest = self.service_time / max(limit, 1)
+        slots = self.rank.share * limit
+        if slots <= 0:
+            return max(self.interval, lowest)
+        return min(max(self.interval, lowest), self.service_time / slots)
 
 
 class Admission:
-    """Admit tickets to a fixed number of slots.
+    """Admit tickets to a limited number of slots.
 
-    A free slot goes to the most urgent rank that is below its guaranteed share,
-    and if there is none, to the most urgent rank that waits.
+    A free slot goes to the most urgent rank that waits and is below its
+    guaranteed share, and if there is none, to the most urgent rank that waits.
+    Inside a rank, callers take turns.
     """
 
-    def __init__(
-        self, *, slots: int, ranks: tuple[Rank, ...], queue_limit: int | None = None
-    ) -> None:
-        self.slots = slots
-        self._queue_limit = queue_limit or DEFAULT_QUEUE_LIMIT
+    def __init__(self, *, slots: int, ranks: tuple[Rank, ...]) -> None:
+        self.limit = slots
+        self.in_use = 0
+        self._waiting = 0
         self._queues: dict[str, _RankQueue] = {}
-        self._service_time = 0.0
+        self._ordered: list[_RankQueue] = []
+        self._deadlines: list[tuple[float, int, Ticket]] = []
+        self._numbers = itertools.count()
         self.set_ranks(ranks)
 
-    @property
-    def in_use(self) -> int:
-        return sum(queue.in_use for queue in self._queues.values())
-
     def count_waiting(self, rank: str) -> int:
-        return len(self._queues[rank].waiting) if rank in self._queues else 0
+        """Return how many tickets of a rank wait."""
+        queue = self._queues.get(rank)
+        return 0 if queue is None else len(queue.waiting)
+
+    def count_in_use(self, rank: str) -> int:
+        """Return how many slots a rank holds."""
+        queue = self._queues.get(rank)
+        return 0 if queue is None else queue.in_use
 
-    def set_ranks(self, ranks: tuple[Rank, ...]) -> None:
+    def get_guaranteed(self, rank: str) -> int:
+        """Return the whole slots that a rank keeps in a flood."""
+        queue = self._queues.get(rank)
+        return 0 if queue is None else queue.guaranteed
+
+    def set_ranks(self, ranks: Iterable[Rank]) -> None:
         """Take the ranks of a new configuration; tickets keep their places."""
         queues: dict[str, _RankQueue] = {}
         for rank in ranks:
@@ -66,88 +135,199 @@
             queues[rank.name] = queue
         for name, queue in self._queues.items():
             if queue.in_use or queue.waiting:
+                queue.rank = _retire_rank(name)
                 queues[name] = queue
         self._queues = queues
+        self._arrange()
+
+    def set_limit(self, limit: int, now: float) -> Turn:
+        """Change the number of slots; tickets that hold one keep it."""
+        if limit == self.limit:
+            return Turn()
+        self.limit = limit
+        self._arrange()
+        return self.advance(now)
 
     def offer(self, ticket: Ticket, now: float) -> bool | Refusal:
         """Return ``True`` if admitted, ``False`` if queued, or a refusal."""
-        queue = self._queues.get(ticket.rank)
-        if queue is None:
-            return Refusal(ErrorKind.NO_ROUTE, f"rank {ticket.rank!r} is not known")
+        queue = self._find_queue(ticket.rank)
         if now >= ticket.deadline:
+            ticket.state = TicketState.ENDED
             return Refusal(
                 ErrorKind.DEADLINE_PASSED, "deadline passed before admission"
             )
-        if self.in_use < self.slots and not self._any_waiting():
+        if self.in_use < self.limit and not self._waiting:
             self._admit(queue, ticket, now)
             return True
-        if len(queue.waiting) >= self._queue_limit:
-            retry_at = now + self._estimate_wait(queue)
-            return Refusal(ErrorKind.QUEUE_FULL, f"queue of {ticket.rank}", retry_at)
-        wait = self._estimate_wait(queue)
-        if now + wait + self._service_time > ticket.deadline:
-            return Refusal(
-                ErrorKind.DEADLINE_UNREACHABLE, f"queue of {ticket.rank}", now + wait
-            )
-        queue.waiting.append(ticket)
+        refusal = self._check_queue(queue, ticket, now)
+        if refusal is not None:
+            ticket.state = TicketState.ENDED
+            return refusal
+        self._enqueue(queue, ticket, now)
         return False
 
-    def release(self, ticket: Ticket, now: float) -> list[Ticket]:
-        """Free the slot of a ticket; return the tickets admitted by that."""
-        self._queues[ticket.rank].in_use -= 1
-        held = now - ticket.admitted_at
-        self._service_time += SERVICE_TIME_SMOOTHING * (held - self._service_time)
-        return self.fill(now)
+    def release(self, ticket: Ticket, now: float) -> Turn:
+        """Free the slot of a ticket and pass it on."""
+        if ticket.state is not TicketState.ADMITTED:
+            return Turn()
+        ticket.state = TicketState.ENDED
+        ticket.queue.in_use -= 1
+        ticket.queue.record_service(now - ticket.admitted_at)
+        self.in_use -= 1
+        self._forget_retired(ticket.queue)
+        return self.advance(now)
 
     def cancel(self, ticket: Ticket) -> bool:
         """Remove a waiting ticket; return whether it was waiting."""
-        queue = self._queues.get(ticket.rank)
-        if queue is None or ticket not in queue.waiting:
+        if ticket.state is not TicketState.WAITING:
             return False
-        queue.waiting.remove(ticket)
+        ticket.queue.waiting.remove(ticket.place, ticket)
+        self._waiting -= 1
+        ticket.state = TicketState.ENDED
+        self._forget_retired(ticket.queue)
         return True
 
-    def expire(self, now: float) -> list[Ticket]:
-        """Remove and return the waiting tickets that can no longer be served."""
-        expired = []
-        for queue in self._queues.values():
-            for ticket in list(queue.waiting):
-                if now + self._service_time > ticket.deadline:
-                    queue.waiting.remove(ticket)
-                    expired.append(ticket)
-        return expired
-
-    def fill(self, now: float) -> list[Ticket]:
-        """Admit waiting tickets while slots are free."""
+    def advance(self, now: float) -> Turn:
+        """Expire tickets that can't be served in time and fill free slots."""
+        expired = self._expire(now)
         admitted = []
-        while self.in_use < self.slots:
+        while self.in_use < self.limit and self._waiting:
             queue = self._choose_queue()
-            if queue is None:
-                break
-            ticket = queue.waiting.popleft()
+            ticket = queue.waiting.pop()
+            self._waiting -= 1
+            if _is_late(ticket, now):
+                ticket.state = TicketState.ENDED
+                expired.append(ticket)
+                continue
+            queue.record_turn(now)
+            self._pass_credit(queue)
             self._admit(queue, ticket, now)
             admitted.append(ticket)
-        return admitted
+        return Turn(tuple(admitted), tuple(expired))
+
+    def estimate_wait(self, rank: str, caller: str = "") -> float:
+        """Return the expected wait of a new ticket, in seconds."""
+        return self._estimate_wait(self._find_queue(rank), caller)
+
+    # Queues
+
+    def _find_queue(self, name: str) -> _RankQueue:
+        """Return the queue of a rank, also of one not in the configuration.
+
+        A call may carry a rank of a newer or older configuration.
+        """
+        queue = self._queues.get(name)
+        if queue is None:
+            queue = _RankQueue(_retire_rank(name))
+            self._queues[name] = queue
+            self._arrange()
+        return queue
+
+    def _arrange(self) -> None:
+        queues = sorted(self._queues.values(), key=lambda queue: queue.rank.order)
+        for queue in queues:
+            share = queue.rank.share
+            queue.guaranteed = int(share * self.limit + 1e-9)
+            queue.fraction = max(0.0, share - queue.guaranteed / max(self.limit, 1))
+        self._ordered = queues
+
+    def _forget_retired(self, queue: _RankQueue) -> None:
+        is_retired = queue.rank.order == RETIRED_ORDER
+        if is_retired and not queue.in_use and not queue.waiting:
+            if self._queues.get(queue.rank.name) is queue:
+                del self._queues[queue.rank.name]
+                self._arrange()
+
+    def _choose_queue(self) -> _RankQueue:
+        waiting = [queue for queue in self._ordered if queue.waiting]
+        for queue in waiting:
+            if queue.in_use < queue.guaranteed:
+                return queue
+        for queue in waiting:
+            if queue.credit >= 1:
+                return queue
+        return waiting[0]
+
+    def _pass_credit(self, served: _RankQueue) -> None:
+        for queue in self._ordered:
+            if queue.waiting:
+                queue.credit = min(1.0, queue.credit + queue.fraction)
+        served.credit = max(0.0, served.credit - 1)
+
+    # Tickets
 
     def _admit(self, queue: _RankQueue, ticket: Ticket, now: float) -> None:
-        queue.in_use += 1
+        ticket.queue = queue
+        ticket.state = TicketState.ADMITTED
         ticket.admitted_at = now
+        queue.in_use += 1
+        self.in_use += 1
+
+    def _enqueue(self, queue: _RankQueue, ticket: Ticket, now: float) -> None:
+        if not queue.waiting:
+            queue.turn_at = now
+        ticket.queue = queue
+        ticket.state = TicketState.WAITING
+        ticket.place = queue.waiting.push(ticket.caller, ticket)
+        self._waiting += 1
+        latest_start = ticket.deadline - queue.service_time
+        entry = (latest_start, next(self._numbers), ticket)
+        heapq.heappush(self._deadlines, entry)
+        if len(self._deadlines) > 2 * self._waiting + CLEANUP_MINIMUM:
+            self._drop_ended()
 
-    def _any_waiting(self) -> bool:
-        return any(queue.waiting for queue in self._queues.values())
-
-    def _choose_queue(self) -> _RankQueue | None:
-        waiting = [queue for queue in self._queues.values() if queue.waiting]
-        if not waiting:
-            return None
-        below = [q for q in waiting if q.in_use < q.rank.share * self.slots]
-        return min(below or waiting, key=lambda queue: queue.rank.order)
-
-    def _estimate_wait(self, queue: _RankQueue) -> float:
-        order = queue.rank.order
-        ahead = sum(
-            len(other.waiting)
-            for other in self._queues.values()
-            if other.rank.order <= order
+    def _drop_ended(self) -> None:
+        waiting = [e for e in self._deadlines if e[2].state is TicketState.WAITING]
+        heapq.heapify(waiting)
+        self._deadlines = waiting
+
+    def _expire(self, now: float) -> list[Ticket]:
+        expired = []
+        while self._deadlines and self._deadlines[0][0] < now:
+            ticket = heapq.heappop(self._deadlines)[2]
+            if self.cancel(ticket):
+                expired.append(ticket)
+        return expired
+
+    def _check_queue(
+        self, queue: _RankQueue, ticket: Ticket, now: float
+    ) -> Refusal | None:
+        wait = self._estimate_wait(queue, ticket.caller)
+        detail = f"queue of {ticket.rank}"
+        if len(queue.waiting) >= QUEUE_LIMIT:
+            return Refusal(ErrorKind.QUEUE_FULL, detail, now + wait)
+        if wait > self._get_longest_wait(queue, ticket, now):
+            return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail, now + wait)
+        return None
+
+    def _get_longest_wait(self, queue: _RankQueue, ticket: Ticket, now: float) -> float:
+        """Return the wait with which a ticket is still worth queueing.
+
+        A rank's target bounds it where an idle upstream can meet the target.
+        """
+        by_deadline = ticket.deadline - now - queue.service_time
+        by_target = queue.rank.target_ms / 1000 - queue.service_time
+        return min(by_deadline, by_target) if by_target > 0 else by_deadline
+
+    def _estimate_wait(self, queue: _RankQueue, caller: str) -> float:
+        turns = queue.waiting.count_items(caller) + 1
+        ahead = min(
+            len(queue.waiting) + 1, turns * max(queue.waiting.count_callers(), 1)
         )
-        return (ahead + 1) * self._service_time / max(self.slots, 1)
+        return ahead * queue.estimate_interval(self.limit)
+
+
+def _is_late(ticket: Ticket, now: float) -> bool:
+    return now + ticket.queue.service_time > ticket.deadline
+
+
+def _retire_rank(name: str) -> Rank:
+    """Return a rank for work that the configuration no longer describes."""
+    return Rank(
+        name=name,
+        service="",
+        order=RETIRED_ORDER,
+        target_ms=0,
+        worth=0.0,
+        share=RETIRED_SHARE,
+    )
--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -10,7 +10,7 @@
     """Describe one request; ``deadline`` in monotonic seconds.
 
     Headers are pairs of a lower-case name and a value. ``key`` is the caller's
-    idempotency key, if it sent one.
+    idempotency key, if it sent one. ``caller`` names who sent it.
     """
 
     service: str
@@ -22,3 +22,4 @@
     deadline: float
     idempotent: bool
     key: str | None = None
+    caller: str = ""
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.task import LoopingCall
 
-from flamingohead.core.admission import Admission, Ticket
+from flamingohead.core.admission import Admission, Ticket, Turn
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.events import Event, log_event
@@ -62,8 +62,11 @@
         """Take an announcement of an upstream on this host."""
         known = self.upstreams.get(state.name)
         if state.status is UpstreamStatus.GONE:
-            self.upstreams.pop(state.name, None)
+            if known is not None:
+                self._remove(state.name)
         elif known is None or known.address != address:
+            if known is not None:
+                self._remove(state.name)
             ranks = self._routes.list_ranks(state.service) if self._routes else ()
             admission = Admission(slots=state.slots, ranks=ranks)
             self.upstreams[state.name] = LocalUpstream(
@@ -72,7 +75,8 @@
         else:
             known.state = state
             known.expires_at = expires_at
-            known.admission.slots = state.slots
+            turn = known.admission.set_limit(state.slots, time.monotonic())
+            self._apply(known, turn)
         if known is None or known.state != state or state.name not in self.upstreams:
             log_event(
                 logger,
@@ -116,11 +120,9 @@
     def _tick(self) -> None:
         now = time.monotonic()
         for name, upstream in list(self.upstreams.items()):
-            for ticket in upstream.admission.expire(now):
-                refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, "queued too long")
-                self._resolve(upstream, ticket, refusal)
+            self._apply(upstream, upstream.admission.advance(now))
             if now >= upstream.expires_at:
-                del self.upstreams[name]
+                self._remove(name)
                 log_event(logger, Event.UPSTREAM_CHANGED, upstream=name, status="LOST")
                 self._publish()
 
@@ -148,7 +150,7 @@
     async def _run(
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
-        ticket = Ticket(call.rank, call.deadline)
+        ticket = Ticket(call.rank, call.deadline, call.caller)
         refusal = await self._admit(upstream, ticket)
         if refusal is not None:
             return refusal
@@ -177,8 +179,22 @@
             upstream.waiters.pop(ticket, None)
 
     def _release(self, upstream: LocalUpstream, ticket: Ticket) -> None:
-        for admitted in upstream.admission.release(ticket, time.monotonic()):
-            self._resolve(upstream, admitted, None)
+        self._apply(upstream, upstream.admission.release(ticket, time.monotonic()))
+
+    def _apply(self, upstream: LocalUpstream, turn: Turn) -> None:
+        for ticket in turn.admitted:
+            self._resolve(upstream, ticket, None)
+        for ticket in turn.expired:
+            refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, "queued too long")
+            self._resolve(upstream, ticket, refusal)
+
+    def _remove(self, name: str) -> None:
+        """Forget an upstream; what waits for it can go elsewhere."""
+        upstream = self.upstreams.pop(name)
+        for ticket in list(upstream.waiters):
+            if upstream.admission.cancel(ticket):
+                refusal = Refusal(ErrorKind.DRAINING, f"{name} is gone")
+                self._resolve(upstream, ticket, refusal)
 
     def _resolve(
         self, upstream: LocalUpstream, ticket: Ticket, result: Refusal | None
