Budget retries by what they cost, over nine nested levels

Cause: one budget of a tenth of the requests and ten tokens paid for all retries.

Ruled out: a small budget for everything (a dead host empties it at once); marks alone (applications that don't hand them on break the bound).

Change: refusals have a class. Retried requests carry request-attempt; a level that sees it moves but doesn't repeat. Only a repeat may go to the same upstream again, when there is no other.

--- /dev/null
+++ b/benchmarks/nested.py
@@ -0,0 +1,77 @@
+"""Retries over nested calls: what a failing last level sees."""
+
+from __future__ import annotations
+
+import random
+
+from benchmarks.results import Row, register_benchmark
+from flamingohead.core.errors import ErrorKind
+from flamingohead.core.retries import MAX_ATTEMPTS, RetryBudget
+from flamingohead.testing.nesting import NestedCalls
+
+LEVELS = (1, 3, 6, 9)
+CHANCES = (0.1, 0.5, 1.0)
+SECONDS = 60
+RATE = 50
+PLAIN_SECONDS = 1
+
+
+class PlainRetries:
+    """Allow every retry up to the most attempts: the baseline."""
+
+    def record_request(self, now, *, is_retry=False) -> None:
+        pass
+
+    def allow_retry(
+        self, refusal, now, *, attempts, idempotent, is_retry=False
+    ) -> bool:
+        return attempts < MAX_ATTEMPTS
+
+
+def _measure(budgets, chance: float, marks: bool, seed: int, seconds: float) -> float:
+    nested = NestedCalls(
+        budgets,
+        failure_chance=chance,
+        kind=ErrorKind.UPSTREAM_SHED,
+        marks=marks,
+        random=random.Random(seed),
+    )
+    return nested.run(seconds=seconds, rate=RATE)
+
+
+@register_benchmark("nested")
+def measure_nested(seed: int) -> list[Row]:
+    """Return leaf calls for each outer call, with budgets and with plain retries."""
+    rows = []
+    for levels in LEVELS:
+        for chance in CHANCES:
+            for policy in ("plain", "budget", "budget and marks"):
+                values = []
+                for offset in range(3):
+                    if policy == "plain":
+                        budgets = [PlainRetries() for _ in range(levels)]
+                    else:
+                        budgets = [RetryBudget(0.0) for _ in range(levels)]
+                    marks = policy == "budget and marks"
+                    seconds = PLAIN_SECONDS if policy == "plain" else SECONDS
+                    values.append(
+                        _measure(budgets, chance, marks, seed + offset, seconds)
+                    )
+                    if policy == "plain" and chance == 1.0:
+                        break
+                parameters = {
+                    "policy": policy,
+                    "levels": levels,
+                    "failing": chance,
+                }
+                middle = sorted(values)[len(values) // 2]
+                row = Row(
+                    "leaf calls for each call",
+                    middle,
+                    "calls",
+                    min(values),
+                    max(values),
+                    parameters,
+                )
+                rows.append(row)
+    return rows
--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -4,10 +4,11 @@
 
 import logging
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.retries import RetryBudget
+from flamingohead.core.retries import RetryBudget, may_repeat_on_same_upstream
 from flamingohead.events import Event, log_event
 from flamingohead.services.relay import RelaySink, build_relay_request
 
@@ -19,6 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
+ATTEMPT_HEADER = b"request-attempt"
+
 
 class AttemptService:
     """Try a call on one upstream after another until it has its answer."""
@@ -42,32 +45,45 @@
     async def serve(self, call: Call, response: ServerResponse) -> Refusal | None:
         """Answer a call, or return the refusal that ends it."""
         self._kernel.get("metrics").count(f"calls.{call.service}.{call.rank}")
-        budget = self._budgets.setdefault((call.service, call.rank), RetryBudget())
-        budget.record_request()
+        budget = self._get_budget(call)
+        is_retry = _is_retry(call)
+        budget.record_request(time.monotonic(), is_retry=is_retry)
+        refusal: Refusal | None = None
         excluded: set[tuple[str, str]] = set()
         attempts = 0
         while True:
-            attempts += 1
-            candidate = self._choose(call, excluded)
+            candidate = self._choose(call, excluded, refusal)
             if candidate is None:
-                refusal = Refusal(
+                return refusal or Refusal(
                     ErrorKind.NO_UPSTREAM, f"no upstream of {call.service!r}"
                 )
-                break
+            if refusal is not None:
+                self._kernel.get("metrics").count_retry(refusal)
+                call = _mark_attempt(call, attempts + 1)
+            attempts += 1
             refusal = await self._attempt(candidate, call, response)
             if refusal is None or response.started:
-                break
+                return refusal
             excluded.add(candidate.key)
-            if time.monotonic() >= call.deadline:
-                break
-            if not budget.allow_retry(
-                refusal, attempts=attempts, idempotent=call.idempotent
+            now = time.monotonic()
+            if now >= call.deadline or not budget.allow_retry(
+                refusal,
+                now,
+                attempts=attempts,
+                idempotent=call.idempotent,
+                is_retry=is_retry,
             ):
-                break
-            self._kernel.get("metrics").count_retry(refusal)
-        return refusal
+                return refusal
+
+    def _get_budget(self, call: Call) -> RetryBudget:
+        name = call.service, call.rank
+        if name not in self._budgets:
+            self._budgets[name] = RetryBudget(time.monotonic())
+        return self._budgets[name]
 
-    def _choose(self, call: Call, excluded: set) -> Candidate | None:
+    def _choose(
+        self, call: Call, excluded: set, refusal: Refusal | None
+    ) -> Candidate | None:
         now = time.monotonic()
         chosen = self._balancer.choose(
             call.service,
@@ -75,8 +91,9 @@
             excluded=frozenset(excluded),
             idempotent=call.idempotent,
         )
-        if chosen is None and excluded:
-            chosen = self._balancer.choose(call.service, now)
+        if chosen is None and refusal is not None:
+            if may_repeat_on_same_upstream(refusal):
+                chosen = self._balancer.choose(call.service, now)
         return chosen
 
     async def _attempt(
@@ -124,3 +141,15 @@
         if refusal.kind is ErrorKind.UPSTREAM_CUT:
             return Refusal(ErrorKind.HOST_CUT, refusal.detail)
         return refusal
+
+
+def _is_retry(call: Call) -> bool:
+    """Tell whether a caller further out marked the request as a retry."""
+    values = [value for name, value in call.headers if name == ATTEMPT_HEADER]
+    return any(value != b"1" for value in values)
+
+
+def _mark_attempt(call: Call, attempt: int) -> Call:
+    """Return the call with the number of its attempt for the levels below."""
+    headers = tuple(h for h in call.headers if h[0] != ATTEMPT_HEADER)
+    return replace(call, headers=(*headers, (ATTEMPT_HEADER, b"%d" % attempt)))
--- /dev/null
+++ b/properties/test_retries_nested.py
@@ -0,0 +1,78 @@
+"""Retries stay in budget over nested calls."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from flamingohead.core.errors import ERROR_ANSWERS, ErrorKind, Ran, Refusal
+from flamingohead.core.retries import (
+    RETRY_CLASSES,
+    WINDOW_SECONDS,
+    RetryBudget,
+    RetryClass,
+)
+from flamingohead.testing.nesting import NestedCalls
+
+LEVELS = 9
+LARGEST_FACTOR = 1.2
+REPEATED = sorted(
+    (kind for kind, c in RETRY_CLASSES.items() if c is RetryClass.REPEAT), key=str
+)
+
+
+class TestNestedRetries:
+    @given(
+        chance=st.sampled_from([0.05, 0.5, 1.0]),
+        rate=st.sampled_from([40, 100]),
+        kind=st.sampled_from(REPEATED),
+        marks=st.booleans(),
+        seed=st.integers(0, 100),
+    )
+    @settings(max_examples=12)
+    def test_failing_leaf_sees_little_more_than_its_load(
+        self, chance, rate, kind, marks, seed
+    ):
+        nested = NestedCalls(
+            [RetryBudget(0.0) for _ in range(LEVELS)],
+            failure_chance=chance,
+            kind=kind,
+            marks=marks,
+            random=random.Random(seed),
+        )
+        assert nested.run(seconds=60, rate=rate) <= LARGEST_FACTOR
+
+    @given(
+        gaps=st.lists(st.floats(0, 30), min_size=1, max_size=80),
+        kind=st.sampled_from(sorted(RETRY_CLASSES, key=str)),
+    )
+    @settings(max_examples=50)
+    def test_tokens_expire(self, gaps, kind):
+        budget = RetryBudget(0.0)
+        now = 0.0
+        for gap in gaps:
+            now += gap
+            budget.record_request(now)
+        now += 2 * WINDOW_SECONDS
+        assert not budget.allow_retry(Refusal(kind), now, attempts=1, idempotent=True)
+
+
+class TestPermittedRetries:
+    @given(kind=st.sampled_from(ErrorKind), attempts=st.integers(1, 5))
+    def test_request_that_may_have_run_is_not_repeated(self, kind, attempts):
+        budget = RetryBudget(0.0)
+        allowed = budget.allow_retry(
+            Refusal(kind), 0.0, attempts=attempts, idempotent=False
+        )
+        if allowed:
+            assert ERROR_ANSWERS[kind].ran is Ran.NO
+            assert attempts < 3
+
+    @given(kind=st.sampled_from(ErrorKind))
+    def test_request_retried_further_out_is_not_repeated(self, kind):
+        budget = RetryBudget(0.0)
+        allowed = budget.allow_retry(
+            Refusal(kind), 0.0, attempts=1, idempotent=True, is_retry=True
+        )
+        assert not allowed or RETRY_CLASSES[kind] is RetryClass.MOVE
