--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import Refusal
+from flamingohead.core.readiness import SAMPLE_SIZE, Readiness
+from flamingohead.core.rejections import RejectionLog
 from flamingohead.core.resources import Snapshot
 from flamingohead.core.versions import Replica, VersionRecord
 
@@ -25,6 +27,8 @@
 
     domain_poll_rate: float = 4.0
     minimum_poll_period: float = 0.25
+    first_poll_spread: float = 2.0
+    unready_poll_period: float = 5.0
     pull_timeout: float = 2.0
     push_fanout: int = 3
 
@@ -44,6 +48,14 @@
     version: int
 
 
+@dataclass(frozen=True)
+class PullFromSample:
+    """Pull the records after ``version`` from ``count`` random peers."""
+
+    count: int
+    version: int
+
+
 @dataclass(frozen=True)
 class PushRecord:
     """Push a record to ``fanout`` random peers."""
@@ -59,16 +71,27 @@
     snapshot: Snapshot
 
 
+@dataclass(frozen=True)
+class BecomeReady:
+    """Let the daemon serve callers from now on."""
+
+
 @dataclass(frozen=True)
 class ReportRejected:
-    """Report a version that this daemon could not take."""
+    """Report a version that this daemon could not take, once for each reason."""
 
     version: int
     refusal: Refusal
 
 
 DisseminationEffect = (
-    ReadTable | PullFromPeer | PushRecord | ActivateSnapshot | ReportRejected
+    ReadTable
+    | PullFromPeer
+    | PullFromSample
+    | PushRecord
+    | ActivateSnapshot
+    | BecomeReady
+    | ReportRejected
 )
 
 
@@ -83,34 +106,38 @@
         settings: DisseminationSettings = DisseminationSettings(),
     ) -> None:
         self.replica = replica
+        self.readiness = Readiness()
+        self.rejections = RejectionLog()
         self._random = random
         self._settings = settings
-        self._next_poll_at = 0.0
-        self._pull_expires_at = 0.0
-        self._pulling = False
+        self._next_poll_at: float | None = None
+        self._next_sample_at = 0.0
+        self._next_pull_at = 0.0
+        self._members = 1
 
     def tick(self, now: float, *, members: int) -> list[DisseminationEffect]:
         """Poll the table when due; ``members`` counts the failure domain."""
-        if now < self._next_poll_at:
-            return []
-        mean = max(
-            members / self._settings.domain_poll_rate,
-            self._settings.minimum_poll_period,
-        )
-        self._next_poll_at = now + self._random.uniform(0.5, 1.5) * mean
-        return [ReadTable(self.replica.version)]
+        self._members = members
+        effects = self._poll_table(now)
+        if not self.readiness.is_ready:
+            effects += self._pull_from_sample(now)
+            effects += self._update_readiness(now)
+        return effects
 
     def receive_peer_version(
         self, address: str, version: int, now: float
     ) -> list[DisseminationEffect]:
         """Pull from a peer that holds a newer version."""
+        effects: list[DisseminationEffect] = []
+        if not self.readiness.is_ready:
+            self.readiness.receive_peer_version(address, version)
+            effects += self._update_readiness(now)
         if version <= self.replica.version:
-            return []
-        if self._pulling and now < self._pull_expires_at:
-            return []
-        self._pulling = True
-        self._pull_expires_at = now + self._settings.pull_timeout
-        return [PullFromPeer(address, self.replica.version)]
+            return effects
+        if now < self._next_pull_at or self.rejections.postpones(now):
+            return effects
+        self._next_pull_at = now + self._settings.pull_timeout
+        return [*effects, PullFromPeer(address, self.replica.version)]
 
     def receive_records(
         self, records: Iterable[VersionRecord], now: float
@@ -121,12 +148,12 @@
         for record in records:
             result = self.replica.take_record(record)
             if isinstance(result, Refusal):
-                effects.append(ReportRejected(record.version, result))
+                effects += self.report_rejected(record.version, result, now)
                 break
             if result is not None:
                 newest = record
         if newest is not None:
-            effects.append(ActivateSnapshot(self.replica.snapshot))
+            effects += self._activate(now)
             effects.append(PushRecord(newest, self._settings.push_fanout))
         return effects
 
@@ -137,11 +164,73 @@
         held = self.replica.version
         result = self.replica.take_snapshot(snapshot, digest)
         if isinstance(result, Refusal):
-            return [ReportRejected(snapshot.version, result)]
+            return self.report_rejected(snapshot.version, result, now)
         if result.version == held:
             return []
-        return [ActivateSnapshot(result)]
+        return self._activate(now)
+
+    def report_rejected(
+        self, version: int, refusal: Refusal, now: float
+    ) -> list[DisseminationEffect]:
+        """Note a version that can't be taken, unless it is behind by now."""
+        if version <= self.replica.version:
+            return []
+        if not self.rejections.add(version, refusal, now):
+            return []
+        return [ReportRejected(version, refusal)]
+
+    def finish_pull(self, now: float, retry_at: float | None = None) -> None:
+        """Note that a pull ended; ``retry_at`` if the peer refused for now."""
+        self._next_pull_at = now if retry_at is None else retry_at
+
+    def finish_table_read(self, now: float) -> list[DisseminationEffect]:
+        """Note that the end of the log is held."""
+        was_ready = self.readiness.is_ready
+        self.readiness.finish_table_read()
+        return self._report_ready(was_ready)
+
+    def fail_table_read(self, now: float) -> list[DisseminationEffect]:
+        """Note that the table could not be read."""
+        if self.readiness.is_ready:
+            return []
+        self.readiness.fail_table_read(now)
+        return self._update_readiness(now)
+
+    def _poll_table(self, now: float) -> list[DisseminationEffect]:
+        if self._next_poll_at is None:
+            spread = self._settings.first_poll_spread
+            self._next_poll_at = now + self._random.uniform(0, spread)
+        if now < self._next_poll_at:
+            return []
+        self._next_poll_at = now + self._choose_poll_wait()
+        return [ReadTable(self.replica.version)]
+
+    def _choose_poll_wait(self) -> float:
+        """Return seconds to the next poll, so that the domain polls at its rate."""
+        mean = max(
+            self._members / self._settings.domain_poll_rate,
+            self._settings.minimum_poll_period,
+        )
+        if not self.readiness.is_ready:
+            mean = min(mean, self._settings.unready_poll_period)
+        return self._random.uniform(0.5, 1.5) * mean
+
+    def _pull_from_sample(self, now: float) -> list[DisseminationEffect]:
+        if now < self._next_sample_at or self._members < 2:
+            return []
+        self._next_sample_at = now + self._settings.pull_timeout
+        return [PullFromSample(SAMPLE_SIZE, self.replica.version)]
+
+    def _update_readiness(self, now: float) -> list[DisseminationEffect]:
+        was_ready = self.readiness.is_ready
+        self.readiness.update(self.replica.version, now, members=self._members)
+        return self._report_ready(was_ready)
+
+    def _report_ready(self, was_ready: bool) -> list[DisseminationEffect]:
+        if was_ready or not self.readiness.is_ready:
+            return []
+        return [BecomeReady()]
 
-    def finish_pull(self) -> None:
-        """Note that the pull in progress ended, with or without success."""
-        self._pulling = False
+    def _activate(self, now: float) -> list[DisseminationEffect]:
+        self.rejections.clear_up_to(self.replica.version)
+        return [ActivateSnapshot(self.replica.snapshot), *self._update_readiness(now)]
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -39,6 +39,7 @@
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     VERSION_CONFLICT = "version_conflict"
+    CHANGE_OUTCOME_UNKNOWN = "change_outcome_unknown"
     INVALID_CONFIGURATION = "invalid_configuration"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     INTERNAL = "internal"
@@ -80,6 +81,7 @@
     ErrorKind.KEY_OUTCOME_UNKNOWN: ErrorAnswer(409, Ran.UNKNOWN, None),
     ErrorKind.CLAIM_UNAVAILABLE: ErrorAnswer(503, Ran.UNKNOWN, 2000),
     ErrorKind.VERSION_CONFLICT: ErrorAnswer(409, Ran.NO, 100),
+    ErrorKind.CHANGE_OUTCOME_UNKNOWN: ErrorAnswer(503, Ran.UNKNOWN, 1000),
     ErrorKind.INVALID_CONFIGURATION: ErrorAnswer(422, Ran.NO, None),
     ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(503, Ran.UNKNOWN, 2000),
     ErrorKind.INTERNAL: ErrorAnswer(500, Ran.UNKNOWN, None),
--- /dev/null
+++ b/flamingohead/core/recovery.py
@@ -0,0 +1,121 @@
+"""Catching up with the log from the platform.
+
+A replica that is far behind starts from the newest usable whole snapshot; a damaged
+object leads to an older snapshot, or past the damaged version to a newer one. While
+the object store is away, a short gap is read from the log alone; a long one is left
+to the peers.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.storage import (
+    ListSnapshots,
+    LoadChange,
+    LoadSnapshot,
+    ReadLog,
+    ReportDamaged,
+    TakeRecords,
+    TakeSnapshot,
+    UnreadableRow,
+)
+
+if TYPE_CHECKING:
+    from flamingohead.core.storage import Procedure
+    from flamingohead.core.versions import VersionRecord
+
+PAGE_ROWS = 100
+SNAPSHOT_CANDIDATES = 3
+MAX_LOG_GAP = 1_000
+
+
+class Recovery:
+    """Read the log to its end from the version held; ``run`` is the procedure."""
+
+    def __init__(self, held: int) -> None:
+        self._held = held
+        self._snapshots_tried = False
+
+    def run(self) -> Procedure[Refusal | None]:
+        """Return ``None`` once the end of the log is held, or why it is not."""
+        if self._held == 0:
+            refusal = yield from self._take_stored_snapshot()
+            if refusal is not None:
+                return refusal
+        while True:
+            rows = (yield ReadLog(self._held, PAGE_ROWS)).value
+            if isinstance(rows, Refusal):
+                return rows
+            problem = yield from self._take_rows(rows)
+            if problem is None and len(rows) < PAGE_ROWS:
+                return None
+            before = self._held
+            refusal = yield from self._take_stored_snapshot()
+            if refusal is not None:
+                return refusal
+            if problem is not None and self._held == before:
+                return problem
+
+    def _take_rows(self, rows: list) -> Procedure[Refusal | None]:
+        """Take rows in order up to the first that can't be taken."""
+        records: list[VersionRecord] = []
+        problem: Refusal | None = None
+        for row in rows:
+            record = yield from self._load_record(row)
+            if isinstance(record, Refusal):
+                problem = record
+                break
+            records.append(record)
+        if records:
+            self._held = (yield TakeRecords(tuple(records))).value
+            if self._held < records[-1].version:
+                problem = _describe_damage(self._held + 1, "it was not taken")
+        return problem
+
+    def _load_record(
+        self, row: VersionRecord | UnreadableRow
+    ) -> Procedure[VersionRecord | Refusal]:
+        if isinstance(row, UnreadableRow):
+            return (yield from self._report(row.version, row.reason))
+        if row.change is not None:
+            return row
+        record = (yield LoadChange(row)).value
+        if record is None:
+            reason = "its change is missing or corrupted in the object store"
+            return (yield from self._report(row.version, reason))
+        return record
+
+    def _take_stored_snapshot(self) -> Procedure[Refusal | None]:
+        """Take the newest usable stored snapshot that is newer than the one held."""
+        if self._snapshots_tried:
+            return None
+        self._snapshots_tried = True
+        rows = (yield ListSnapshots(SNAPSHOT_CANDIDATES)).value
+        if isinstance(rows, Refusal):
+            return rows
+        for row in rows:
+            if isinstance(row, UnreadableRow) or row.version <= self._held:
+                continue
+            snapshot = (yield LoadSnapshot(row)).value
+            if isinstance(snapshot, Refusal):
+                is_near = row.version - self._held <= MAX_LOG_GAP
+                return None if is_near else snapshot
+            if snapshot is None:
+                yield from self._report(row.version, "its stored snapshot is damaged")
+                continue
+            held = (yield TakeSnapshot(snapshot, row.snapshot_digest)).value
+            if held >= row.version:
+                self._held = held
+                return None
+        return None
+
+    def _report(self, version: int, reason: str) -> Procedure[Refusal]:
+        refusal = _describe_damage(version, reason)
+        yield ReportDamaged(version, refusal)
+        return refusal
+
+
+def _describe_damage(version: int, reason: str) -> Refusal:
+    return Refusal(ErrorKind.INVALID_CONFIGURATION, f"version {version}: {reason}")
--- /dev/null
+++ b/flamingohead/core/storage.py
@@ -0,0 +1,158 @@
+"""Operations on the platform that the procedures of the core ask for.
+
+A procedure is a generator: it yields one operation at a time and is sent a
+``Reply``. It does no I/O itself, so that a test can delay, lose or reorder what
+happens between any two steps.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from flamingohead.core.errors import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from flamingohead.core.resources import Snapshot
+    from flamingohead.core.versions import VersionRecord
+
+
+@dataclass(frozen=True)
+class UnreadableRow:
+    """Stand for a row of the log whose value can't be decoded."""
+
+    version: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class ReadLog:
+    """Read up to ``limit`` rows after ``after``.
+
+    The reply is a list of records and ``UnreadableRow``s, or a refusal.
+    """
+
+    after: int
+    limit: int
+
+
+@dataclass(frozen=True)
+class InsertRecord:
+    """Insert the row of a version unless it exists; the reply is a ``bool``."""
+
+    record: VersionRecord
+
+
+@dataclass(frozen=True)
+class StoreChange:
+    """Move a change that is too large for a row to the object store.
+
+    The reply is the record to insert, or a refusal if the object can't be read
+    back.
+    """
+
+    record: VersionRecord
+
+
+@dataclass(frozen=True)
+class LoadChange:
+    """Read the change of a record; the reply is ``None`` if it is damaged."""
+
+    record: VersionRecord
+
+
+@dataclass(frozen=True)
+class StoreSnapshot:
+    """Write a whole snapshot; the reply is the digest of its object."""
+
+    snapshot: Snapshot
+
+
+@dataclass(frozen=True)
+class LoadSnapshot:
+    """Read the whole snapshot that a record names; ``None`` if it is damaged."""
+
+    record: VersionRecord
+
+
+@dataclass(frozen=True)
+class ListSnapshots:
+    """Read the records of the newest stored snapshots, newest first."""
+
+    limit: int
+
+
+@dataclass(frozen=True)
+class IndexSnapshot:
+    """Add the stored snapshot of a record to the index of snapshots."""
+
+    record: VersionRecord
+
+
+@dataclass(frozen=True)
+class TakeRecords:
+    """Offer records to the replica; the reply is the version held afterwards."""
+
+    records: tuple[VersionRecord, ...]
+
+
+@dataclass(frozen=True)
+class TakeSnapshot:
+    """Offer a snapshot to the replica; the reply is the version held afterwards."""
+
+    snapshot: Snapshot
+    digest: bytes
+
+
+@dataclass(frozen=True)
+class ReportDamaged:
+    """Report that what the platform keeps of a version can't be used."""
+
+    version: int
+    refusal: Refusal
+
+
+@dataclass(frozen=True)
+class CatchUp:
+    """Bring the replica to the end of the log; the reply is its snapshot."""
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Wait until a time on the clock that replies carry."""
+
+    until: float
+
+
+Operation = (
+    ReadLog
+    | InsertRecord
+    | StoreChange
+    | LoadChange
+    | StoreSnapshot
+    | LoadSnapshot
+    | ListSnapshots
+    | IndexSnapshot
+    | TakeRecords
+    | TakeSnapshot
+    | ReportDamaged
+    | CatchUp
+    | Wait
+)
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Carry the result of an operation and the time at which it ended."""
+
+    value: Any
+    now: float
+
+
+if TYPE_CHECKING:
+    from typing import TypeVar
+
+    Result = TypeVar("Result")
+    Procedure = Generator[Operation, Reply, Result]
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -18,7 +18,8 @@
     """Describe one accepted version.
 
     ``change`` is ``None`` while the change is only known by ``change_digest``
-    in the object store. ``accepted_at`` is in seconds since the epoch.
+    in the object store. ``snapshot_object`` is the digest of the object that holds
+    the whole snapshot, or empty. ``accepted_at`` is in seconds since the epoch.
     """
 
     version: int
@@ -29,6 +30,7 @@
     accepted_at: float
     change: Change | None
     change_digest: bytes = b""
+    snapshot_object: bytes = b""
 
 
 def build_record(
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 from google.protobuf.message import DecodeError
 
 from flamingohead.core.changes import Change
@@ -143,6 +145,7 @@
         accepted_at=record.accepted_at,
         change=change,
         change_digest=record.change_digest,
+        snapshot_object=record.snapshot_object,
     )
 
 
@@ -159,9 +162,25 @@
         accepted_at=message.accepted_at,
         change=change,
         change_digest=message.change_digest,
+        snapshot_object=message.snapshot_object,
     )
 
 
+def serialize_row(record: VersionRecord) -> bytes:
+    """Return the value of a table row, which carries its own digest."""
+    body = encode_record(record).SerializeToString()
+    stored = pb.StoredRecord(digest=hashlib.sha256(body).digest(), record=body)
+    return stored.SerializeToString()
+
+
+def parse_row(data: bytes) -> VersionRecord:
+    """Decode the value of a table row; raise ``CodecError``."""
+    stored = _parse(pb.StoredRecord(), data)
+    if hashlib.sha256(stored.record).digest() != stored.digest:
+        raise CodecError("row does not match its digest")
+    return parse_record(stored.record)
+
+
 def parse_record(data: bytes) -> VersionRecord:
     """Decode a serialized record; raise ``CodecError``."""
     return decode_record(_parse(pb.VersionRecord(), data))
