Keep the acceptance of a change and the recovery of a daemon as procedures

A fresh daemon read the log from version 1, served before it knew the newest version, and read a version that it can't take again and again.

Change: acceptance and recovery are generators over typed operations, without I/O. Readiness is a state machine over the end of the log, or a sample of peers while the table is away.

--- a/flamingohead/core/acceptance.py
+++ b/flamingohead/core/acceptance.py
@@ -23,7 +23,7 @@
     UnreadableRow,
     Wait,
 )
-from flamingohead.core.versions import VersionRecord, build_record
+from flamingohead.core.versions import VersionRecord, build_record, check_snapshot
 
 if TYPE_CHECKING:
     from random import Random
@@ -104,7 +104,9 @@
 
     def _propose(self) -> Procedure[Accepted | Refusal]:
         base = yield from self._fetch_base()
-        if isinstance(base, Refusal):
+        if base is None:
+            return (yield from self._propose_whole())
+        if not isinstance(base, Snapshot):
             return base
         change = compute_change(base, self._request.resources)
         if change.is_empty:
@@ -123,13 +125,38 @@
         record = yield from self._repeat(StoreChange(record))
         return (yield from self._insert(record))
 
-    def _fetch_base(self) -> Procedure[Snapshot | Refusal]:
-        """Return the base snapshot, checked against its row in the log."""
+    def _propose_whole(self) -> Procedure[Accepted | Refusal]:
+        """Propose a version that stands on its own, past one that can't be taken."""
+        snapshot = self._build_wanted_snapshot()
+        refusal = check_snapshot(snapshot, snapshot.digest)
+        if refusal is not None:
+            return refusal
+        record = VersionRecord(
+            version=snapshot.version,
+            parent_digest=self._base_record.snapshot_digest,
+            snapshot_digest=snapshot.digest,
+            change_id=self._request.change_id,
+            author=self._request.author,
+            accepted_at=self._request.accepted_at,
+            change=None,
+        )
+        record = yield from self._store_snapshot(record)
+        return (yield from self._insert(record))
+
+    def _fetch_base(self) -> Procedure[Snapshot | Accepted | Refusal | None]:
+        """Return the base snapshot, checked against its row in the log.
+
+        ``None`` means that the base version is in the log but can't be taken.
+        """
         version = self._request.base_version
         if version > 0 and self._base_record is None:
             detail = f"base version {version} is not in the log"
             return Refusal(ErrorKind.VERSION_CONFLICT, detail)
-        snapshot = yield from self._repeat(CatchUp(), lambda s: s.version >= version)
+        snapshot = yield from self._repeat(
+            CatchUp(), lambda held: _is_damage(held) or held.version >= version
+        )
+        if isinstance(snapshot, Refusal):
+            return None
         if snapshot.version > version:
             # The row of the next version is read again: another writer was faster,
             # or the log has lost rows that this daemon still holds.
@@ -169,7 +196,7 @@
         wait = FIRST_WAIT
         while True:
             reply = yield operation
-            if isinstance(reply.value, Refusal):
+            if isinstance(reply.value, Refusal) and not _is_damage(reply.value):
                 self._reason = reply.value.detail
             elif is_usable is None or is_usable(reply.value):
                 return reply.value
@@ -206,6 +233,13 @@
         )
 
 
+def _is_damage(value: object) -> bool:
+    """Tell whether a value reports a version that can't be taken at all."""
+    if not isinstance(value, Refusal):
+        return False
+    return value.kind is ErrorKind.INVALID_CONFIGURATION
+
+
 def _is_read(rows: list) -> bool:
     return not any(isinstance(row, UnreadableRow) for row in rows)
 
--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -49,11 +49,10 @@
 
 
 @dataclass(frozen=True)
-class PullFromSample:
-    """Pull the records after ``version`` from ``count`` random peers."""
+class AskSample:
+    """Ask ``count`` random peers which version they hold."""
 
     count: int
-    version: int
 
 
 @dataclass(frozen=True)
@@ -87,7 +86,7 @@
 DisseminationEffect = (
     ReadTable
     | PullFromPeer
-    | PullFromSample
+    | AskSample
     | PushRecord
     | ActivateSnapshot
     | BecomeReady
@@ -120,7 +119,7 @@
         self._members = members
         effects = self._poll_table(now)
         if not self.readiness.is_ready:
-            effects += self._pull_from_sample(now)
+            effects += self._ask_sample(now)
             effects += self._update_readiness(now)
         return effects
 
@@ -215,11 +214,11 @@
             mean = min(mean, self._settings.unready_poll_period)
         return self._random.uniform(0.5, 1.5) * mean
 
-    def _pull_from_sample(self, now: float) -> list[DisseminationEffect]:
+    def _ask_sample(self, now: float) -> list[DisseminationEffect]:
         if now < self._next_sample_at or self._members < 2:
             return []
         self._next_sample_at = now + self._settings.pull_timeout
-        return [PullFromSample(SAMPLE_SIZE, self.replica.version)]
+        return [AskSample(SAMPLE_SIZE)]
 
     def _update_readiness(self, now: float) -> list[DisseminationEffect]:
         was_ready = self.readiness.is_ready
--- a/flamingohead/core/recovery.py
+++ b/flamingohead/core/recovery.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.resources import EMPTY_SNAPSHOT, Snapshot
 from flamingohead.core.storage import (
     ListSnapshots,
     LoadChange,
@@ -23,12 +24,15 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from flamingohead.core.storage import Procedure
     from flamingohead.core.versions import VersionRecord
 
 PAGE_ROWS = 100
 SNAPSHOT_CANDIDATES = 3
 MAX_LOG_GAP = 1_000
+DAMAGED_CHANGE = "its change is missing or corrupted in the object store"
 
 
 class Recovery:
@@ -52,9 +56,12 @@
             if problem is None and len(rows) < PAGE_ROWS:
                 return None
             before = self._held
-            refusal = yield from self._take_stored_snapshot()
-            if refusal is not None:
-                return refusal
+            if problem is not None:
+                yield from self._take_newest(reversed(rows))
+            if self._held == before:
+                refusal = yield from self._take_stored_snapshot()
+                if refusal is not None:
+                    return refusal
             if problem is not None and self._held == before:
                 return problem
 
@@ -81,10 +88,11 @@
             return (yield from self._report(row.version, row.reason))
         if row.change is not None:
             return row
+        if not row.change_digest:
+            return _describe_damage(row.version, "it is kept as a whole snapshot only")
         record = (yield LoadChange(row)).value
         if record is None:
-            reason = "its change is missing or corrupted in the object store"
-            return (yield from self._report(row.version, reason))
+            return (yield from self._report(row.version, DAMAGED_CHANGE))
         return record
 
     def _take_stored_snapshot(self) -> Procedure[Refusal | None]:
@@ -95,9 +103,17 @@
         rows = (yield ListSnapshots(SNAPSHOT_CANDIDATES)).value
         if isinstance(rows, Refusal):
             return rows
+        return (yield from self._take_newest(rows))
+
+    def _take_newest(
+        self, rows: Iterable[VersionRecord | UnreadableRow]
+    ) -> Procedure[Refusal | None]:
+        """Take the first usable stored snapshot that rows name."""
         for row in rows:
             if isinstance(row, UnreadableRow) or row.version <= self._held:
                 continue
+            if not row.snapshot_object:
+                continue
             snapshot = (yield LoadSnapshot(row)).value
             if isinstance(snapshot, Refusal):
                 is_near = row.version - self._held <= MAX_LOG_GAP
@@ -117,5 +133,39 @@
         return refusal
 
 
+def read_records(after: int, limit: int) -> Procedure[list[VersionRecord] | Refusal]:
+    """Return records of the log with their changes, or why one can't be read."""
+    rows = (yield ReadLog(after, limit)).value
+    if isinstance(rows, Refusal):
+        return rows
+    records = []
+    for row in rows:
+        if isinstance(row, UnreadableRow):
+            return _describe_damage(row.version, row.reason)
+        record = row
+        if row.change is None and row.change_digest:
+            record = (yield LoadChange(row)).value
+        if record is None:
+            return _describe_damage(row.version, DAMAGED_CHANGE)
+        if isinstance(record, Refusal):
+            return record
+        records.append(record)
+    return records
+
+
+def read_stored_snapshot(version: int) -> Procedure[Snapshot | Refusal]:
+    """Return the newest usable stored snapshot up to a version, or the empty one."""
+    rows = (yield ListSnapshots(SNAPSHOT_CANDIDATES, up_to=version)).value
+    if isinstance(rows, Refusal):
+        return rows
+    for row in rows:
+        if isinstance(row, UnreadableRow):
+            continue
+        snapshot = (yield LoadSnapshot(row)).value
+        if isinstance(snapshot, Snapshot) and snapshot.digest == row.snapshot_digest:
+            return snapshot
+    return EMPTY_SNAPSHOT
+
+
 def _describe_damage(version: int, reason: str) -> Refusal:
     return Refusal(ErrorKind.INVALID_CONFIGURATION, f"version {version}: {reason}")
--- a/flamingohead/core/storage.py
+++ b/flamingohead/core/storage.py
@@ -79,9 +79,10 @@
 
 @dataclass(frozen=True)
 class ListSnapshots:
-    """Read the records of the newest stored snapshots, newest first."""
+    """Read the records of stored snapshots up to a version, newest first."""
 
     limit: int
+    up_to: int | None = None
 
 
 @dataclass(frozen=True)
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -19,7 +19,9 @@
 
     ``change`` is ``None`` while the change is only known by ``change_digest``
     in the object store. ``snapshot_object`` is the digest of the object that holds
-    the whole snapshot, or empty. ``accepted_at`` is in seconds since the epoch.
+    the whole snapshot, or empty. With neither a change nor its digest, the version
+    is taken from its whole snapshot alone. ``accepted_at`` is in seconds since the
+    epoch.
     """
 
     version: int
@@ -85,7 +87,7 @@
                 f"version {record.version} does not follow the digest held",
             )
         snapshot = apply_change(self.snapshot, record.change, version=record.version)
-        refusal = _check_snapshot(snapshot, record.snapshot_digest)
+        refusal = check_snapshot(snapshot, record.snapshot_digest)
         if refusal is not None:
             return refusal
         self._remember_record(record)
@@ -99,7 +101,7 @@
         """
         if snapshot.version <= self.version:
             return self.snapshot
-        refusal = _check_snapshot(snapshot, digest)
+        refusal = check_snapshot(snapshot, digest)
         if refusal is not None:
             return refusal
         self.records.clear()
@@ -120,7 +122,8 @@
             self.records.popitem(last=False)
 
 
-def _check_snapshot(snapshot: Snapshot, digest: bytes) -> Refusal | None:
+def check_snapshot(snapshot: Snapshot, digest: bytes) -> Refusal | None:
+    """Return why a snapshot can't be taken, or ``None``."""
     if snapshot.digest != digest:
         return Refusal(
             ErrorKind.INVALID_CONFIGURATION,
