--- a/flamingohead/services/status.py
+++ b/flamingohead/services/status.py
@@ -47,6 +47,7 @@
                 {"version": r.version, "reason": r.refusal.detail, "times": r.times}
                 for r in configuration.list_rejections()
             ],
+            "observed": self._kernel.get("observation").describe(),
             "members": [self._describe_member(member) for member in members],
         }
 
--- a/properties/test_configuration_acceptance.py
+++ b/properties/test_configuration_acceptance.py
@@ -28,6 +28,7 @@
 NAMES = ("a", "b", "c")
 SHEETS = st.dictionaries(st.sampled_from(NAMES), st.integers(1, 3), min_size=1)
 OPERATOR = st.integers(0, OPERATORS - 1)
+LAG = st.sampled_from([0, 0, 0, 1])
 FAULTS = st.sampled_from(["none"] * 5 + ["away", "lost", "delay"])
 BROKEN_SHEET = create_service("a")[:1] + create_service("b")
 
@@ -59,11 +60,19 @@
         self.asked = 0
         self.now = 0.0
 
-    @rule(number=OPERATOR, sheet=SHEETS, lag=st.integers(0, 1), broken=st.booleans())
-    def begin(self, number, sheet, lag, broken) -> None:
+    @rule(sheets=st.lists(SHEETS, min_size=1, max_size=OPERATORS), lag=LAG)
+    def begin_race(self, sheets, lag) -> None:
+        for number, sheet in enumerate(sheets):
+            if self.operators[number].request is None:
+                self._begin(number, sheet, lag, broken=False)
+
+    @rule(number=OPERATOR, sheet=SHEETS, lag=LAG)
+    def begin_broken(self, number, sheet, lag) -> None:
+        if self.operators[number].request is None:
+            self._begin(number, sheet, lag, broken=True)
+
+    def _begin(self, number, sheet, lag, *, broken) -> None:
         operator = self.operators[number]
-        if operator.request is not None:
-            return
         resources = [
             resource
             for name, timeout in sheet.items()
@@ -71,7 +80,7 @@
         ]
         self.asked += 1
         operator.request = ChangeRequest(
-            tuple(BROKEN_SHEET if broken and lag else resources),
+            tuple(BROKEN_SHEET if broken else resources),
             change_id=f"change-{self.asked}",
             author=f"operator-{number}",
             base_version=max(0, operator.daemon.replica.version - lag),
@@ -80,10 +89,10 @@
         )
         operator.ask()
 
-    @rule(number=OPERATOR, faults=st.lists(FAULTS, min_size=1, max_size=6))
-    def advance(self, number, faults) -> None:
-        operator = self.operators[number]
-        for fault in faults:
+    @rule(schedule=st.lists(st.tuples(OPERATOR, FAULTS), min_size=1, max_size=24))
+    def advance(self, schedule) -> None:
+        for number, fault in schedule:
+            operator = self.operators[number]
             if operator.runner is not None:
                 self._step(operator, fault)
 
--- a/properties/test_configuration_spreading.py
+++ b/properties/test_configuration_spreading.py
@@ -90,7 +90,7 @@
     def _append(self, name: str, timeout: int, remove: bool) -> None:
         base = self.writer.replica.snapshot
         if base.version + 1 in self.platform.log:
-            self._repair()
+            self._repair(lose_index=remove)
             return
         change = Change(tuple(create_service(name, timeout_ms=timeout)))
         if remove:
@@ -112,7 +112,7 @@
             record = replace(record, change=None, change_digest=digest)
         self.platform.log[record.version] = record
 
-    def _repair(self) -> None:
+    def _repair(self, *, lose_index: bool) -> None:
         """Accept a version past the one that no daemon can take."""
         resources = self.writer.replica.snapshot.resources.values()
         request = ChangeRequest(
@@ -127,6 +127,8 @@
         while runner.operation is not None:
             runner.reply(self.writer.perform(runner.operation, self.now), self.now)
         assert isinstance(runner.result, Accepted)
+        if lose_index:
+            del self.platform.index[runner.result.version]
         self.writer.catch_up(self.now)
 
     @precondition(lambda self: self.platform.objects)
