--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -178,6 +178,10 @@
             return []
         return [ReportRejected(version, refusal)]
 
+    def postpone_poll(self, until: float) -> None:
+        """Put off the next poll of the table."""
+        self._next_poll_at = until
+
     def finish_pull(self, now: float, retry_at: float | None = None) -> None:
         """Note that a pull ended; ``retry_at`` if the peer refused for now."""
         self._next_pull_at = now if retry_at is None else retry_at
