--- a/flamingohead/services/status.py
+++ b/flamingohead/services/status.py
@@ -42,6 +42,11 @@
             "version": configuration.replica.version,
             "digest": configuration.replica.snapshot.digest.hex(),
             "activated_at": configuration.activated_at,
+            "ready": configuration.is_ready,
+            "rejected": [
+                {"version": r.version, "reason": r.refusal.detail, "times": r.times}
+                for r in configuration.list_rejections()
+            ],
             "observed": self._kernel.get("observation").describe(),
             "members": [self._describe_member(member) for member in members],
         }
