--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -26,6 +26,8 @@
     VERSION_REJECTED = EventKind(201, logging.ERROR, "configuration not taken")
     VERSION_ACCEPTED = EventKind(202, logging.INFO, "change accepted")
     CHANGE_REFUSED = EventKind(203, logging.WARNING, "change refused")
+    CONFIGURATION_READY = EventKind(210, logging.INFO, "ready with configuration")
+    PULL_MALFORMED = EventKind(211, logging.WARNING, "pulled answer not understood")
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -94,13 +94,7 @@
 
     async def Pull(self, stream) -> None:  # noqa: N802
         request = await stream.recv_message()
-        replica = self._kernel.get("configuration").replica
-        reply = pb.PullReply(version=replica.version)
-        records = replica.list_records_after(request.version)
-        if records is None:
-            reply.snapshot.CopyFrom(codec.encode_snapshot(replica.snapshot))
-        else:
-            reply.records.extend(codec.encode_record(record) for record in records)
+        reply = self._kernel.get("configuration").answer_pull(request.version)
         await stream.send_message(reply)
 
     async def FetchOutcome(self, stream) -> None:  # noqa: N802
