--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -135,6 +135,8 @@
         task = asyncio.get_running_loop().create_task(self._guard(coroutine, response))
         self._tasks[task] = request
         task.add_done_callback(self._tasks.pop)
+        # A task that is cancelled before its first step never runs the coroutine.
+        task.add_done_callback(lambda _: coroutine.close())
         response.on_disconnect = task.cancel
 
     async def _guard(self, coroutine, response: ServerResponse) -> None:
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -14,10 +14,12 @@
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from flamingohead.services.http_connection import AnswerSink
 
+    Connect = Callable[[ClientConnection, str, int], Awaitable[None]]
+
 __all__ = ["HttpClientService", "OutgoingRequest"]
 
 CONNECT_TIMEOUT = 0.5
@@ -65,7 +67,8 @@
 class HttpClientService:
     """Make exchanges on new connections and on those kept."""
 
-    def __init__(self) -> None:
+    def __init__(self, connect: Connect = connect) -> None:
+        self._connect_protocol = connect
         self._pool = ConnectionPool()
 
     async def start(self) -> None:
@@ -125,7 +128,7 @@
         connection = ClientConnection(address)
         try:
             async with asyncio.timeout(timeout):
-                await connect(connection, host, port)
+                await self._connect_protocol(connection, host, port)
         except OSError as error:
             detail = f"can't connect to {address}: {type(error).__name__}"
             return Refusal(ErrorKind.UPSTREAM_UNREACHABLE, detail)
