Begin the tables of the capacity page

Cause: the page is to be worked out from result files, so that it can't drift. Change: look-up of rows, figures with limits and margins, rendering between markers. Not run yet: no role is registered.

--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,256 @@
+"""Work out the tables of docs/CAPACITY.md from the result files.
+
+``python -m benchmarks.capacity`` rewrites the page between its markers;
+``--check`` exits with 1 if the page differs from what the files give.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+from benchmarks.results import RESULTS, ROOT, Row
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+BEGIN = "<!-- tables: begin (python -m benchmarks.capacity) -->"
+END = "<!-- tables: end -->"
+
+DAEMONS = 9_200
+DOMAINS = 15
+DOMAIN_DAEMONS = DAEMONS / DOMAINS
+SERVICES = 550
+CALLS_PER_SECOND = 410_000
+CHANGES_PER_DAY = 12_000
+WORKING_SECONDS = 8 * 3600
+DAY_SECONDS = 24 * 3600
+RESTARTS_PER_DAY = 2_200
+HERD = 600
+
+PROCESSOR_LIMIT = 3.7
+MEMORY_LIMIT = 128.0
+BYTES_LIMIT = 10.0
+IN_FORCE_LIMIT = 7.0
+ADDED_LIMIT = 1.3
+TABLE_READ_LIMIT = 2_000.0
+TABLE_WRITE_LIMIT = 300.0
+
+CALLS_PER_DAEMON = CALLS_PER_SECOND / DAEMONS
+CHANGES_PER_SECOND = CHANGES_PER_DAY / WORKING_SECONDS
+
+
+class MissingResultError(LookupError):
+    """Report a figure that no result file holds."""
+
+
+@dataclass(frozen=True)
+class Figure:
+    """Hold one worked-out figure with its spread, limit and source.
+
+    ``limit`` is ``None`` where the users set none; ``sums`` names the daemon's
+    budget that the figure counts against.
+    """
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    source: str
+    low: float | None = None
+    high: float | None = None
+    limit: float | None = None
+    sums: str = ""
+    mechanism: str = ""
+
+
+class Results:
+    """Look figures up in the result files."""
+
+    def __init__(self, directory: Path = RESULTS) -> None:
+        self._directory = directory
+        self._files: dict[str, dict] = {}
+
+    def read(self, benchmark: str) -> dict:
+        """Return the content of a result file."""
+        if benchmark not in self._files:
+            path = self._directory / f"{benchmark}.json"
+            if not path.exists():
+                raise MissingResultError(f"no result file {path.name}")
+            self._files[benchmark] = json.loads(path.read_text())
+        return self._files[benchmark]
+
+    def find_all(self, benchmark: str, name: str, **parameters: object) -> list[Row]:
+        """Return the rows of a name whose parameters include those given."""
+        rows = [Row(**row) for row in self.read(benchmark)["rows"]]
+        return [
+            row
+            for row in rows
+            if row.name == name and parameters.items() <= row.parameters.items()
+        ]
+
+    def find(self, benchmark: str, name: str, **parameters: object) -> Row:
+        """Return the one row of a name and parameters."""
+        rows = self.find_all(benchmark, name, **parameters)
+        if len(rows) != 1:
+            wanted = f"{benchmark}: {name} {parameters}"
+            raise MissingResultError(f"{len(rows)} rows for {wanted}")
+        return rows[0]
+
+    def get_source(self, benchmark: str) -> str:
+        """Return the command and commit that made a result file."""
+        content = self.read(benchmark)
+        return f"`{content['command']}` at {content['commit']}"
+
+
+ROLES: dict[str, Callable[[Results], list[Figure]]] = {}
+
+
+def register_role(name: str):
+    """Register the function that works out the figures of a role."""
+
+    def decorate(work_out: Callable[[Results], list[Figure]]):
+        ROLES[name] = work_out
+        return work_out
+
+    return decorate
+
+
+def scale_row(
+    row: Row, factor: float, *, role: str, what: str, unit: str, **details: object
+) -> Figure:
+    """Return a figure that is a measured row times a factor."""
+    low = None if row.low is None else row.low * factor
+    high = None if row.high is None else row.high * factor
+    return Figure(
+        role=role,
+        what=what,
+        value=row.value * factor,
+        unit=unit,
+        low=low,
+        high=high,
+        **details,
+    )
+
+
+def render_figures(figures: list[Figure]) -> list[str]:
+    """Return a Markdown table of figures."""
+    lines = [
+        "| role | figure | value | spread | limit | margin | carried by |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for figure in figures:
+        spread = "-"
+        if figure.low is not None:
+            spread = f"{figure.low:.3g} to {figure.high:.3g}"
+        limit = margin = "-"
+        if figure.limit is not None:
+            limit = f"{figure.limit:g} {figure.unit}"
+            margin = describe_margin(figure.value, figure.limit)
+        lines.append(
+            f"| {figure.role} | {figure.what} | {figure.value:.3g} {figure.unit} "
+            f"| {spread} | {limit} | {margin} | {figure.mechanism or '-'} |"
+        )
+    return lines
+
+
+def describe_margin(value: float, limit: float) -> str:
+    """Say how far a value is from its limit."""
+    if value > limit:
+        return f"MISSED, {value / limit:.2f} times the limit"
+    return f"{100 * (1 - value / limit):.0f} % left"
+
+
+def sum_budget(figures: list[Figure], budget: str) -> float:
+    """Add up the figures that count against a daemon's budget."""
+    return sum(figure.value for figure in figures if figure.sums == budget)
+
+
+def find_missed(figures: list[Figure]) -> list[Figure]:
+    """Return the figures over their limit."""
+    return [f for f in figures if f.limit is not None and f.value > f.limit]
+
+
+def work_out(results: Results) -> tuple[list[Figure], list[str]]:
+    """Return the figures of every role, and what could not be worked out."""
+    figures: list[Figure] = []
+    missing: list[str] = []
+    for name, role in ROLES.items():
+        try:
+            figures += role(results)
+        except MissingResultError as error:
+            missing.append(f"{name}: {error}")
+    return figures, missing
+
+
+def build_totals(figures: list[Figure]) -> list[Figure]:
+    """Return a daemon's totals against the users' limits for control."""
+    budgets = (
+        ("processor", "% of a core", PROCESSOR_LIMIT),
+        ("memory", "MB", MEMORY_LIMIT),
+        ("bytes", "KB/s", BYTES_LIMIT),
+    )
+    return [
+        Figure(
+            "all of control",
+            budget,
+            sum_budget(figures, budget),
+            unit,
+            "",
+            limit=limit,
+        )
+        for budget, unit, limit in budgets
+    ]
+
+
+def render_page_tables(results: Results) -> str:
+    """Return the part of the page between its markers."""
+    figures, missing = work_out(results)
+    totals = build_totals(figures)
+    lines = [BEGIN, "", "### Missed", ""]
+    missed = find_missed([*totals, *figures])
+    for figure in missed:
+        lines.append(
+            f"- {figure.role}, {figure.what}: {figure.value:.3g} {figure.unit} "
+            f"against {figure.limit:g}"
+        )
+    lines += ["None of the figures below."] if not missed else []
+    if missing:
+        lines += ["", "### Not worked out", ""]
+        lines += [f"- {line}" for line in missing]
+    lines += ["", "### A daemon's control work on an ordinary day", ""]
+    lines += render_figures(totals)
+    lines += ["", "### By role", ""]
+    lines += render_figures(figures)
+    lines += ["", "### Sources", ""]
+    for source in sorted({figure.source for figure in figures if figure.source}):
+        roles = sorted({f.role for f in figures if f.source == source})
+        lines.append(f"- {', '.join(roles)}: {source}")
+    return "\n".join([*lines, "", END])
+
+
+def replace_tables(page: str, tables: str) -> str:
+    """Return the page with the part between its markers replaced."""
+    before, _, rest = page.partition(BEGIN)
+    _, _, after = rest.partition(END)
+    return before + tables + after
+
+
+@click.command()
+@click.option("--check", is_flag=True, help="change nothing; exit with 1 if it differs")
+def main(check: bool) -> None:
+    """Rewrite the tables of docs/CAPACITY.md."""
+    from benchmarks import capacity_roles  # noqa: F401
+
+    page = PAGE.read_text()
+    renewed = replace_tables(page, render_page_tables(Results()))
+    if check:
+        sys.exit(int(page != renewed))
+    PAGE.write_text(renewed)
+
+
+if __name__ == "__main__":
+    main()
