Compile routes and checks only for the services that a change touches

Cause: at 550 services with 10 resources each, one small change took 23.5 ms of processor time on the loop that also serves calls (apply 1.3, validate 4.5, route table 17.6 ms; trial on the same machine before this change). The table grouped ranks by a scan for each service.

Two faults were found on the way: two services could have a pool of one name, and routes '/x' and '/x/' met in one entry of the table, so that the order of resources decided; both are refused now. Kept records are bounded by the resources that they touch, too.

--- a/flamingohead/core/changes.py
+++ b/flamingohead/core/changes.py
@@ -22,6 +22,10 @@
     def is_empty(self) -> bool:
         return not self.upserts and not self.removals
 
+    def count_resources(self) -> int:
+        """Return how many resources are written or removed."""
+        return len(self.upserts) + len(self.removals)
+
     def list_touched_services(self) -> set[str]:
         names = {resource.key.service for resource in self.upserts}
         names.update(key.service for key in self.removals)
--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -154,6 +154,17 @@
     def get_service(self, name: str) -> Service | None:
         return self.resources.get(ResourceKey("service", name, name))
 
+    def list_changed_services(self, base: Snapshot) -> set[str]:
+        """Return the services that differ from ``base``, removed ones included."""
+        mine, others = self.service_digests, base.service_digests
+        changed = {name for name in mine if others.get(name) != mine[name]}
+        changed.update(name for name in others if name not in mine)
+        return changed
+
+    def list_owned(self, services: set[str]) -> list[Resource]:
+        """Return the resources of some services."""
+        return [r for key, r in self.resources.items() if key.service in services]
+
     def list_kind(self, kind: str) -> list[Resource]:
         return [r for key, r in self.resources.items() if key.kind == kind]
 
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import copy
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.resources import Pool, Rank, Route
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import Pool, Rank, Route, Service, Snapshot
+    from flamingohead.core.resources import Resource, Service, Snapshot
 
 
 @dataclass(frozen=True)
@@ -25,23 +28,60 @@
     """Match requests by longest path prefix, cut at ``/``."""
 
     def __init__(self, snapshot: Snapshot) -> None:
-        self.version = snapshot.version
+        self.snapshot = snapshot
         self._routes: dict[tuple[str, str], ResolvedRoute] = {}
         self._ranks: dict[str, tuple[Rank, ...]] = {}
-        pools = {pool.name: pool for pool in snapshot.list_kind("pool")}
-        ranks = {(r.service, r.name): r for r in snapshot.list_kind("rank")}
-        for route in snapshot.list_kind("route"):
-            resolved = ResolvedRoute(
-                route,
-                snapshot.get_service(route.service),
-                pools[route.pool],
-                ranks[route.service, route.rank],
-            )
-            for method in route.methods:
-                self._routes[method, route.path.rstrip("/")] = resolved
-        for service in snapshot.list_kind("service"):
-            owned = [r for r in ranks.values() if r.service == service.name]
-            self._ranks[service.name] = tuple(sorted(owned, key=lambda r: r.order))
+        self._pools: dict[str, Pool] = {}
+        self._add_resources(list(snapshot.resources.values()))
+
+    @property
+    def version(self) -> int:
+        return self.snapshot.version
+
+    def build_next(self, snapshot: Snapshot) -> RouteTable:
+        """Return the table of another snapshot; this one stays as it is.
+
+        Only the services that differ are compiled again, unless a pool was added,
+        moved or removed, which may concern the routes of any service.
+        """
+        changed = snapshot.list_changed_services(self.snapshot)
+        before = self.snapshot.list_owned(changed)
+        after = snapshot.list_owned(changed)
+        if _select_pools(before) != _select_pools(after):
+            return RouteTable(snapshot)
+        table = copy.copy(self)
+        table.snapshot = snapshot
+        table._routes = dict(self._routes)
+        table._ranks = {n: r for n, r in self._ranks.items() if n not in changed}
+        table._remove_routes(before)
+        table._add_resources(after)
+        return table
+
+    def _add_resources(self, resources: list[Resource]) -> None:
+        ranks: dict[str, dict[str, Rank]] = defaultdict(dict)
+        for resource in resources:
+            if isinstance(resource, Pool):
+                self._pools[resource.name] = resource
+            elif isinstance(resource, Rank):
+                ranks[resource.service][resource.name] = resource
+        for service, owned in ranks.items():
+            ordered = sorted(owned.values(), key=lambda rank: (rank.order, rank.name))
+            self._ranks[service] = tuple(ordered)
+        for route in resources:
+            if isinstance(route, Route):
+                self._add_route(route, ranks[route.service][route.rank])
+
+    def _add_route(self, route: Route, rank: Rank) -> None:
+        service = self.snapshot.get_service(route.service)
+        resolved = ResolvedRoute(route, service, self._pools[route.pool], rank)
+        for method in route.methods:
+            self._routes[method, get_prefix(route.path)] = resolved
+
+    def _remove_routes(self, resources: list[Resource]) -> None:
+        for route in resources:
+            if isinstance(route, Route):
+                for method in route.methods:
+                    del self._routes[method, get_prefix(route.path)]
 
     def match(self, method: str, path: str) -> ResolvedRoute | Refusal:
         """Return the route for a request."""
@@ -61,6 +101,15 @@
         return self._ranks.get(service, ())
 
 
+def get_prefix(path: str) -> str:
+    """Return the prefix that the path of a route stands for."""
+    return path.rstrip("/")
+
+
+def _select_pools(resources: list[Resource]) -> set[Pool]:
+    return {resource for resource in resources if isinstance(resource, Pool)}
+
+
 def _check_mode(resolved: ResolvedRoute) -> ResolvedRoute | Refusal:
     if resolved.service.mode == "enforce":
         return resolved
--- a/flamingohead/core/validation.py
+++ b/flamingohead/core/validation.py
@@ -6,8 +6,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from flamingohead.core.resources import Pool, Rank, Route
+from flamingohead.core.routing import get_prefix
+
 if TYPE_CHECKING:
-    from flamingohead.core.resources import ResourceKey, Route, Snapshot
+    from flamingohead.core.resources import Resource, ResourceKey, Snapshot
 
 MODES = ("observe", "enforce")
 
@@ -21,17 +24,40 @@
     message: str
 
 
-def validate_snapshot(snapshot: Snapshot) -> list[Problem]:
-    """Return every problem of a snapshot; an empty list means it is valid."""
-    problems = _check_owners(snapshot)
-    problems += _check_routes(snapshot)
-    problems += _check_ranks(snapshot)
+def validate_snapshot(
+    snapshot: Snapshot, *, base: Snapshot | None = None
+) -> list[Problem]:
+    """Return every problem of a snapshot; an empty list means it is valid.
+
+    With a valid ``base``, only what the difference can break is checked.
+    """
+    resources = list(snapshot.resources.values())
+    if base is not None:
+        resources = _select_affected(snapshot, base)
+    problems = _check_owners(snapshot, resources)
+    problems += _check_pools(snapshot, resources)
+    problems += _check_routes(snapshot, resources)
+    problems += _check_ranks(resources)
     return problems
 
 
-def _check_owners(snapshot: Snapshot) -> list[Problem]:
+def _select_affected(snapshot: Snapshot, base: Snapshot) -> list[Resource]:
+    """Return the resources whose validity may differ from that in ``base``."""
+    changed = snapshot.list_changed_services(base)
+    resources = snapshot.list_owned(changed)
+    if _name_pools(base.list_owned(changed)) <= _name_pools(resources):
+        return resources
+    return list(snapshot.resources.values())
+
+
+def _name_pools(resources: list[Resource]) -> set[str]:
+    return {resource.name for resource in resources if isinstance(resource, Pool)}
+
+
+def _check_owners(snapshot: Snapshot, resources: list[Resource]) -> list[Problem]:
     problems = []
-    for key, resource in snapshot.resources.items():
+    for resource in resources:
+        key = resource.key
         if snapshot.get_service(key.service) is None:
             problems.append(
                 Problem(key, "service", f"service {key.service!r} does not exist")
@@ -43,12 +69,27 @@
     return problems
 
 
-def _check_routes(snapshot: Snapshot) -> list[Problem]:
+def _check_pools(snapshot: Snapshot, resources: list[Resource]) -> list[Problem]:
+    """Check that no two services have a pool of the same name."""
+    problems = []
+    names = _name_pools(resources)
+    owners: dict[str, str] = {}
+    for pool in snapshot.list_kind("pool"):
+        if pool.name not in names:
+            continue
+        owner = owners.setdefault(pool.name, pool.service)
+        if owner != pool.service:
+            message = f"service {owner!r} has a pool {pool.name!r} too"
+            problems.append(Problem(pool.key, "name", message))
+    return problems
+
+
+def _check_routes(snapshot: Snapshot, resources: list[Resource]) -> list[Problem]:
     problems = []
     pools = {pool.name for pool in snapshot.list_kind("pool")}
-    ranks = {(rank.service, rank.name) for rank in snapshot.list_kind("rank")}
-    matches: dict[tuple[str, str], Route] = {}
-    for route in snapshot.list_kind("route"):
+    ranks = {(r.service, r.name) for r in resources if isinstance(r, Rank)}
+    routes = [resource for resource in resources if isinstance(resource, Route)]
+    for route in routes:
         if route.pool not in pools:
             problems.append(
                 Problem(route.key, "pool", f"pool {route.pool!r} does not exist")
@@ -71,23 +112,30 @@
                     f"timeout {route.timeout_ms} ms is not positive",
                 )
             )
+    return problems + _check_matches(snapshot, routes)
+
+
+def _check_matches(snapshot: Snapshot, routes: list[Route]) -> list[Problem]:
+    """Check that no other route matches what one of ``routes`` matches."""
+    problems = []
+    prefixes = {get_prefix(route.path) for route in routes}
+    matches: dict[tuple[str, str], Route] = {}
+    for route in snapshot.list_kind("route"):
+        prefix = get_prefix(route.path)
+        if prefix not in prefixes:
+            continue
         for method in route.methods:
-            other = matches.setdefault((route.path, method), route)
+            other = matches.setdefault((prefix, method), route)
             if other is not route:
-                problems.append(
-                    Problem(
-                        route.key,
-                        "methods",
-                        f"{method} {route.path!r} is taken by route {other.name!r}",
-                    )
-                )
+                message = f"{method} {route.path!r} is taken by route {other.name!r}"
+                problems.append(Problem(route.key, "methods", message))
     return problems
 
 
-def _check_ranks(snapshot: Snapshot) -> list[Problem]:
+def _check_ranks(resources: list[Resource]) -> list[Problem]:
     problems = []
     shares: dict[str, float] = defaultdict(float)
-    for rank in snapshot.list_kind("rank"):
+    for rank in (r for r in resources if isinstance(r, Rank)):
         if not 0 <= rank.share <= 1:
             problems.append(
                 Problem(rank.key, "share", f"share {rank.share} is not in 0..1")
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -11,6 +11,7 @@
 from flamingohead.core.validation import validate_snapshot
 
 KEPT_RECORDS = 256
+KEPT_RESOURCES = 10_000
 
 
 @dataclass(frozen=True)
@@ -69,6 +70,7 @@
     def __init__(self, snapshot: Snapshot = EMPTY_SNAPSHOT) -> None:
         self.snapshot = snapshot
         self.records: OrderedDict[int, VersionRecord] = OrderedDict()
+        self._kept_resources = 0
 
     @property
     def version(self) -> int:
@@ -87,7 +89,7 @@
                 f"version {record.version} does not follow the digest held",
             )
         snapshot = apply_change(self.snapshot, record.change, version=record.version)
-        refusal = check_snapshot(snapshot, record.snapshot_digest)
+        refusal = check_snapshot(snapshot, record.snapshot_digest, base=self.snapshot)
         if refusal is not None:
             return refusal
         self._remember_record(record)
@@ -105,6 +107,7 @@
         if refusal is not None:
             return refusal
         self.records.clear()
+        self._kept_resources = 0
         self.snapshot = snapshot
         return snapshot
 
@@ -118,18 +121,22 @@
 
     def _remember_record(self, record: VersionRecord) -> None:
         self.records[record.version] = record
-        while len(self.records) > KEPT_RECORDS:
-            self.records.popitem(last=False)
+        self._kept_resources += record.change.count_resources()
+        while len(self.records) > KEPT_RECORDS or self._kept_resources > KEPT_RESOURCES:
+            _, dropped = self.records.popitem(last=False)
+            self._kept_resources -= dropped.change.count_resources()
 
 
-def check_snapshot(snapshot: Snapshot, digest: bytes) -> Refusal | None:
-    """Return why a snapshot can't be taken, or ``None``."""
+def check_snapshot(
+    snapshot: Snapshot, digest: bytes, *, base: Snapshot | None = None
+) -> Refusal | None:
+    """Return why a snapshot can't be taken, or ``None``; ``base`` is a valid one."""
     if snapshot.digest != digest:
         return Refusal(
             ErrorKind.INVALID_CONFIGURATION,
             f"version {snapshot.version} does not match its digest",
         )
-    problems = validate_snapshot(snapshot)
+    problems = validate_snapshot(snapshot, base=base)
     if problems:
         first = problems[0]
         return Refusal(
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -152,7 +152,7 @@
         log_event(logger, Event.CONFIGURATION_READY, version=self.replica.version)
 
     def _publish_routes(self) -> None:
-        self.routes = RouteTable(self.replica.snapshot)
+        self.routes = self.routes.build_next(self.replica.snapshot)
         self._kernel.get("slots").set_routes(self.routes)
 
     def _push(self, effect: PushRecord) -> None:
--- /dev/null
+++ b/properties/test_configuration_references.py
@@ -0,0 +1,96 @@
+"""Property: references stay whole, checked in part or whole with one verdict."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings, strategies as st
+
+from flamingohead.core.changes import Change, apply_change
+from flamingohead.core.resources import EMPTY_SNAPSHOT, Pool, Rank, Route, Service
+from flamingohead.core.routing import ResolvedRoute, RouteTable
+from flamingohead.core.validation import validate_snapshot
+
+NAMES = st.sampled_from(["a", "b"])
+POOLS = st.sampled_from(["p", "q"])
+PATHS = st.sampled_from(["/x", "/x/", "/y"])
+RESOURCES = st.one_of(
+    st.builds(Service, NAMES),
+    st.builds(Pool, POOLS, NAMES),
+    st.builds(
+        Rank,
+        st.just("r"),
+        NAMES,
+        st.integers(0, 1),
+        st.just(5),
+        st.just(1.0),
+        st.sampled_from([0.5, 1.0, 1.5]),
+    ),
+    st.builds(
+        Route,
+        st.sampled_from(["m", "n"]),
+        NAMES,
+        PATHS,
+        st.sampled_from([("GET",), ("GET", "POST")]),
+        POOLS,
+        st.just("r"),
+        st.just(100),
+        st.booleans(),
+    ),
+)
+CHANGES = st.lists(
+    st.tuples(st.lists(RESOURCES, max_size=6), st.lists(RESOURCES, max_size=3)),
+    min_size=1,
+    max_size=8,
+)
+WHOLE = [
+    Service("a"),
+    Pool("p", "a"),
+    Rank("r", "a", 0, 5, 1.0, 0.5),
+    Route("m", "a", "/x", ("GET",), "p", "r", 100, True),
+]
+
+
+def build_change(upserts, removed):
+    kept = {resource.key: resource for resource in upserts}
+    keys = {resource.key for resource in removed} - set(kept)
+    return Change(tuple(kept.values()), tuple(sorted(keys)))
+
+
+def list_matches(table):
+    questions = [(m, p) for m in ("GET", "POST") for p in ("/x", "/x/1", "/y")]
+    return [table.match(*question) for question in questions]
+
+
+class TestReferences:
+    @settings(max_examples=400)
+    @given(changes=CHANGES)
+    def test_partial_and_whole_checks_agree(self, changes):
+        base = apply_change(EMPTY_SNAPSHOT, Change(tuple(WHOLE)), version=1)
+        table = RouteTable(base)
+        for upserts, removed in changes:
+            change = build_change(upserts, removed)
+            snapshot = apply_change(base, change, version=base.version + 1)
+            problems = validate_snapshot(snapshot)
+            assert bool(problems) == bool(validate_snapshot(snapshot, base=base))
+            if problems:
+                continue
+            base, table = snapshot, table.build_next(snapshot)
+            whole = RouteTable(snapshot)
+            assert list_matches(table) == list_matches(whole)
+            for name in ("a", "b"):
+                assert table.list_ranks(name) == whole.list_ranks(name)
+
+    @settings(max_examples=200)
+    @given(changes=CHANGES)
+    def test_a_match_only_names_what_its_snapshot_holds(self, changes):
+        base = apply_change(EMPTY_SNAPSHOT, Change(tuple(WHOLE)), version=1)
+        table = RouteTable(base)
+        for upserts, removed in changes:
+            change = build_change(upserts, removed)
+            snapshot = apply_change(base, change, version=base.version + 1)
+            if not validate_snapshot(snapshot, base=base):
+                base, table = snapshot, table.build_next(snapshot)
+            held = set(base.resources.values())
+            for match in list_matches(table):
+                if isinstance(match, ResolvedRoute):
+                    named = {match.route, match.service, match.pool, match.rank}
+                    assert named <= held
