--- /dev/null
+++ b/properties/test_upstream_lifecycle.py
@@ -0,0 +1,189 @@
+"""Property: a leaving upstream gets no new work after a few seconds."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from flamingohead.core.members import UpstreamState, UpstreamStatus
+from flamingohead.core.upstreams import (
+    Announcement,
+    UpstreamRegistry,
+    UpstreamSettings,
+    UpstreamStage,
+)
+from flamingohead.testing.network import FakeNetwork, NetworkSettings
+
+SETTINGS = UpstreamSettings()
+LONGEST_FLIGHT = 1.0
+ANNOUNCE_PERIOD = 0.5
+STEP = 0.1
+SPREAD_BOUND = 5.0
+ORDER = [UpstreamStatus.WARMING, UpstreamStatus.READY, UpstreamStatus.DRAINING]
+
+
+class LifecycleMachine(RuleBasedStateMachine):
+    """Lose, delay, double and reorder the announcements of a changing upstream."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.registry = UpstreamRegistry(SETTINGS)
+        self.random = Random(3)
+        self.incarnation = 0
+        self.sequence = 0
+        self.status = None
+        self.left_at = None
+        self.flying = []
+        self.delivered = []
+        self.bad = False
+        self.frozen = False
+        self.thawed_at = 0.0
+        self.next_announcement_at = 0.0
+
+    @rule()
+    def start(self):
+        """Start the upstream, or a new one at the same address."""
+        self.incarnation += 1
+        self.sequence = 0
+        self.status = UpstreamStatus.WARMING
+        self.left_at = None
+
+    @rule()
+    def proceed(self):
+        if self.status in ORDER[:2]:
+            self.status = ORDER[ORDER.index(self.status) + 1]
+            if self.status is UpstreamStatus.DRAINING:
+                self.left_at = self.now
+            self.send()
+
+    @rule(says_gone=st.booleans())
+    def end(self, says_gone):
+        """End the upstream, with a last announcement or without one."""
+        if self.status is None:
+            return
+        if says_gone:
+            self.status = UpstreamStatus.GONE
+            self.send()
+        self.status = None
+        self.left_at = self.left_at or self.now
+
+    @rule(bad=st.booleans())
+    def change_network(self, bad):
+        self.bad = bad
+
+    @rule(frozen=st.booleans())
+    def freeze_daemon(self, frozen):
+        if self.frozen and not frozen:
+            self.thawed_at = self.now
+        self.frozen = frozen
+
+    @rule(steps=st.sampled_from([3, 10, 50]))
+    def wait(self, steps):
+        for _ in range(steps):
+            self.now += STEP
+            if self.status is not None and self.now >= self.next_announcement_at:
+                self.next_announcement_at = self.now + ANNOUNCE_PERIOD
+                self.send()
+            if self.frozen:
+                continue
+            self.deliver()
+            self.registry.tick(self.now)
+            self.check_left()
+            self.check_newest()
+
+    def send(self):
+        self.sequence += 1
+        announcement = Announcement(
+            "u", "booking", "a:1", 20, self.status, self.incarnation, self.sequence
+        )
+        if not self.bad:
+            self.flying.append((self.now, announcement))
+            return
+        for _ in range(self.random.randrange(3)):
+            delay = self.random.uniform(0, LONGEST_FLIGHT - STEP)
+            self.flying.append((self.now + delay, announcement))
+
+    def deliver(self):
+        due = [flight for flight in self.flying if flight[0] <= self.now]
+        self.flying = [flight for flight in self.flying if flight[0] > self.now]
+        for _, announcement in sorted(due, key=lambda flight: flight[0]):
+            self.delivered.append((self.now, announcement))
+            self.registry.announce(announcement, self.now)
+
+    def check_left(self):
+        ready = self.registry.get_stage("u") is UpstreamStage.READY
+        if not ready or self.left_at is None:
+            return
+        since = max(self.left_at, self.thawed_at)
+        assert self.now - since <= LONGEST_FLIGHT + SETTINGS.lifetime + STEP
+
+    def check_newest(self):
+        """Compare with the highest number delivered within a lifetime."""
+        record = self.registry._records.get("u")
+        oldest = self.now - SETTINGS.lifetime
+        recent = [a.number for at, a in self.delivered if at > oldest]
+        if record is not None and recent:
+            assert record.announcement.number >= max(recent)
+
+    @invariant()
+    def drained_is_never_ready_again(self):
+        for record in self.registry._records.values():
+            if record.announcement.status is UpstreamStatus.DRAINING:
+                assert record.stage in (UpstreamStage.DRAINING, UpstreamStage.GONE)
+
+
+TestLifecycle = LifecycleMachine.TestCase
+TestLifecycle.settings = settings(
+    max_examples=200, stateful_step_count=30, report_multiple_bugs=False
+)
+
+
+class TestSpread:
+    @pytest.mark.parametrize("loss", [0.0, 0.1])
+    def test_draining_reaches_every_daemon_within_seconds(self, loss):
+        network = FakeNetwork(Random(5), settings=NetworkSettings(loss=loss))
+        nodes = [network.start_node(f"h{n}", incarnation=n + 1) for n in range(60)]
+        for node in nodes[1:]:
+            network.join(node, nodes[0])
+        for node in nodes[1:]:
+            network.join(node, nodes[0])
+        ready = UpstreamState("u", "booking", UpstreamStatus.READY, 20)
+        nodes[7].membership.set_upstreams([ready])
+        network.run(20.0)
+        draining = UpstreamState("u", "booking", UpstreamStatus.DRAINING, 20)
+        nodes[7].membership.set_upstreams([draining])
+        network.run(SPREAD_BOUND)
+        behind = [
+            node.host_id
+            for node in nodes
+            if node is not nodes[7]
+            and node.membership.members["h7"].upstreams != (draining,)
+        ]
+        assert behind == []
+
+
+class TestRegistry:
+    def test_number_of_upstreams_is_bounded(self):
+        registry = UpstreamRegistry()
+        results = [
+            registry.announce(
+                Announcement(f"u{n}", "s", "a:1", 1, UpstreamStatus.READY, 1, 1), 0.0
+            )
+            for n in range(7)
+        ]
+        assert [bool(result) for result in results[:6]] == [True] * 6
+        assert "upstream 7 of this host" in results[6].detail
+
+    def test_load_moves_in_steps_and_not_often(self):
+        registry = UpstreamRegistry()
+        announcement = Announcement("u", "s", "a:1", 1, UpstreamStatus.READY, 1, 1)
+        registry.announce(announcement, 0.0)
+        assert registry.set_load("u", 0.8, 1.0)
+        assert not registry.set_load("u", 0.0, 2.0)
+        assert not registry.set_load("u", 0.9, 7.0)
+        assert registry.set_load("u", 0.0, 8.0)
+        assert registry.list_states()[0].load == 0.0
