--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import logging
 import random
 import signal
@@ -90,15 +89,6 @@
     return kernel
 
 
-def freeze_startup_objects() -> None:
-    """Take what was loaded at start out of the garbage collector's passes.
-
-    A full pass over these objects holds up every request for many milliseconds.
-    """
-    gc.collect()
-    gc.freeze()
-
-
 async def run_daemon(settings: DaemonSettings) -> int:
     """Run a daemon until SIGTERM or SIGINT; return the exit code."""
     configure_logging(settings)
@@ -108,7 +98,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     await kernel.start()
-    freeze_startup_objects()
     log_event(
         logger,
         Event.DAEMON_STARTED,
