Reuse a relay connection for a non-idempotent call if it has just answered

Cause: each non-idempotent call opened a new connection on each hop, since the loss of a stale idle connection leaves its outcome unknown. Weighed: reuse wherever a whole answer came within the last half second; an application ping before the request (costs the round trip that it saves); reuse towards daemons only. Change: towards other daemons such a connection is reused: a stopping daemon keeps idle connections for a second and closes with each answer, so a planned stop can't cut one of those. Towards upstreams, whose closing is not ours, a new connection is still opened. Small change in the attempts service: recent in place of fresh. Lost: a host that dies within the half second makes unknown what a refused connection would have shown as not run.

--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -135,7 +135,7 @@
             candidate.relay_address,
             request,
             sink,
-            fresh=not call.idempotent,
+            recent=not call.idempotent,
             on_connection=sink.attach,
         )
         if refusal is None:
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT = 0.5
 MAX_IDLE_SECONDS = 10.0
 MAX_IDLE_CONNECTIONS = 64
+# Shorter than the time for which a stopping daemon keeps idle connections.
+RECENT_SECONDS = 0.5
 
 
 class ConnectionPool:
@@ -33,12 +35,21 @@
     def __init__(self) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
 
-    def take(self, address: str, now: float) -> ClientConnection | None:
-        """Return a connection that may be used again, if there is one."""
+    def take(
+        self, address: str, now: float, *, recent: bool = False
+    ) -> ClientConnection | None:
+        """Return a connection that may be used again, if there is one.
+
+        ``recent`` asks for one that has carried a whole answer a moment ago.
+        """
         idle = self._idle.get(address)
         while idle:
-            connection = idle.pop()
-            if connection.is_open and now < connection.idle_until:
+            connection = idle[-1]
+            usable = connection.is_open and now < connection.idle_until
+            if usable and recent and now >= connection.recent_until:
+                return None
+            idle.pop()
+            if usable:
                 return connection
             connection.close()
         return None
@@ -53,6 +64,7 @@
             connection.close()
             return
         connection.idle_until = now + MAX_IDLE_SECONDS
+        connection.recent_until = now + RECENT_SECONDS
         connection.resume()
         idle.append(connection)
 
@@ -84,15 +96,20 @@
         sink: AnswerSink,
         *,
         fresh: bool = False,
+        recent: bool = False,
         on_connection: Callable[[ClientConnection], None] | None = None,
     ) -> Refusal | None:
         """Send a request to an address; ``None`` means a whole answer.
 
-        ``fresh`` forbids idle connections. ``on_connection`` is called with the
+        ``fresh`` forbids idle connections, ``recent`` allows only those that carried a
+        whole answer a moment ago. ``on_connection`` is called with the
         connection used, before anything is sent. A refusal of a kind other than
         ``UPSTREAM_UNREACHABLE`` means that the request may have run.
         """
-        connection = None if fresh else self._pool.take(address, time.monotonic())
+        connection = None
+        if not fresh:
+            now = time.monotonic()
+            connection = self._pool.take(address, now, recent=recent)
         if connection is None:
             connection = await self._connect(address, request.deadline)
         if isinstance(connection, Refusal):
