--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -23,6 +23,7 @@
     NOT_FOUND = "not_found"
     NO_ROUTE = "no_route"
     NO_CONFIGURATION = "no_configuration"
+    SERVICE_OBSERVED = "service_observed"
     NO_UPSTREAM = "no_upstream"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
@@ -31,6 +32,7 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_CUT = "upstream_cut"
     UPSTREAM_TIMEOUT = "upstream_timeout"
+    UPSTREAM_MALFORMED = "upstream_malformed"
     HOST_UNREACHABLE = "host_unreachable"
     HOST_CUT = "host_cut"
     DRAINING = "draining"
@@ -39,6 +41,7 @@
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     VERSION_CONFLICT = "version_conflict"
+    CHANGE_OUTCOME_UNKNOWN = "change_outcome_unknown"
     INVALID_CONFIGURATION = "invalid_configuration"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     INTERNAL = "internal"
@@ -64,6 +67,7 @@
     ErrorKind.NOT_FOUND: ErrorAnswer(404, Ran.NO, None),
     ErrorKind.NO_ROUTE: ErrorAnswer(404, Ran.NO, None),
     ErrorKind.NO_CONFIGURATION: ErrorAnswer(503, Ran.NO, 1000),
+    ErrorKind.SERVICE_OBSERVED: ErrorAnswer(503, Ran.NO, None),
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, Ran.NO, 1000),
     ErrorKind.QUEUE_FULL: ErrorAnswer(503, Ran.NO, 500),
     ErrorKind.DEADLINE_UNREACHABLE: ErrorAnswer(503, Ran.NO, 500),
@@ -72,6 +76,7 @@
     ErrorKind.UPSTREAM_UNREACHABLE: ErrorAnswer(503, Ran.NO, 500),
     ErrorKind.UPSTREAM_CUT: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.UPSTREAM_TIMEOUT: ErrorAnswer(504, Ran.UNKNOWN, 500),
+    ErrorKind.UPSTREAM_MALFORMED: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.HOST_UNREACHABLE: ErrorAnswer(503, Ran.NO, 500),
     ErrorKind.HOST_CUT: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.DRAINING: ErrorAnswer(503, Ran.NO, 100),
@@ -80,6 +85,7 @@
     ErrorKind.KEY_OUTCOME_UNKNOWN: ErrorAnswer(409, Ran.UNKNOWN, None),
     ErrorKind.CLAIM_UNAVAILABLE: ErrorAnswer(503, Ran.UNKNOWN, 2000),
     ErrorKind.VERSION_CONFLICT: ErrorAnswer(409, Ran.NO, 100),
+    ErrorKind.CHANGE_OUTCOME_UNKNOWN: ErrorAnswer(503, Ran.UNKNOWN, 1000),
     ErrorKind.INVALID_CONFIGURATION: ErrorAnswer(422, Ran.NO, None),
     ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(503, Ran.UNKNOWN, 2000),
     ErrorKind.INTERNAL: ErrorAnswer(500, Ran.UNKNOWN, None),
--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-MAX_UPSTREAMS = 6
+MAX_UPSTREAMS = 4
 
 
 class UpstreamStage(Enum):
--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+import logging
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.retries import RetryBudget
+from flamingohead.core.retries import RetryBudget, may_repeat_on_same_upstream
+from flamingohead.events import Event, log_event
 from flamingohead.services.relay import RelaySink, build_relay_request
 
 if TYPE_CHECKING:
-    from flamingohead.core.balancing import Balancer, Candidate
+    from flamingohead.core.balancing import Balancer, Candidate, HealthChange
     from flamingohead.core.calls import Call
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_server import ServerResponse
 
+logger = logging.getLogger(__name__)
+
+ATTEMPT_HEADER = b"request-attempt"
+
 
 class AttemptService:
     """Try a call on one upstream after another until it has its answer."""
@@ -33,47 +40,66 @@
 
     def set_members(self, members) -> None:
         """Take the members of the failure domain as candidates."""
-        self._balancer.set_members(members)
+        self._balancer.set_members(members, time.monotonic())
 
     async def serve(self, call: Call, response: ServerResponse) -> Refusal | None:
         """Answer a call, or return the refusal that ends it."""
         self._kernel.get("metrics").count(f"calls.{call.service}.{call.rank}")
-        budget = self._budgets.setdefault((call.service, call.rank), RetryBudget())
-        budget.record_request()
+        budget = self._get_budget(call)
+        is_retry = _is_retry(call)
+        budget.record_request(time.monotonic(), is_retry=is_retry)
+        refusal: Refusal | None = None
         excluded: set[tuple[str, str]] = set()
         attempts = 0
         while True:
-            attempts += 1
-            candidate = self._choose(call, excluded)
+            candidate = self._choose(call, excluded, refusal)
             if candidate is None:
-                refusal = Refusal(
+                return refusal or Refusal(
                     ErrorKind.NO_UPSTREAM, f"no upstream of {call.service!r}"
                 )
-                break
+            if refusal is not None:
+                self._kernel.get("metrics").count_retry(refusal)
+                call = _mark_attempt(call, attempts + 1)
+            attempts += 1
             refusal = await self._attempt(candidate, call, response)
             if refusal is None or response.started:
-                break
+                return refusal
             excluded.add(candidate.key)
-            if time.monotonic() >= call.deadline:
-                break
-            if not budget.allow_retry(
-                refusal, attempts=attempts, idempotent=call.idempotent
+            now = time.monotonic()
+            if now >= call.deadline or not budget.allow_retry(
+                refusal,
+                now,
+                attempts=attempts,
+                idempotent=call.idempotent,
+                is_retry=is_retry,
             ):
-                break
-            self._kernel.get("metrics").count_retry(refusal)
-        return refusal
+                return refusal
+
+    def _get_budget(self, call: Call) -> RetryBudget:
+        name = call.service, call.rank
+        if name not in self._budgets:
+            self._budgets[name] = RetryBudget(time.monotonic())
+        return self._budgets[name]
 
-    def _choose(self, call: Call, excluded: set) -> Candidate | None:
-        chosen = self._balancer.choose(call.service, excluded=frozenset(excluded))
-        if chosen is None and excluded:
-            chosen = self._balancer.choose(call.service)
+    def _choose(
+        self, call: Call, excluded: set, refusal: Refusal | None
+    ) -> Candidate | None:
+        now = time.monotonic()
+        chosen = self._balancer.choose(
+            call.service,
+            now,
+            excluded=frozenset(excluded),
+            idempotent=call.idempotent,
+        )
+        if chosen is None and refusal is not None:
+            if may_repeat_on_same_upstream(refusal):
+                chosen = self._balancer.choose(call.service, now)
         return chosen
 
     async def _attempt(
         self, candidate: Candidate, call: Call, response: ServerResponse
     ) -> Refusal | None:
-        self._balancer.start(candidate)
-        started_at = time.monotonic()
+        attempt = self._balancer.start(candidate, call.rank, time.monotonic())
         refusal: Refusal | None = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
         try:
             if candidate.host_id == self._host_id:
@@ -83,8 +109,22 @@
                 refusal = await self._relay(candidate, call, response)
             return refusal
         finally:
-            latency = time.monotonic() - started_at if refusal is None else None
-            self._balancer.finish(candidate, latency=latency)
+            change = self._balancer.finish(attempt, time.monotonic(), refusal)
+            if change is not None:
+                self._report(change, refusal)
+
+    def _report(self, change: HealthChange, refusal: Refusal | None) -> None:
+        event = Event.UPSTREAM_EJECTED if change.ejected else Event.UPSTREAM_READMITTED
+        reason = "answered" if refusal is None else refusal.kind.value
+        log_event(
+            logger,
+            event,
+            upstream=change.candidate.upstream,
+            host=change.candidate.host_id,
+            reason=reason,
+        )
+        name = "ejected" if change.ejected else "readmitted"
+        self._kernel.get("metrics").count(f"balancing.{name}.{reason}")
 
     async def _relay(
         self, candidate: Candidate, call: Call, response: ServerResponse
@@ -92,7 +132,11 @@
         sink = RelaySink(response)
         request = build_relay_request(candidate, call, time.monotonic())
         refusal = await self._kernel.get("http_client").send(
-            candidate.relay_address, request, sink, fresh=not call.idempotent
+            candidate.relay_address,
+            request,
+            sink,
+            fresh=not call.idempotent,
+            on_connection=sink.attach,
         )
         if refusal is None:
             return sink.refusal
@@ -101,3 +145,15 @@
         if refusal.kind is ErrorKind.UPSTREAM_CUT:
             return Refusal(ErrorKind.HOST_CUT, refusal.detail)
         return refusal
+
+
+def _is_retry(call: Call) -> bool:
+    """Tell whether a caller further out marked the request as a retry."""
+    values = [value for name, value in call.headers if name == ATTEMPT_HEADER]
+    return any(value != b"1" for value in values)
+
+
+def _mark_attempt(call: Call, attempt: int) -> Call:
+    """Return the call with the number of its attempt for the levels below."""
+    headers = tuple(h for h in call.headers if h[0] != ATTEMPT_HEADER)
+    return replace(call, headers=(*headers, (ATTEMPT_HEADER, b"%d" % attempt)))
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -5,12 +5,12 @@
 import asyncio
 import logging
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from twisted.internet.task import LoopingCall
 
-from flamingohead.core.admission import Admission, Ticket
+from flamingohead.core.admission import Admission, Ticket, Turn
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.events import Event, log_event
@@ -24,6 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
+READY = UpstreamStatus.READY
 TICK_PERIOD = 0.02
 
 
@@ -46,6 +47,7 @@
         self.upstreams: dict[str, LocalUpstream] = {}
         self._routes: RouteTable | None = None
         self._ticks = LoopingCall(self._tick)
+        self._drained: set[str] = set()
         self.in_flight = 0
 
     async def start(self) -> None:
@@ -60,8 +62,11 @@
         """Take an announcement of an upstream on this host."""
         known = self.upstreams.get(state.name)
         if state.status is UpstreamStatus.GONE:
-            self.upstreams.pop(state.name, None)
+            if known is not None:
+                self._remove(state.name)
         elif known is None or known.address != address:
+            if known is not None:
+                self._remove(state.name)
             ranks = self._routes.list_ranks(state.service) if self._routes else ()
             admission = Admission(slots=state.slots, ranks=ranks)
             self.upstreams[state.name] = LocalUpstream(
@@ -70,7 +75,8 @@
         else:
             known.state = state
             known.expires_at = expires_at
-            known.admission.slots = state.slots
+            turn = known.admission.set_limit(state.slots, time.monotonic())
+            self._apply(known, turn)
         if known is None or known.state != state or state.name not in self.upstreams:
             log_event(
                 logger,
@@ -80,6 +86,24 @@
             )
         self._publish()
 
+    def set_drain(self, name: str, *, draining: bool) -> bool:
+        """Start or end an operator's drain; return whether the upstream exists."""
+        if name not in self.upstreams:
+            return False
+        if draining:
+            self._drained.add(name)
+        else:
+            self._drained.discard(name)
+        self._publish()
+        return True
+
+    def get_status(self, name: str) -> UpstreamStatus:
+        """Return the status of an upstream, operators' drains included."""
+        status = self.upstreams[name].state.status
+        if status is UpstreamStatus.READY and name in self._drained:
+            return UpstreamStatus.DRAINING
+        return status
+
     def set_routes(self, routes: RouteTable) -> None:
         """Take the ranks of a new configuration."""
         self._routes = routes
@@ -87,17 +111,18 @@
             upstream.admission.set_ranks(routes.list_ranks(upstream.state.service))
 
     def _publish(self) -> None:
-        states = [upstream.state for upstream in self.upstreams.values()]
+        states = [
+            replace(upstream.state, status=self.get_status(name))
+            for name, upstream in self.upstreams.items()
+        ]
         self._kernel.get("gossip").set_upstreams(states)
 
     def _tick(self) -> None:
         now = time.monotonic()
         for name, upstream in list(self.upstreams.items()):
-            for ticket in upstream.admission.expire(now):
-                refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, "queued too long")
-                self._resolve(upstream, ticket, refusal)
+            self._apply(upstream, upstream.admission.advance(now))
             if now >= upstream.expires_at:
-                del self.upstreams[name]
+                self._remove(name)
                 log_event(logger, Event.UPSTREAM_CHANGED, upstream=name, status="LOST")
                 self._publish()
 
@@ -108,7 +133,7 @@
     ) -> Refusal | None:
         """Run a call on an upstream of this host; ``None`` means answered."""
         upstream = self.upstreams.get(upstream_name)
-        if upstream is None or upstream.state.status is not UpstreamStatus.READY:
+        if upstream is None or self.get_status(upstream_name) is not READY:
             return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
         self.in_flight += 1
         try:
@@ -125,7 +150,7 @@
     async def _run(
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
-        ticket = Ticket(call.rank, call.deadline)
+        ticket = Ticket(call.rank, call.deadline, call.caller)
         refusal = await self._admit(upstream, ticket)
         if refusal is not None:
             return refusal
@@ -154,8 +179,22 @@
             upstream.waiters.pop(ticket, None)
 
     def _release(self, upstream: LocalUpstream, ticket: Ticket) -> None:
-        for admitted in upstream.admission.release(ticket, time.monotonic()):
-            self._resolve(upstream, admitted, None)
+        self._apply(upstream, upstream.admission.release(ticket, time.monotonic()))
+
+    def _apply(self, upstream: LocalUpstream, turn: Turn) -> None:
+        for ticket in turn.admitted:
+            self._resolve(upstream, ticket, None)
+        for ticket in turn.expired:
+            refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, "queued too long")
+            self._resolve(upstream, ticket, refusal)
+
+    def _remove(self, name: str) -> None:
+        """Forget an upstream; what waits for it can go elsewhere."""
+        upstream = self.upstreams.pop(name)
+        for ticket in list(upstream.waiters):
+            if upstream.admission.cancel(ticket):
+                refusal = Refusal(ErrorKind.DRAINING, f"{name} is gone")
+                self._resolve(upstream, ticket, refusal)
 
     def _resolve(
         self, upstream: LocalUpstream, ticket: Ticket, result: Refusal | None
