--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -45,6 +45,7 @@
 MAX_DATAGRAM_BYTES = 1200
 _FIELD_BYTES = 4
 _NUMBER_BYTES = 11
+_UPSTREAM_NUMBERS_BYTES = 12
 _FIXED_BYTES = 80
 
 
@@ -63,7 +64,7 @@
         member.accuser,
     )
     for upstream in member.upstreams:
-        size += _FIELD_BYTES + 3 * _NUMBER_BYTES
+        size += _FIELD_BYTES + _UPSTREAM_NUMBERS_BYTES
         size += _estimate_text(upstream.name, upstream.service)
     return size
 
--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-MAX_UPSTREAMS = 6
+MAX_UPSTREAMS = 4
 
 
 class UpstreamStage(Enum):
@@ -159,6 +159,10 @@
         record = self._records.get(name)
         return record.stage if record else None
 
+    def get_address(self, name: str) -> str:
+        """Return the address of a known upstream."""
+        return self._records[name].announcement.address
+
     def list_states(self) -> list[UpstreamState]:
         """Return the upstreams to announce to other daemons."""
         states = []
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from flamingohead.core.membership import Membership, SendDatagram
-from flamingohead.core.messages import News
+from flamingohead.core.messages import Body, News
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec
 from flamingohead.settings import split_address
@@ -22,6 +22,7 @@
 logger = logging.getLogger(__name__)
 
 TICK_PERIOD = 0.1
+PUBLISH_PERIOD = 0.25
 
 
 class GossipService(DatagramProtocol):
@@ -33,6 +34,8 @@
         self._address = address
         self._port = None
         self._left = False
+        self._changed = False
+        self._next_publish_at = 0.0
         self._ticks = LoopingCall(self._tick)
 
     async def start(self) -> None:
@@ -57,8 +60,10 @@
 
     def set_upstreams(self, upstreams) -> None:
         """Announce the upstreams of this host."""
+        before = self.membership.myself
         self.membership.set_upstreams(upstreams)
-        self._publish_members()
+        if self.membership.myself is not before:
+            self._publish_members()
 
     def push_record(self, record, fanout: int) -> None:
         """Send a record to a few random peers."""
@@ -66,6 +71,10 @@
         for effect in self.membership.build_news(record, fanout, size=size):
             self._send(effect)
 
+    def send_remote(self, address: str, sequence: int, body: Body) -> None:
+        """Send a message to a daemon of another failure domain."""
+        self._send(self.membership.build_remote(address, sequence, body))
+
     def datagramReceived(self, data: bytes, address) -> None:  # noqa: N802
         try:
             datagram = codec.decode_datagram(data)
@@ -77,24 +86,26 @@
         now = time.monotonic()
         if datagram.failure_domain == self.membership.myself.failure_domain:
             self._run(self.membership.receive(datagram, now))
+        else:
+            self._kernel.get("summaries").receive(datagram)
         configuration = self._kernel.get("configuration")
         if isinstance(datagram.body, News):
             configuration.receive_record(datagram.body.record)
         configuration.receive_peer_version(datagram.sender_address, datagram.version)
 
     def _tick(self) -> None:
-        self._run(self.membership.tick(time.monotonic()))
+        now = time.monotonic()
+        self._run(self.membership.tick(now))
+        if self._changed and now >= self._next_publish_at:
+            self._publish_members()
 
     def _run(self, effects) -> None:
-        changed = False
         for effect in effects:
             if isinstance(effect, SendDatagram):
                 self._send(effect)
             else:
-                changed = True
+                self._changed = True
                 self._log_change(effect)
-        if changed:
-            self._publish_members()
 
     def _log_change(self, effect) -> None:
         member = effect.member
@@ -108,6 +119,9 @@
             )
 
     def _publish_members(self) -> None:
+        """Hand the members on; after a herd of changes, once in a while."""
+        self._changed = False
+        self._next_publish_at = time.monotonic() + PUBLISH_PERIOD
         members = self.membership.list_all()
         self._kernel.get("attempts").set_members(members)
         self._kernel.get("metrics").set_gauge(
--- a/properties/test_membership_swim.py
+++ b/properties/test_membership_swim.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 from hypothesis import given, settings, strategies as st
@@ -16,6 +17,7 @@
 )
 from flamingohead.core.membership import Membership, MembershipSettings, SendDatagram
 from flamingohead.core.messages import MAX_DATAGRAM_BYTES
+from flamingohead.core.upstreams import MAX_UPSTREAMS
 from flamingohead.protocol.codec import encode_datagram
 from flamingohead.testing.network import TICK_PERIOD, FakeNetwork, NetworkSettings
 
@@ -34,6 +36,7 @@
         self.network = FakeNetwork(self.random, observe=self.observe)
         self.seen = {}
         self.thawed_at = {}
+        self.alone = set()
         self.running = {}
         self.incarnation = 1000
         self.sync_at = 0.0
@@ -45,9 +48,10 @@
             return
         member = effect.member
         state = (member.incarnation, member.status)
-        seen = self.seen.setdefault((id(node), member.host_id), state)
+        key = (node.number, member.host_id)
+        seen = self.seen.setdefault(key, state)
         assert state >= seen, f"{node.host_id} went back on {member.host_id}"
-        self.seen[id(node), member.host_id] = state
+        self.seen[key] = state
         own = member.accuser == node.host_id
         if own and member.status is MemberStatus.DEAD:
             awake = self.network.now - self.thawed_at.get(node.host_id, 0.0)
@@ -69,6 +73,7 @@
         )
         self.running[host_id] = node
         self.thawed_at.pop(host_id, None)
+        self.alone.add(host_id)
         self.join_anyone(node)
 
     def join_anyone(self, node):
@@ -87,7 +92,11 @@
     def synchronize(self):
         for node in list(self.network.nodes.values()):
             known = [m.peer_address for m in node.membership.list_alive()]
+            if not known and node.host_id in self.alone:
+                # The bootstrap of a daemon goes on until it has met another.
+                self.join_anyone(node)
             if known:
+                self.alone.discard(node.host_id)
                 other = self.network.nodes.get(self.random.choice(known))
                 if other is not None:
                     self.network.join(node, other)
@@ -197,22 +206,47 @@
 )
 
 
+class TestCutThatHeals:
+    def test_sides_that_refuted_in_private_meet_again(self):
+        machine = MembershipMachine()
+        machine.start(seed=0)
+        machine.wait(2.0)
+        machine.cut(index=2, group=1)
+        machine.wait(2.5)
+        machine.cut(index=0, group=1)
+        machine.wait(12.0)
+        machine.teardown()
+
+
 class TestDatagramSize:
+    def test_largest_member_fits(self):
+        upstream = UpstreamState("u" * 63, "s" * 63, UpstreamStatus.READY, 10_000, 1.0)
+        member = Member("h" * 63, "d" * 63, "1" * 21, "2" * 21, 2**60)
+        other = replace(member, host_id="o" * 63, upstreams=(upstream,) * MAX_UPSTREAMS)
+        membership = Membership(member, random=Random(1))
+        membership.merge([other], 0.0)
+        told = set()
+        for tenth in range(60):
+            for effect in membership.tick(tenth / 10):
+                if isinstance(effect, SendDatagram):
+                    told |= {update.host_id for update in effect.datagram.updates}
+        assert told == {member.host_id, other.host_id}
+
     @given(
         names=st.lists(st.text("abcé", min_size=1, max_size=63), max_size=30),
-        upstreams=st.integers(0, 3),
+        upstreams=st.integers(0, MAX_UPSTREAMS),
     )
     @settings(max_examples=50)
     def test_datagrams_stay_within_their_size(self, names, upstreams):
         states = tuple(
-            UpstreamState("u" * 60, "s" * 60, UpstreamStatus.DRAINING, 10_000, 0.75)
+            UpstreamState("u" * 63, "s" * 63, UpstreamStatus.DRAINING, 10_000, 0.75)
             for _ in range(upstreams)
         )
         members = [
-            Member(f"{n}-{name}", "d" * 60, "1" * 21, "2" * 21, 2**60, upstreams=states)
+            Member(f"{n}-{name}", "d" * 63, "1" * 21, "2" * 21, 2**60, upstreams=states)
             for n, name in enumerate(names)
         ]
-        myself = Member("m" * 63, "d" * 60, "3" * 21, "4" * 21, 2**60)
+        myself = Member("m" * 63, "d" * 63, "3" * 21, "4" * 21, 2**60)
         membership = Membership(myself, random=Random(1))
         membership.set_version(2**60, b"d" * 32)
         membership.merge(members, 0.0)
@@ -235,3 +269,27 @@
                 if isinstance(effect, SendDatagram):
                     sent |= {update.host_id for update in effect.datagram.updates}
         assert sent >= {member.host_id for member in members}
+
+
+class TestRegressions:
+    def test_member_that_starts_while_the_others_are_frozen_meets_them_later(self):
+        machine = MembershipMachine()
+        machine.start(seed=0)
+        machine.leave(index=0)
+        machine.kill(index=0)
+        machine.freeze(index=0)
+        machine.freeze(index=1)
+        machine.restart(host="a", address="a", step_back=0)
+        machine.teardown()
+
+    def test_member_repeats_a_refutation_that_the_other_side_of_a_cut_missed(self):
+        machine = MembershipMachine()
+        machine.start(seed=1)
+        machine.freeze(index=0)
+        machine.kill(index=1)
+        machine.wait(seconds=2.0)
+        machine.cut(group=1, index=0)
+        machine.kill(index=1)
+        machine.thaw(index=0)
+        machine.stall(index=0, seconds=0.4)
+        machine.teardown()
