--- a/properties/test_answers_cancel.py
+++ b/properties/test_answers_cancel.py
@@ -26,7 +26,6 @@
 from flamingohead.testing.transports import FakeTransport
 
 SLOTS = 2
-DEADLINE = 1000.0
 RANKS = (Rank("lookup", "stall-ledger", 0, 60, 10, 0.5),)
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -55,15 +54,12 @@
         )
         self.slots.set_routes(SimpleNamespace(list_ranks=lambda service: RANKS))
         self.is_gone = False
-        self.announce(UpstreamStatus.READY)
+        state = UpstreamState("ledger", "stall-ledger", UpstreamStatus.READY, SLOTS)
+        self.slots.announce(state, "127.0.0.1:1")
         self.upstream = self.slots.upstreams["ledger"]
         self.factory = HttpServerFactory(self.handle, lambda refusal: None)
         self.factory.clock = lambda: self.now
 
-    def announce(self, status: UpstreamStatus) -> None:
-        state = UpstreamState("ledger", "stall-ledger", status, SLOTS)
-        self.slots.announce(state, "127.0.0.1:1", DEADLINE)
-
     async def connect(self, connection, host, port) -> None:
         self.upstream_ends.append(FakeTransport(connection))
 
@@ -100,7 +96,7 @@
             self.slots._tick()
         elif action == "gone" and number == 0 and not self.is_gone:
             self.is_gone = True
-            self.announce(UpstreamStatus.GONE)
+            self.slots.remove("ledger")
 
     async def turn(self) -> None:
         for _ in range(6):
