--- a/flamingohead/commands/changes.py
+++ b/flamingohead/commands/changes.py
@@ -87,7 +87,7 @@
     """
     text = _read_checked(sheet)
     options = ChangeOptions(
-        author, change_id or secrets.token_hex(12), base, wait, timeout, dry_run
+        author, choose_change_id(change_id, base), base, wait, timeout, dry_run
     )
 
     async def operate(client: ControlClient) -> int:
@@ -114,7 +114,7 @@
     Example: flamingohead revert 12 --wait
     """
     options = ChangeOptions(
-        author, change_id or secrets.token_hex(12), base, wait, timeout
+        author, choose_change_id(change_id, base), base, wait, timeout
     )
 
     async def operate(client: ControlClient) -> int:
@@ -123,6 +123,15 @@
     run_session(control_address, control_token, operate)
 
 
+def choose_change_id(change_id: str | None, base: int | None) -> str:
+    """Return the id to send; an id is safe to repeat with its base version only."""
+    if change_id is None:
+        return secrets.token_hex(12)
+    if base is None:
+        raise click.UsageError("--change-id needs the --base of the earlier try")
+    return change_id
+
+
 def _read_checked(path: str) -> str:
     try:
         with open(path, encoding="utf-8") as file:
--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -22,11 +22,18 @@
 STOP_TIMEOUT = 15.0
 TOKEN = "loopback-token"
 
+_given_ports: set[int] = set()
+
 
 def choose_address() -> str:
-    """Return a loopback address whose port is free for TCP and UDP."""
+    """Return a loopback address whose port is free for TCP and UDP.
+
+    No port is given out twice, as its user may not listen on it yet.
+    """
     while True:
         port = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
+        if port in _given_ports:
+            continue
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
                 try:
@@ -34,6 +41,7 @@
                     udp.bind((LOOPBACK, port))
                 except OSError:
                     continue
+        _given_ports.add(port)
         return f"{LOOPBACK}:{port}"
 
 
--- a/properties/test_configuration_references.py
+++ b/properties/test_configuration_references.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from flamingohead.core.changes import Change, apply_change
@@ -9,7 +10,7 @@
 from flamingohead.core.routing import ResolvedRoute, RouteTable
 from flamingohead.core.validation import validate_snapshot
 
-NAMES = st.sampled_from(["a", "b"])
+NAMES = st.sampled_from(["a", "b", "c"])
 POOLS = st.sampled_from(["p", "q"])
 PATHS = st.sampled_from(["/x", "/x/", "/y"])
 RESOURCES = st.one_of(
@@ -36,16 +37,21 @@
         st.booleans(),
     ),
 )
-CHANGES = st.lists(
-    st.tuples(st.lists(RESOURCES, max_size=6), st.lists(RESOURCES, max_size=3)),
-    min_size=1,
-    max_size=8,
+SMALL_CHANGES = st.tuples(
+    st.lists(RESOURCES, max_size=3), st.lists(RESOURCES, max_size=2)
 )
+MOVES = st.tuples(
+    st.lists(st.builds(Pool, POOLS, NAMES), max_size=2),
+    st.lists(st.builds(Pool, POOLS, NAMES), max_size=2),
+)
+CHANGES = st.lists(st.one_of(SMALL_CHANGES, MOVES), min_size=1, max_size=8)
 WHOLE = [
     Service("a"),
     Pool("p", "a"),
-    Rank("r", "a", 0, 5, 1.0, 0.5),
-    Route("m", "a", "/x", ("GET",), "p", "r", 100, True),
+    Service("b"),
+    Service("c"),
+    Rank("r", "b", 0, 5, 1.0, 0.5),
+    Route("m", "b", "/x", ("GET",), "p", "r", 100, True),
 ]
 
 
@@ -76,9 +82,23 @@
             base, table = snapshot, table.build_next(snapshot)
             whole = RouteTable(snapshot)
             assert list_matches(table) == list_matches(whole)
-            for name in ("a", "b"):
+            for name in ("a", "b", "c"):
                 assert table.list_ranks(name) == whole.list_ranks(name)
 
+    @pytest.mark.parametrize(
+        "other",
+        [
+            Pool("p", "b"),
+            Route("o", "b", "/x/", ("GET",), "p", "r", 100, True),
+            Route("o", "b", "/x", ("POST", "GET"), "p", "r", 100, True),
+        ],
+    )
+    def test_what_only_the_order_would_decide_is_refused(self, other):
+        base = apply_change(EMPTY_SNAPSHOT, Change(tuple(WHOLE)), version=1)
+        snapshot = apply_change(base, Change((other,)), version=2)
+        assert validate_snapshot(snapshot)
+        assert validate_snapshot(snapshot, base=base)
+
     @settings(max_examples=200)
     @given(changes=CHANGES)
     def test_a_match_only_names_what_its_snapshot_holds(self, changes):
