--- a/benchmarks/configuration_cost.py
+++ b/benchmarks/configuration_cost.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import csv
 import gc
+import io
 import statistics
 import time
 import tracemalloc
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from benchmarks.results import Row, register_benchmark
-from flamingohead.core.changes import Change, apply_change
+from flamingohead.core.changes import Change, apply_change, compute_change
 from flamingohead.core.resources import EMPTY_SNAPSHOT, Pool, Rank, Route, Service
 from flamingohead.core.routing import RouteTable
+from flamingohead.core.sheets import COLUMNS, check_sheet
 from flamingohead.core.validation import validate_snapshot
 from flamingohead.core.versions import Replica, build_record
 from flamingohead.protocol import codec
@@ -88,6 +92,7 @@
     for services in SIZES:
         rows += measure_small_change(services)
         rows += measure_whole_snapshot(services)
+        rows += measure_acceptance(services)
         rows += measure_memory(services)
     return rows
 
@@ -139,6 +144,39 @@
     return rows
 
 
+def measure_acceptance(services: int) -> list[Row]:
+    """Measure the daemon that accepts a sheet with one changed route."""
+    base = build_base(services)
+    resources = create_resources(services)
+    resources[-1] = create_route(f"service-{services - 1:04d}", 4, timeout_ms=999)
+    text = write_sheet(resources)
+    change = compute_change(base, resources)
+    steps = {
+        "check a whole sheet": lambda: check_sheet(text),
+        "compute the change to a sheet": lambda: compute_change(base, resources),
+        "build the record of a sheet": lambda: build_record(
+            base, change, change_id="c", author="a", accepted_at=1.0
+        ),
+    }
+    return [describe(n, time_runs(step), "us", services) for n, step in steps.items()]
+
+
+def write_sheet(resources: list[Resource]) -> str:
+    """Return a sheet with one line for each resource."""
+    output = io.StringIO()
+    writer = csv.DictWriter(output, COLUMNS, extrasaction="ignore")
+    writer.writeheader()
+    for resource in resources:
+        cells = {**asdict(resource), "kind": resource.key.kind}
+        if isinstance(resource, Service):
+            cells["service"] = resource.name
+        if isinstance(resource, Route):
+            cells["methods"] = " ".join(resource.methods)
+            cells["idempotent"] = "yes" if resource.idempotent else "no"
+        writer.writerow(cells)
+    return output.getvalue()
+
+
 def measure_memory(services: int) -> list[Row]:
     """Measure memory of a replica that decoded what it holds from messages."""
     data = codec.encode_snapshot(build_base(services)).SerializeToString()
--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import json
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -62,6 +62,11 @@
     worth: float
     share: float
 
+    def __post_init__(self) -> None:
+        # A whole number would change its digest on the way through a message.
+        object.__setattr__(self, "worth", float(self.worth))
+        object.__setattr__(self, "share", float(self.share))
+
     @property
     def key(self) -> ResourceKey:
         return ResourceKey("rank", self.service, self.name)
@@ -80,6 +85,9 @@
     timeout_ms: int
     idempotent: bool
 
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "methods", tuple(self.methods))
+
     @property
     def key(self) -> ResourceKey:
         return ResourceKey("route", self.service, self.name)
@@ -89,8 +97,11 @@
 
 
 def _hash_resources(resources: Iterable[Resource]) -> bytes:
-    rows = [[type(r).__name__, asdict(r)] for r in sorted(resources, key=_get_key)]
-    text = json.dumps(rows, sort_keys=True, separators=(",", ":"))
+    rows = [
+        [type(resource).__name__, *vars(resource).values()]
+        for resource in sorted(resources, key=_get_key)
+    ]
+    text = json.dumps(rows, separators=(",", ":"))
     return hashlib.sha256(text.encode()).digest()
 
 
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -46,7 +46,7 @@
 ) -> VersionRecord | Refusal:
     """Return the record that follows ``base``, or the reason it is invalid."""
     snapshot = apply_change(base, change, version=base.version + 1)
-    problems = validate_snapshot(snapshot)
+    problems = validate_snapshot(snapshot, base=base)
     if problems:
         detail = "; ".join(f"{p.key.kind} {p.key.name}: {p.message}" for p in problems)
         return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -124,11 +124,6 @@
     )
 
 
-def normalize_resource(resource: Resource) -> Resource:
-    """Return a resource as it reads after a transfer, with the same digest."""
-    return decode_resource(encode_resource(resource))
-
-
 # Versions
 
 
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -284,7 +284,7 @@
         base version.
         """
         request = ChangeRequest(
-            tuple(codec.normalize_resource(resource) for resource in resources),
+            tuple(resources),
             change_id,
             author,
             base_version,
--- a/properties/test_configuration_versions.py
+++ b/properties/test_configuration_versions.py
@@ -9,9 +9,17 @@
 from flamingohead.core import versions
 from flamingohead.core.changes import Change
 from flamingohead.core.errors import Refusal
-from flamingohead.core.resources import EMPTY_SNAPSHOT, Pool, Route, Snapshot
+from flamingohead.core.resources import (
+    EMPTY_SNAPSHOT,
+    Pool,
+    Rank,
+    Route,
+    Service,
+    Snapshot,
+)
 from flamingohead.core.routing import RouteTable
 from flamingohead.core.versions import Replica, build_record
+from flamingohead.protocol import codec
 from flamingohead.testing.fakes import create_service
 
 NAMES = st.sampled_from(["a", "b", "c"])
@@ -96,6 +104,22 @@
             whole = Snapshot.build(snapshot.version, snapshot.resources)
             assert whole.digest == snapshot.digest
 
+    @given(
+        worth=st.one_of(st.integers(0, 9), st.floats(0, 1e9)),
+        share=st.sampled_from([0, 1, 0.25]),
+        methods=st.sampled_from([("GET",), ["GET", "POST"]]),
+    )
+    def test_digest_survives_a_transfer(self, worth, share, methods):
+        resources = [
+            Service("a"),
+            Pool("p", "a"),
+            Rank("r", "a", 0, 5, worth, share),
+            Route("m", "a", "/x", methods, "p", "r", 100, True),
+        ]
+        snapshot = Snapshot.build(1, {r.key: r for r in resources})
+        data = codec.encode_snapshot(snapshot).SerializeToString()
+        assert codec.parse_snapshot(data).digest == snapshot.digest
+
     @given(steps=STEPS, after=st.integers(0, 12), kept=st.integers(1, 4))
     def test_kept_records_lead_on_without_a_gap(self, steps, after, kept):
         replica = Replica()
