--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -10,7 +10,9 @@
     """Describe one request; ``deadline`` in monotonic seconds.
 
     Headers are pairs of a lower-case name and a value. ``key`` is the caller's
-    idempotency key, if it sent one.
+    idempotency key, if it sent one, and ``attempt`` its number of the attempt, 0 if
+    it gave none. ``call_id`` names the call across daemons. A call is ``claimed``
+    where another daemon has made sure that its key runs once.
     """
 
     service: str
@@ -22,3 +24,11 @@
     deadline: float
     idempotent: bool
     key: str | None = None
+    attempt: int = 0
+    call_id: str = ""
+    claimed: bool = False
+
+    @property
+    def is_keyed(self) -> bool:
+        """Tell whether the call must run at most once under its key."""
+        return self.key is not None and not self.idempotent
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -37,6 +37,13 @@
     KEY_REQUIRED = "key_required"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_OUTCOME_UNKNOWN = "key_outcome_unknown"
+    KEY_REUSED = "key_reused"
+    KEY_SUPERSEDED = "key_superseded"
+    KEY_ANSWER_NOT_KEPT = "key_answer_not_kept"
+    KEY_EXPIRED = "key_expired"
+    KEY_HOME_UNREACHABLE = "key_home_unreachable"
+    KEY_SCOPE_INVALID = "key_scope_invalid"
+    KEY_LIMIT_REACHED = "key_limit_reached"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     VERSION_CONFLICT = "version_conflict"
     INVALID_CONFIGURATION = "invalid_configuration"
@@ -78,6 +85,13 @@
     ErrorKind.KEY_REQUIRED: ErrorAnswer(428, Ran.NO, None),
     ErrorKind.KEY_IN_PROGRESS: ErrorAnswer(409, Ran.UNKNOWN, 500),
     ErrorKind.KEY_OUTCOME_UNKNOWN: ErrorAnswer(409, Ran.UNKNOWN, None),
+    ErrorKind.KEY_REUSED: ErrorAnswer(422, Ran.UNKNOWN, None),
+    ErrorKind.KEY_SUPERSEDED: ErrorAnswer(409, Ran.NO, None),
+    ErrorKind.KEY_ANSWER_NOT_KEPT: ErrorAnswer(409, Ran.YES, None),
+    ErrorKind.KEY_EXPIRED: ErrorAnswer(410, Ran.UNKNOWN, None),
+    ErrorKind.KEY_HOME_UNREACHABLE: ErrorAnswer(503, Ran.UNKNOWN, None),
+    ErrorKind.KEY_SCOPE_INVALID: ErrorAnswer(400, Ran.NO, None),
+    ErrorKind.KEY_LIMIT_REACHED: ErrorAnswer(503, Ran.NO, 1000),
     ErrorKind.CLAIM_UNAVAILABLE: ErrorAnswer(503, Ran.UNKNOWN, 2000),
     ErrorKind.VERSION_CONFLICT: ErrorAnswer(409, Ran.NO, 100),
     ErrorKind.INVALID_CONFIGURATION: ErrorAnswer(422, Ran.NO, None),
@@ -91,12 +105,17 @@
     """Carry the reason for which an operation was refused.
 
     Refusals are returned as values, not raised. ``retry_at`` is a deadline in
-    seconds on the clock of the process that made the refusal.
+    seconds on the clock of the process that made the refusal. ``ran_override``
+    replaces the table's statement where more, or less, is known of this attempt.
+    ``key_checked`` states that no attempt under the request's idempotency key, up
+    to and including this one, has run or can still run.
     """
 
     kind: ErrorKind
     detail: str = ""
     retry_at: float | None = None
+    ran_override: Ran | None = None
+    key_checked: bool = False
 
     @property
     def answer(self) -> ErrorAnswer:
@@ -104,7 +123,7 @@
 
     @property
     def ran(self) -> Ran:
-        return self.answer.ran
+        return self.ran_override or self.answer.ran
 
     def compute_retry_after_ms(self, now: float) -> int | None:
         """Return the milliseconds until a retry makes sense, or ``None``."""
--- a/flamingohead/core/idempotency.py
+++ b/flamingohead/core/idempotency.py
@@ -1,16 +1,24 @@
-"""At-most-once execution of requests that carry an idempotency key.
+"""Keyed requests: their identity, their outcomes, and what callers are told.
 
-The daemon that owns the upstream inserts a claim row for the key before it
-dispatches. Only the inserter dispatches, and it keeps the answer until the claim
-expires. Every other attempt asks the claim's owner for the outcome.
+An attempt is *marked* when the caller numbers its attempts under a key from 1
+upwards. Only the number tells an earlier attempt that is still on its way from a
+later retry, so only a marked attempt can be told that its key did not run.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import hashlib
+from dataclasses import dataclass, replace
 from enum import Enum
+from typing import TYPE_CHECKING
 
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+
+if TYPE_CHECKING:
+    from flamingohead.core.calls import Call
+
+UNMARKED = 0
+FIRST_ATTEMPT = 1
 
 
 class KeyState(Enum):
@@ -19,24 +27,16 @@
     CLAIMING = "claiming"
     RUNNING = "running"
     DONE = "done"
+    DONE_WITHOUT_ANSWER = "done_without_answer"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
 
-
-@dataclass(frozen=True)
-class Claim:
-    """Name the attempt that may run a key; ``expires_at`` is epoch seconds."""
-
-    service: str
-    key: str
-    host_id: str
-    peer_address: str
-    incarnation: int
-    nonce: str
-    expires_at: float
+    @property
+    def is_final(self) -> bool:
+        return self not in (KeyState.CLAIMING, KeyState.RUNNING)
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class StoredAnswer:
     """Hold a whole answer for repeated attempts."""
 
@@ -44,60 +44,91 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
+    @property
+    def size(self) -> int:
+        """Return the bytes that headers and body take."""
+        headers = sum(len(name) + len(value) for name, value in self.headers)
+        return headers + len(self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRequest:
+    """Identify one attempt of a caller under an idempotency key.
+
+    ``digest`` stands for the request's content. ``attempt`` is the caller's number
+    of the attempt, or ``UNMARKED``. ``call_id`` is shared by the tries that
+    daemons make for the one attempt.
+    """
+
+    service: str
+    key: str
+    digest: str
+    attempt: int
+    call_id: str
+
+    def may_follow(self, refused: KeyedRequest) -> bool:
+        """Tell whether this attempt may run after ``refused`` did not run.
+
+        A marked attempt that did not run may have been told so; an earlier or
+        unmarked attempt that arrives after it must not run any more.
+        """
+        if self.call_id == refused.call_id or refused.attempt == UNMARKED:
+            return True
+        return self.attempt > refused.attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """State what the owner of a claim knows of it."""
 
-@dataclass
-class _Entry:
-    claim: Claim
     state: KeyState
     answer: StoredAnswer | None = None
 
 
-class KeyLedger:
-    """Track the keys claimed by this daemon."""
-
-    def __init__(self) -> None:
-        self._entries: dict[tuple[str, str], _Entry] = {}
-
-    def begin(self, claim: Claim) -> StoredAnswer | Refusal | None:
-        """Reserve a key; ``None`` means that the caller may claim and run it."""
-        entry = self._entries.get((claim.service, claim.key))
-        if entry is None or entry.state is KeyState.NOT_RUN:
-            self._entries[claim.service, claim.key] = _Entry(claim, KeyState.CLAIMING)
-            return None
-        return self._describe(entry)
-
-    def mark(self, claim: Claim, state: KeyState) -> None:
-        """Move a key to a new state."""
-        self._entries[claim.service, claim.key].state = state
-
-    def finish(self, claim: Claim, answer: StoredAnswer) -> None:
-        """Keep the answer of a key that ran."""
-        entry = self._entries[claim.service, claim.key]
-        entry.state = KeyState.DONE
-        entry.answer = answer
-
-    def forget(self, claim: Claim) -> None:
-        """Drop a key that another daemon has claimed."""
-        self._entries.pop((claim.service, claim.key), None)
-
-    def fetch(self, service: str, key: str, nonce: str) -> _Entry | None:
-        """Return the entry of a claim made by this daemon, if it still has it."""
-        entry = self._entries.get((service, key))
-        if entry is None or entry.claim.nonce != nonce:
-            return None
-        return entry
-
-    def expire(self, now: float) -> None:
-        """Drop the entries whose claims have expired; ``now`` in epoch seconds."""
-        for key, entry in list(self._entries.items()):
-            if now >= entry.claim.expires_at and entry.state is not KeyState.RUNNING:
-                del self._entries[key]
-
-    def _describe(self, entry: _Entry) -> StoredAnswer | Refusal:
-        if entry.state is KeyState.DONE:
-            return entry.answer
-        if entry.state is KeyState.UNKNOWN:
-            return Refusal(
-                ErrorKind.KEY_OUTCOME_UNKNOWN, "an earlier attempt may have run"
-            )
-        return Refusal(ErrorKind.KEY_IN_PROGRESS, "an earlier attempt is running")
+def compute_request_digest(call: Call) -> str:
+    """Return a digest of what a key stands for: method, target and body."""
+    digest = hashlib.sha256()
+    digest.update(call.method.encode() + b"\0" + call.target + b"\0")
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+def read_keyed_request(call: Call) -> KeyedRequest:
+    """Return the identity of a call that carries a key."""
+    return KeyedRequest(
+        call.service,
+        call.key,
+        compute_request_digest(call),
+        call.attempt,
+        call.call_id,
+    )
+
+
+def describe_outcome(outcome: Outcome) -> StoredAnswer | Refusal:
+    """Return what a repeated attempt is given for a final or running outcome."""
+    if outcome.state is KeyState.DONE:
+        return outcome.answer
+    if outcome.state is KeyState.DONE_WITHOUT_ANSWER:
+        return Refusal(ErrorKind.KEY_ANSWER_NOT_KEPT, "it ran; its answer is not kept")
+    if outcome.state is KeyState.NOT_RUN:
+        return Refusal(
+            ErrorKind.KEY_SUPERSEDED,
+            "an attempt with this number or a higher one did not run",
+            key_checked=True,
+        )
+    if outcome.state is KeyState.UNKNOWN:
+        return Refusal(ErrorKind.KEY_OUTCOME_UNKNOWN, "an earlier attempt may have run")
+    return Refusal(ErrorKind.KEY_IN_PROGRESS, "an earlier attempt is running")
+
+
+def qualify_refusal(refusal: Refusal, attempt: int) -> Refusal:
+    """Return the refusal as a caller with a key may be told it.
+
+    A refusal speaks of one attempt. The caller reads "not run" as a statement
+    about its key, which holds for a first attempt, or where the key was checked.
+    """
+    if refusal.ran is not Ran.NO or attempt == FIRST_ATTEMPT:
+        return refusal
+    if attempt != UNMARKED and refusal.key_checked:
+        return refusal
+    return replace(refusal, ran_override=Ran.UNKNOWN)
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -25,6 +25,7 @@
     install_reactor()
     from flamingohead.core.balancing import Balancer
     from flamingohead.core.dissemination import Dissemination
+    from flamingohead.core.ledger import MEBIBYTE, LedgerSettings
     from flamingohead.core.members import Member
     from flamingohead.core.membership import Membership
     from flamingohead.core.versions import Replica
@@ -41,6 +42,7 @@
     from flamingohead.services.operators import OperatorService
     from flamingohead.services.peers import PeersService
     from flamingohead.services.platform import ObjectClient, TableClient
+    from flamingohead.services.scopes import ScopeService
     from flamingohead.services.slots import SlotService
     from flamingohead.services.status import StatusService
 
@@ -61,7 +63,31 @@
     kernel.add("http_client", HttpClientService())
     kernel.add("gossip", GossipService(kernel, membership, settings.peer_address))
     kernel.add("peers", PeersService(kernel, settings.peer_address))
-    kernel.add("keys", KeyService(kernel, key_lifetime=settings.key_lifetime))
+    limits = LedgerSettings(
+        maximum_entries=settings.key_limit,
+        maximum_total_bytes=settings.key_answer_mib * MEBIBYTE,
+    )
+    kernel.add(
+        "keys",
+        KeyService(
+            kernel,
+            key_lifetime=settings.key_lifetime,
+            claim_limit=settings.claim_limit,
+            stop_timeout=settings.stop_timeout,
+            limits=limits,
+            random=generator,
+        ),
+    )
+    kernel.add(
+        "scopes",
+        ScopeService(
+            kernel,
+            lifetime=settings.key_scope_lifetime,
+            secret=settings.key_scope_secret or settings.control_token,
+            stop_timeout=settings.stop_timeout,
+            limits=limits,
+        ),
+    )
     kernel.add("slots", SlotService(kernel))
     kernel.add("configuration", ConfigurationService(kernel, dissemination))
     kernel.add("attempts", AttemptService(kernel, Balancer(random=generator)))
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -32,6 +32,9 @@
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     REQUEST_FAILED = EventKind(500, logging.ERROR, "request handler failed")
+    CLAIM_MALFORMED = EventKind(570, logging.ERROR, "claim row not understood")
+    OUTCOMES_HANDED_OVER = EventKind(571, logging.INFO, "outcomes of keys handed over")
+    OUTCOME_MALFORMED = EventKind(572, logging.WARNING, "outcome not understood")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
--- a/flamingohead/protocol/peers_grpc.py
+++ b/flamingohead/protocol/peers_grpc.py
@@ -26,6 +26,10 @@
     async def FetchOutcome(self, stream: 'grpclib.server.Stream[flamingohead.protocol.peers_pb2.OutcomeRequest, flamingohead.protocol.peers_pb2.OutcomeReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def HandOver(self, stream: 'grpclib.server.Stream[flamingohead.protocol.peers_pb2.HandOverRequest, flamingohead.protocol.peers_pb2.HandOverReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def FetchStatus(self, stream: 'grpclib.server.Stream[flamingohead.protocol.peers_pb2.StatusRequest, flamingohead.protocol.peers_pb2.StatusReply]') -> None:
         pass
@@ -58,6 +62,12 @@
                 flamingohead.protocol.peers_pb2.OutcomeRequest,
                 flamingohead.protocol.peers_pb2.OutcomeReply,
             ),
+            '/flamingohead.protocol.Peers/HandOver': grpclib.const.Handler(
+                self.HandOver,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                flamingohead.protocol.peers_pb2.HandOverRequest,
+                flamingohead.protocol.peers_pb2.HandOverReply,
+            ),
             '/flamingohead.protocol.Peers/FetchStatus': grpclib.const.Handler(
                 self.FetchStatus,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -100,6 +110,12 @@
             flamingohead.protocol.peers_pb2.OutcomeRequest,
             flamingohead.protocol.peers_pb2.OutcomeReply,
         )
+        self.HandOver = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/flamingohead.protocol.Peers/HandOver',
+            flamingohead.protocol.peers_pb2.HandOverRequest,
+            flamingohead.protocol.peers_pb2.HandOverReply,
+        )
         self.FetchStatus = grpclib.client.UnaryUnaryMethod(
             channel,
             '/flamingohead.protocol.Peers/FetchStatus',
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -11,15 +12,20 @@
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.idempotency import UNMARKED, qualify_refusal
+from flamingohead.core.scopes import is_scoped_key
 from flamingohead.events import Event, log_event
 from flamingohead.services.http_server import HttpServerFactory
 from flamingohead.services.relay import (
     KEY_HEADER,
+    RELAY_HOME,
     RELAY_PREFIX,
     RELAY_UPSTREAM,
     TIMEOUT_HEADER,
+    read_attempt,
     read_relayed_call,
 )
+from flamingohead.services.scopes import SCOPE_PATH
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
@@ -81,13 +87,16 @@
         self, request: IncomingRequest, response: ServerResponse
     ) -> None:
         routes = self._kernel.get("configuration").routes
+        if request.method == "GET" and request.target == SCOPE_PATH:
+            self._kernel.get("scopes").send_scope(response)
+            return
         resolved = routes.match(request.method, request.target.decode("latin-1"))
         if isinstance(resolved, Refusal):
-            self._refuse(response, resolved)
+            self._refuse(response, _qualify(request, resolved))
             return
         call = _build_call(request, resolved, time.monotonic())
         if isinstance(call, Refusal):
-            self._refuse(response, call)
+            self._refuse(response, _qualify(request, call))
             return
         self._spawn(self._serve(call, response), response)
 
@@ -96,6 +105,9 @@
         if isinstance(call, Refusal):
             self._refuse(response, call)
             return
+        if request.get_header(RELAY_HOME) is not None:
+            self._spawn(self._serve_home(call, response), response)
+            return
         upstream = (request.get_header(RELAY_UPSTREAM) or b"").decode("latin-1")
         self._spawn(self._serve_local(upstream, call, response), response)
 
@@ -120,7 +132,15 @@
     # Calls
 
     async def _serve(self, call: Call, response: ServerResponse) -> None:
-        refusal = await self._kernel.get("attempts").serve(call, response)
+        scoped = call.is_keyed and is_scoped_key(call.key)
+        service = self._kernel.get("scopes" if scoped else "attempts")
+        refusal = await service.serve(call, response)
+        if refusal is not None and call.key is not None:
+            refusal = qualify_refusal(refusal, call.attempt)
+        self._conclude(response, refusal)
+
+    async def _serve_home(self, call: Call, response: ServerResponse) -> None:
+        refusal = await self._kernel.get("scopes").serve_home(call, response)
         self._conclude(response, refusal)
 
     async def _serve_local(
@@ -150,6 +170,9 @@
     timeout_ms = _read_timeout(request, route.timeout_ms)
     if isinstance(timeout_ms, Refusal):
         return timeout_ms
+    attempt = read_attempt(request)
+    if isinstance(attempt, Refusal):
+        return attempt
     key = request.get_header(KEY_HEADER)
     if key is not None and not 0 < len(key) <= MAX_KEY_BYTES:
         return Refusal(
@@ -170,6 +193,17 @@
         deadline=now + timeout_ms / 1000,
         idempotent=route.idempotent,
         key=None if key is None else key.decode("latin-1"),
+        attempt=attempt,
+        call_id="" if key is None else secrets.token_hex(8),
+    )
+
+
+def _qualify(request: IncomingRequest, refusal: Refusal) -> Refusal:
+    if request.get_header(KEY_HEADER) is None:
+        return refusal
+    attempt = read_attempt(request)
+    return qualify_refusal(
+        refusal, UNMARKED if isinstance(attempt, Refusal) else attempt
     )
 
 
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -26,6 +26,7 @@
 
 RAN_HEADER = b"flamingohead-ran"
 REFUSAL_HEADER = b"flamingohead-refusal"
+CHECKED_HEADER = b"flamingohead-key-checked"
 
 HOP_HEADERS = frozenset(
     (
@@ -139,6 +140,8 @@
             (REFUSAL_HEADER, refusal.kind.value.encode()),
             (RAN_HEADER, (ran or refusal.ran).value.encode()),
         ]
+        if refusal.key_checked:
+            headers.append((CHECKED_HEADER, b"yes"))
         retry_after_ms = refusal.compute_retry_after_ms(now)
         if retry_after_ms is not None:
             seconds = max(1, -(-retry_after_ms // 1000))
--- a/flamingohead/services/keys.py
+++ b/flamingohead/services/keys.py
@@ -1,139 +1,367 @@
-"""Claims of idempotency keys in the table, and the answers kept for them."""
+"""At-most-once execution of caller-made keys, by claims in the table."""
 
 from __future__ import annotations
 
-import hashlib
-import json
+import asyncio
 import logging
 import secrets
 import time
-from dataclasses import asdict
+from random import Random
 from typing import TYPE_CHECKING
 
-from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.idempotency import Claim, KeyLedger, KeyState, StoredAnswer
-from flamingohead.protocol import peers_pb2 as pb
-from flamingohead.services.dispatch import AnswerRelay
+from flamingohead.core.claims import (
+    AnswerAttempt,
+    AskOwner,
+    Claim,
+    ClaimAttempt,
+    InsertClaim,
+    ReadClaim,
+    ReplaceClaim,
+    RunClaim,
+    meet_claimed,
+)
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.idempotency import (
+    FIRST_ATTEMPT,
+    KeyState,
+    Outcome,
+    StoredAnswer,
+    describe_outcome,
+    read_keyed_request,
+)
+from flamingohead.core.ledger import KeyLedger, LedgerEntry, LedgerSettings
+from flamingohead.core.scopes import rank_successors
+from flamingohead.events import Event, log_event
+from flamingohead.protocol import key_codec, peers_pb2 as pb
+from flamingohead.protocol.codec import CodecError
+from flamingohead.services.claim_rows import ClaimRows
+from flamingohead.services.key_runs import KeyRuns
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from flamingohead.core.calls import Call
+    from flamingohead.core.claims import ClaimEffect
+    from flamingohead.core.idempotency import KeyedRequest
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_server import ServerResponse
+    from flamingohead.services.key_runs import Runner
 
 logger = logging.getLogger(__name__)
 
-CLAIM_PREFIX = "claims/"
+EXPIRY_PERIOD = 1.0
+SWEEP_PERIOD = 10.0
+ASK_MARGIN = 0.5
+DELETE_CONCURRENCY = 4
+HAND_OVER_TIMEOUT = 2.0
+MAX_HAND_OVER_BYTES = 4 * 1024 * 1024
 
 
 class KeyService:
-    """Claim keys before a request runs and answer repeated attempts."""
+    """Claim keys before requests run, and answer repeated attempts."""
 
-    def __init__(self, kernel: Kernel, *, key_lifetime: float) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        *,
+        key_lifetime: float,
+        claim_limit: int,
+        stop_timeout: float,
+        limits: LedgerSettings,
+        random: Random,
+    ) -> None:
         self._kernel = kernel
         self._lifetime = key_lifetime
-        self.ledger = KeyLedger()
+        self._claim_limit = claim_limit
+        self._stop_timeout = stop_timeout
+        self._random = random
+        self._rows = ClaimRows(kernel.get("table"))
+        self._claiming = 0
+        self._claims: dict[str, Claim] = {}
+        self._tasks: list[asyncio.Task] = []
+        self._deletes = asyncio.Semaphore(DELETE_CONCURRENCY)
+        self.ledger_id = secrets.token_hex(8)
+        self.ledger = KeyLedger(limits)
+        self.runs = KeyRuns(self.ledger)
+        self.adopted = KeyLedger(limits)
 
     async def start(self) -> None:
-        pass
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._expire_forever()),
+            loop.create_task(self._sweep_forever()),
+        ]
 
     async def stop(self) -> None:
-        pass
-
-    def build_claim(self, service: str, key: str) -> Claim:
-        """Return a claim of this daemon for a key."""
-        myself = self._kernel.get("gossip").membership.myself
-        return Claim(
-            service=service,
-            key=key,
-            host_id=myself.host_id,
-            peer_address=myself.peer_address,
-            incarnation=myself.incarnation,
-            nonce=secrets.token_hex(16),
-            expires_at=time.time() + self._lifetime,
-        )
+        """Finish the runs, then hand their outcomes over to peers."""
+        for task in self._tasks:
+            task.cancel()
+        left = await self.runs.drain(self._stop_timeout)
+        self._kernel.get("metrics").count("key.stop.left", left)
+        await self.hand_over(self.ledger)
 
-    async def claim(self, claim: Claim) -> StoredAnswer | Refusal | None:
-        """Claim a key; ``None`` means that this attempt alone may run it."""
-        known = self.ledger.begin(claim)
-        if known is not None:
-            return known
-        table = self._kernel.get("table")
-        row_key = get_claim_key(claim)
-        inserted = await table.insert(row_key, json.dumps(asdict(claim)).encode())
-        if inserted is True:
-            return None
-        row = await table.read(row_key)
-        if isinstance(row, Refusal) or row is None:
-            self.ledger.forget(claim)
-            return Refusal(
-                ErrorKind.CLAIM_UNAVAILABLE, "the table can't be asked about the key"
-            )
-        owner = Claim(**json.loads(row.value))
-        if owner.nonce == claim.nonce:
-            return None
-        self.ledger.forget(claim)
-        return await self._ask_owner(owner)
+    # Calls
 
     async def run_once(
         self,
         call: Call,
         response: ServerResponse,
-        run: Callable[[AnswerRelay], Awaitable[Refusal | None]],
+        run: Runner,
+        *,
+        check: Callable[[], Refusal | None] | None = None,
     ) -> Refusal | None:
-        """Run a keyed call unless an attempt with its key may have run."""
-        claim = self.build_claim(call.service, call.key)
-        known = await self.claim(claim)
+        """Run a keyed call unless an attempt with its key may have run.
+
+        ``check`` may refuse it before anything is written. ``None`` means answered.
+        """
+        request = read_keyed_request(call)
+        known = await self._meet(request, call.deadline)
+        if known is None:
+            known = self._check_limits(request, check)
+        if known is None:
+            known = await self._claim(request, call.deadline)
+        if isinstance(known, LedgerEntry):
+            return await self.runs.run(known, call.deadline, response, run)
         if isinstance(known, Refusal):
             return known
-        if known is not None:
-            response.send(known.status, list(known.headers), known.body)
-            return None
-        relay = AnswerRelay(response, keep=True)
-        self.ledger.mark(claim, KeyState.RUNNING)
-        refusal = await run(relay)
-        if relay.whole and not relay.not_executed:
-            answer = relay.build_stored_answer()
-            if answer is None:
-                self.ledger.mark(claim, KeyState.UNKNOWN)
-            else:
-                self.ledger.finish(claim, answer)
-        elif refusal is not None and refusal.ran.value == "no":
-            self.ledger.mark(claim, KeyState.NOT_RUN)
-        else:
-            self.ledger.mark(claim, KeyState.UNKNOWN)
-        return refusal
-
-    def fetch_outcome(
-        self, service: str, key: str, nonce: str
-    ) -> StoredAnswer | KeyState:
-        """Return what this daemon knows of a claim that it made."""
-        entry = self.ledger.fetch(service, key, nonce)
-        if entry is None:
-            return KeyState.UNKNOWN
-        return entry.answer or entry.state
+        self._kernel.get("metrics").count("key.repeated")
+        response.send(known.status, list(known.headers), known.body)
+        return None
+
+    async def _meet(
+        self, request: KeyedRequest, deadline: float
+    ) -> StoredAnswer | Refusal | None:
+        known = meet_claimed(self.ledger, request)
+        if isinstance(known, LedgerEntry):
+            self._kernel.get("metrics").count("key.attached")
+            outcome = await self.runs.wait(known, deadline)
+            if not outcome.state.is_final:
+                return describe_outcome(outcome)
+            known = meet_claimed(self.ledger, request)
+        if isinstance(known, LedgerEntry):
+            return Refusal(ErrorKind.KEY_IN_PROGRESS, "another attempt is running")
+        return known
+
+    def _check_limits(
+        self, request: KeyedRequest, check: Callable[[], Refusal | None] | None
+    ) -> Refusal | None:
+        if self._claiming >= self._claim_limit:
+            ran = Ran.NO if request.attempt == FIRST_ATTEMPT else None
+            detail = "too many claims wait for the table"
+            return Refusal(ErrorKind.CLAIM_UNAVAILABLE, detail, ran_override=ran)
+        return check() if check is not None else None
+
+    async def _claim(
+        self, request: KeyedRequest, deadline: float
+    ) -> LedgerEntry | StoredAnswer | Refusal:
+        seen = self.ledger.find(request.service, request.key) is not None
+        claim = self._build_claim(request)
+        entry = self.ledger.open(
+            request, claim.nonce, time.monotonic() + self._lifetime
+        )
+        if isinstance(entry, Refusal):
+            return entry
+        self._claiming += 1
+        try:
+            return await self._drive(entry, claim, deadline, seen=seen)
+        finally:
+            self._claiming -= 1
+
+    async def _drive(
+        self, entry: LedgerEntry, claim: Claim, deadline: float, *, seen: bool
+    ) -> LedgerEntry | StoredAnswer | Refusal:
+        attempt = ClaimAttempt(self.ledger, claim)
+        granted = False
+        try:
+            effect = attempt.begin(seen=seen)
+            while not isinstance(effect, RunClaim | AnswerAttempt):
+                effect = await self._perform(attempt, effect, deadline)
+            granted = isinstance(effect, RunClaim)
+        finally:
+            if not granted:
+                self.ledger.refuse(entry.nonce)
+                self.runs.resolve(entry)
+        if not granted:
+            return effect.result
+        self._kernel.get("metrics").count("key.claimed")
+        self._claims[entry.nonce] = effect.claim
+        return entry
+
+    async def _perform(
+        self, attempt: ClaimAttempt, effect: ClaimEffect, deadline: float
+    ) -> ClaimEffect:
+        if isinstance(effect, InsertClaim):
+            return attempt.receive_write(await self._rows.insert(effect.claim))
+        if isinstance(effect, ReplaceClaim):
+            self._kernel.get("metrics").count("key.taken_over")
+            written = await self._rows.replace(effect.claim, effect.tag)
+            return attempt.receive_write(written)
+        if isinstance(effect, ReadClaim):
+            return attempt.receive_row(await self._rows.read(effect.request))
+        return attempt.receive_outcome(await self._ask_owner(effect, deadline))
+
+    def _build_claim(self, request: KeyedRequest) -> Claim:
+        myself = self._kernel.get("gossip").membership.myself
+        return Claim(
+            request=request,
+            host_id=myself.host_id,
+            peer_address=myself.peer_address,
+            ledger_id=self.ledger_id,
+            nonce=secrets.token_hex(16),
+            expires_at=time.time() + self._lifetime,
+        )
+
+    # Outcomes
 
-    async def _ask_owner(self, owner: Claim) -> StoredAnswer | Refusal:
+    async def _ask_owner(self, effect: AskOwner, deadline: float) -> Outcome | Refusal:
+        claim = effect.claim
+        if claim.ledger_id == self.ledger_id:
+            return await self._wait_for_own(claim, deadline)
+        remaining = max(0.0, deadline - time.monotonic())
         request = pb.OutcomeRequest(
-            service=owner.service, key=owner.key, nonce=owner.nonce
+            service=claim.request.service,
+            key=claim.request.key,
+            nonce=claim.nonce,
+            wait_ms=round(remaining * 1000),
         )
+        outcome = await self._ask(claim.peer_address, request)
+        if isinstance(outcome, Refusal) or outcome.state is KeyState.UNKNOWN:
+            return await self.ask_successors(claim.ledger_id, claim.host_id, request)
+        return outcome
+
+    async def _wait_for_own(self, claim: Claim, deadline: float) -> Outcome:
+        request = claim.request
+        entry = self.ledger.fetch(request.service, request.key, claim.nonce)
+        if entry is None:
+            return Outcome(KeyState.UNKNOWN)
+        return await self.runs.wait(entry, deadline)
+
+    async def _ask(self, address: str, request: pb.OutcomeRequest) -> Outcome | Refusal:
         reply = await self._kernel.get("peers").call(
-            owner.peer_address, "FetchOutcome", request
+            address,
+            "FetchOutcome",
+            request,
+            timeout=request.wait_ms / 1000 + ASK_MARGIN,
         )
         if isinstance(reply, Refusal):
-            return Refusal(
-                ErrorKind.KEY_OUTCOME_UNKNOWN, f"{owner.host_id} can't be asked"
+            return reply
+        try:
+            return key_codec.decode_outcome(reply)
+        except CodecError as error:
+            return Refusal(ErrorKind.KEY_OUTCOME_UNKNOWN, str(error))
+
+    async def ask_successors(
+        self, ledger_id: str, host_id: str, request: pb.OutcomeRequest
+    ) -> Outcome:
+        """Ask the daemons to which a stopped one may have handed its outcomes."""
+        adopted = self._find_adopted(request)
+        if adopted is not None:
+            return adopted.outcome
+        members = self._kernel.get("gossip").membership.list_alive()
+        addresses = {
+            member.host_id: member.peer_address
+            for member in members
+            if member.host_id != host_id
+        }
+        final = pb.OutcomeRequest()
+        final.CopyFrom(request)
+        final.wait_ms = 0
+        for successor in rank_successors(ledger_id, addresses):
+            outcome = await self._ask(addresses[successor], final)
+            if isinstance(outcome, Outcome) and outcome.state is not KeyState.UNKNOWN:
+                return outcome
+        return Outcome(KeyState.UNKNOWN)
+
+    async def fetch_outcome(self, request: pb.OutcomeRequest) -> Outcome:
+        """Return what this daemon knows of a claim, once final or at a deadline."""
+        identity = (request.service, request.key)
+        entry = self.ledger.fetch(*identity, request.nonce)
+        if entry is not None:
+            deadline = time.monotonic() + request.wait_ms / 1000
+            return await self.runs.wait(entry, deadline)
+        entry = self._find_adopted(request)
+        return Outcome(KeyState.UNKNOWN) if entry is None else entry.outcome
+
+    def _find_adopted(self, request: pb.OutcomeRequest) -> LedgerEntry | None:
+        identity = (request.service, request.key)
+        if request.nonce:
+            return self.adopted.fetch(*identity, request.nonce)
+        entry = self.adopted.find(*identity)
+        if entry is None or entry.request.digest != request.digest:
+            return None
+        return entry
+
+    # Stops
+
+    async def hand_over(self, ledger: KeyLedger) -> None:
+        """Give the final outcomes of a ledger to its successors."""
+        membership = self._kernel.get("gossip").membership
+        addresses = {m.host_id: m.peer_address for m in membership.list_alive()}
+        request = self._build_hand_over(ledger)
+        if not request.outcomes or not addresses:
+            return
+        for successor in rank_successors(self.ledger_id, addresses):
+            reply = await self._kernel.get("peers").call(
+                addresses[successor], "HandOver", request, timeout=HAND_OVER_TIMEOUT
+            )
+            kept = 0 if isinstance(reply, Refusal) else reply.kept
+            log_event(
+                logger,
+                Event.OUTCOMES_HANDED_OVER,
+                peer=successor,
+                sent=len(request.outcomes),
+                kept=kept,
             )
-        if reply.outcome == KeyState.DONE.value:
-            headers = tuple((header.name, header.value) for header in reply.headers)
-            return StoredAnswer(reply.status, headers, reply.body)
-        if reply.outcome in (KeyState.CLAIMING.value, KeyState.RUNNING.value):
-            return Refusal(ErrorKind.KEY_IN_PROGRESS, f"running on {owner.host_id}")
-        return Refusal(ErrorKind.KEY_OUTCOME_UNKNOWN, f"claimed by {owner.host_id}")
-
-
-def get_claim_key(claim: Claim) -> str:
-    """Return the table key of a claim; bounded whatever the caller's key is."""
-    digest = hashlib.sha256(f"{claim.service}\0{claim.key}".encode()).hexdigest()
-    return f"{CLAIM_PREFIX}{digest}"
+
+    def _build_hand_over(self, ledger: KeyLedger) -> pb.HandOverRequest:
+        request = pb.HandOverRequest()
+        now = time.monotonic()
+        size = 0
+        for entry in ledger.list_final():
+            message = key_codec.encode_entry(entry, now)
+            size += message.ByteSize()
+            if size > MAX_HAND_OVER_BYTES:
+                self._kernel.get("metrics").count("key.hand_over.dropped")
+                continue
+            request.outcomes.append(message)
+        return request
+
+    def adopt(self, request: pb.HandOverRequest) -> int:
+        """Keep the outcomes of a daemon that stops; return how many fit."""
+        now = time.monotonic()
+        kept = 0
+        for message in request.outcomes:
+            try:
+                entry = key_codec.decode_entry(message, now)
+            except CodecError as error:
+                log_event(logger, Event.OUTCOME_MALFORMED, error=error)
+                continue
+            kept += self.adopted.adopt(entry)
+        return kept
+
+    # Expiry
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD)
+            now = time.monotonic()
+            self.adopted.expire(now)
+            claims = [
+                self._claims.pop(entry.nonce, None) for entry in self.ledger.expire(now)
+            ]
+            await asyncio.gather(*(self._delete(claim) for claim in claims if claim))
+            metrics = self._kernel.get("metrics")
+            metrics.set_gauge("key.entries", len(self.ledger))
+            metrics.set_gauge("key.answer_bytes", self.ledger.answer_bytes)
+
+    async def _delete(self, claim: Claim) -> None:
+        async with self._deletes:
+            await self._rows.delete(claim)
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            members = self._kernel.get("gossip").membership.count_members()
+            period = SWEEP_PERIOD * max(1, members)
+            await asyncio.sleep(self._random.uniform(0.5, 1.5) * period)
+            swept = await self._rows.sweep(f"{self._random.getrandbits(64):016x}")
+            self._kernel.get("metrics").count("key.swept", swept)
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -10,9 +10,8 @@
 from grpclib.server import Server
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.idempotency import KeyState, StoredAnswer
 from flamingohead.events import Event, log_event
-from flamingohead.protocol import codec, peers_pb2 as pb
+from flamingohead.protocol import codec, key_codec, peers_pb2 as pb
 from flamingohead.protocol.peers_grpc import PeersBase, PeersStub
 from flamingohead.settings import split_address
 
@@ -105,19 +104,13 @@
 
     async def FetchOutcome(self, stream) -> None:  # noqa: N802
         request = await stream.recv_message()
-        result = self._kernel.get("keys").fetch_outcome(
-            request.service, request.key, request.nonce
-        )
-        reply = pb.OutcomeReply()
-        if isinstance(result, StoredAnswer):
-            reply.outcome = KeyState.DONE.value
-            reply.status = result.status
-            reply.body = result.body
-            for name, value in result.headers:
-                reply.headers.add(name=name, value=value)
-        else:
-            reply.outcome = result.value
-        await stream.send_message(reply)
+        outcome = await self._kernel.get("keys").fetch_outcome(request)
+        await stream.send_message(key_codec.encode_outcome(outcome))
+
+    async def HandOver(self, stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        kept = self._kernel.get("keys").adopt(request)
+        await stream.send_message(pb.HandOverReply(kept=kept))
 
     async def FetchStatus(self, stream) -> None:  # noqa: N802
         await stream.recv_message()
--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -128,9 +128,10 @@
             return answer
         return answer.status == 200
 
-    async def delete(self, key: str) -> bool | Refusal:
-        """Delete a row; return whether it existed."""
-        answer = await self._request("DELETE", _get_row_path(key))
+    async def delete(self, key: str, *, tag: str | None = None) -> bool | Refusal:
+        """Delete a row, if given only while its tag is ``tag``; tell whether it was."""
+        headers = None if tag is None else {"If-Match": tag}
+        answer = await self._request("DELETE", _get_row_path(key), headers=headers)
         if isinstance(answer, Refusal):
             return answer
         return answer.status in (200, 204)
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.calls import Call
-from flamingohead.core.errors import ERROR_ANSWERS, ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.idempotency import FIRST_ATTEMPT, UNMARKED
 from flamingohead.services.http_client import OutgoingRequest
-from flamingohead.services.http_server import RAN_HEADER, REFUSAL_HEADER
+from flamingohead.services.http_server import CHECKED_HEADER, RAN_HEADER, REFUSAL_HEADER
 
 if TYPE_CHECKING:
     from flamingohead.core.balancing import Candidate
@@ -19,13 +20,18 @@
     )
 
 KEY_HEADER = b"idempotency-key"
+ATTEMPT_HEADER = b"request-attempt"
 TIMEOUT_HEADER = b"request-timeout-ms"
 RELAY_PREFIX = b"flamingohead-"
 RELAY_UPSTREAM = b"flamingohead-upstream"
 RELAY_SERVICE = b"flamingohead-service"
 RELAY_RANK = b"flamingohead-rank"
 RELAY_IDEMPOTENT = b"flamingohead-idempotent"
+RELAY_CALL = b"flamingohead-call"
+RELAY_CLAIMED = b"flamingohead-claimed"
+RELAY_HOME = b"flamingohead-home"
 RETRY_HEADER = b"flamingohead-retry-after-ms"
+MAX_ATTEMPT_DIGITS = 9
 
 
 class RelaySink:
@@ -57,16 +63,41 @@
     candidate: Candidate, call: Call, now: float
 ) -> OutgoingRequest:
     """Return the request that passes a call to the host of a candidate."""
+    upstream = (RELAY_UPSTREAM, candidate.upstream.encode())
+    headers = (*_build_headers(call, now), upstream)
+    return OutgoingRequest(call.method, call.target, headers, call.body, call.deadline)
+
+
+def build_home_headers(call: Call, now: float) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers that pass a call to the home of its key."""
+    return (*_build_headers(call, now), (RELAY_HOME, b"yes"))
+
+
+def _build_headers(call: Call, now: float) -> tuple[tuple[bytes, bytes], ...]:
     remaining_ms = max(0, round((call.deadline - now) * 1000))
-    headers = (
+    return (
         *call.headers,
         (TIMEOUT_HEADER, b"%d" % remaining_ms),
-        (RELAY_UPSTREAM, candidate.upstream.encode()),
         (RELAY_SERVICE, call.service.encode()),
         (RELAY_RANK, call.rank.encode()),
         (RELAY_IDEMPOTENT, b"yes" if call.idempotent else b"no"),
+        (RELAY_CALL, call.call_id.encode()),
+        (RELAY_CLAIMED, b"yes" if call.claimed else b"no"),
     )
-    return OutgoingRequest(call.method, call.target, headers, call.body, call.deadline)
+
+
+def read_attempt(request: IncomingRequest) -> int | Refusal:
+    """Return the caller's number of an attempt, or 0 if it gave none."""
+    value = request.get_header(ATTEMPT_HEADER)
+    if value is None:
+        return UNMARKED
+    valid = value.isdigit() and len(value) <= MAX_ATTEMPT_DIGITS
+    if not valid or int(value) < FIRST_ATTEMPT:
+        return Refusal(
+            ErrorKind.MALFORMED_REQUEST,
+            f"request-attempt {value[:20]!r} is not a whole number from 1",
+        )
+    return int(value)
 
 
 def read_relayed_call(request: IncomingRequest, now: float) -> Call | Refusal:
@@ -76,6 +107,9 @@
     rank = request.get_header(RELAY_RANK)
     if service is None or rank is None or not timeout.isdigit():
         return Refusal(ErrorKind.MALFORMED_REQUEST, "not a request of a daemon")
+    attempt = read_attempt(request)
+    if isinstance(attempt, Refusal):
+        return attempt
     key = request.get_header(KEY_HEADER)
     headers = tuple(
         (name, value)
@@ -92,6 +126,9 @@
         deadline=now + int(timeout) / 1000,
         idempotent=request.get_header(RELAY_IDEMPOTENT) == b"yes",
         key=None if key is None else key.decode("latin-1"),
+        attempt=attempt,
+        call_id=(request.get_header(RELAY_CALL) or b"").decode("latin-1"),
+        claimed=request.get_header(RELAY_CLAIMED) == b"yes",
     )
 
 
@@ -106,6 +143,17 @@
         kind = ErrorKind.INTERNAL
     retry_ms = values.get(RETRY_HEADER)
     retry_at = now + int(retry_ms) / 1000 if retry_ms else None
-    if values.get(RAN_HEADER) != ERROR_ANSWERS[kind].ran.value.encode():
-        kind = ErrorKind.INTERNAL
-    return Refusal(kind, "refused by the upstream's host", retry_at)
+    return Refusal(
+        kind,
+        "refused by the upstream's host",
+        retry_at,
+        ran_override=_read_ran(values),
+        key_checked=values.get(CHECKED_HEADER) == b"yes",
+    )
+
+
+def _read_ran(values: dict[bytes, bytes]) -> Ran:
+    try:
+        return Ran(values.get(RAN_HEADER, b"").decode("latin-1"))
+    except ValueError:
+        return Ran.UNKNOWN
--- /dev/null
+++ b/flamingohead/services/scopes.py
@@ -0,0 +1,197 @@
+"""Scoped keys: passing an attempt to its home, and running it there."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import logging
+import secrets
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.idempotency import (
+    FIRST_ATTEMPT,
+    KeyState,
+    StoredAnswer,
+    compute_request_digest,
+    describe_outcome,
+    read_keyed_request,
+)
+from flamingohead.core.ledger import KeyLedger, LedgerEntry, LedgerSettings
+from flamingohead.core.scopes import Scope, meet_scoped, read_scope
+from flamingohead.protocol import peers_pb2 as pb
+from flamingohead.services.http_client import OutgoingRequest
+from flamingohead.services.key_runs import KeyRuns
+from flamingohead.services.relay import RelaySink, build_home_headers
+
+if TYPE_CHECKING:
+    from flamingohead.core.calls import Call
+    from flamingohead.core.idempotency import KeyedRequest
+    from flamingohead.kernel import Kernel
+    from flamingohead.services.http_server import ServerResponse
+
+logger = logging.getLogger(__name__)
+
+SCOPE_PATH = b"/.flamingohead/key-scope"
+EXPIRY_PERIOD = 1.0
+
+# Entries outlive their scope, in seconds, so that late retries get their answer.
+RETENTION = 60.0
+
+
+class ScopeService:
+    """Give out scopes and run the keys that were made from them."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        *,
+        lifetime: float,
+        secret: str,
+        stop_timeout: float,
+        limits: LedgerSettings,
+    ) -> None:
+        self._kernel = kernel
+        self._lifetime = lifetime
+        self._secret = hashlib.sha256(b"key scope\0" + secret.encode()).digest()
+        self._stop_timeout = stop_timeout
+        self._task: asyncio.Task | None = None
+        self.ledger = KeyLedger(limits)
+        self.runs = KeyRuns(self.ledger)
+
+    async def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._expire_forever())
+
+    async def stop(self) -> None:
+        """Finish the runs, then hand their outcomes over to peers."""
+        self._task.cancel()
+        left = await self.runs.drain(self._stop_timeout)
+        self._kernel.get("metrics").count("key.stop.left", left)
+        await self._kernel.get("keys").hand_over(self.ledger)
+
+    def send_scope(self, response: ServerResponse) -> None:
+        """Answer a caller that asks for a scope."""
+        body = {
+            "scope": self.build_scope().encode(self._secret),
+            "expires_in_ms": round(self._lifetime * 1000),
+        }
+        headers = [(b"content-type", b"application/json")]
+        headers.append((b"cache-control", b"no-store"))
+        response.send(200, headers, json.dumps(body).encode())
+
+    def build_scope(self) -> Scope:
+        """Return a new scope of this daemon."""
+        myself = self._kernel.get("gossip").membership.myself
+        return Scope(
+            myself.host_id,
+            myself.relay_address,
+            self._kernel.get("keys").ledger_id,
+            int(time.monotonic() + self._lifetime),
+        )
+
+    # At any daemon
+
+    async def serve(self, call: Call, response: ServerResponse) -> Refusal | None:
+        """Answer a call with a scoped key; ``None`` means answered."""
+        scope = read_scope(call.key, self._secret)
+        if isinstance(scope, Refusal):
+            return scope
+        myself = self._kernel.get("gossip").membership.myself
+        if scope.relay_address == myself.relay_address:
+            return await self.serve_home(call, response)
+        sink = RelaySink(response)
+        refusal = await self._kernel.get("http_client").send(
+            scope.relay_address, self._build_request(call), sink, fresh=True
+        )
+        if refusal is None:
+            refusal = sink.refusal
+        elif refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
+            return await self._serve_without_home(scope, call, response)
+        elif refusal.ran is Ran.UNKNOWN:
+            refusal = Refusal(ErrorKind.HOST_CUT, refusal.detail)
+        return refusal
+
+    def _build_request(self, call: Call) -> OutgoingRequest:
+        headers = build_home_headers(call, time.monotonic())
+        return OutgoingRequest(
+            call.method, call.target, headers, call.body, call.deadline
+        )
+
+    async def _serve_without_home(
+        self, scope: Scope, call: Call, response: ServerResponse
+    ) -> Refusal | None:
+        if call.attempt != FIRST_ATTEMPT:
+            digest = compute_request_digest(call)
+            request = pb.OutcomeRequest(
+                service=call.service, key=call.key, digest=digest
+            )
+            outcome = await self._kernel.get("keys").ask_successors(
+                scope.ledger_id, scope.host_id, request
+            )
+            if outcome.state is not KeyState.UNKNOWN:
+                return _send(describe_outcome(outcome), response)
+        ran = Ran.NO if call.attempt == FIRST_ATTEMPT else None
+        detail = f"{scope.host_id} can't be reached"
+        return Refusal(ErrorKind.KEY_HOME_UNREACHABLE, detail, ran_override=ran)
+
+    # At home
+
+    async def serve_home(self, call: Call, response: ServerResponse) -> Refusal | None:
+        """Run a call whose key this daemon may be the home of."""
+        scope = read_scope(call.key, self._secret)
+        if isinstance(scope, Refusal):
+            return scope
+        request = read_keyed_request(call)
+        known = await self._meet(scope, request, call.deadline)
+        if known is None:
+            known = self.ledger.open(
+                request, secrets.token_hex(16), scope.expires_at + RETENTION
+            )
+        if not isinstance(known, LedgerEntry):
+            return _send(known, response)
+        attempts = self._kernel.get("attempts")
+        claimed = replace(call, claimed=True)
+        return await self.runs.run(
+            known,
+            call.deadline,
+            response,
+            lambda recording: attempts.serve(claimed, recording),
+        )
+
+    async def _meet(
+        self, scope: Scope, request: KeyedRequest, deadline: float
+    ) -> StoredAnswer | Refusal | None:
+        known = self._look_up(scope, request)
+        if isinstance(known, LedgerEntry):
+            self._kernel.get("metrics").count("key.attached")
+            outcome = await self.runs.wait(known, deadline)
+            if not outcome.state.is_final:
+                return describe_outcome(outcome)
+            known = self._look_up(scope, request)
+        if isinstance(known, LedgerEntry):
+            return Refusal(ErrorKind.KEY_IN_PROGRESS, "another attempt is running")
+        return known
+
+    def _look_up(
+        self, scope: Scope, request: KeyedRequest
+    ) -> LedgerEntry | StoredAnswer | Refusal | None:
+        ledger_id = self._kernel.get("keys").ledger_id
+        return meet_scoped(self.ledger, ledger_id, scope, request, time.monotonic())
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD)
+            self.ledger.expire(time.monotonic())
+            metrics = self._kernel.get("metrics")
+            metrics.set_gauge("key.scoped_entries", len(self.ledger))
+            metrics.set_gauge("key.scoped_answer_bytes", self.ledger.answer_bytes)
+
+
+def _send(known: StoredAnswer | Refusal, response: ServerResponse) -> Refusal | None:
+    if isinstance(known, Refusal):
+        return known
+    response.send(known.status, list(known.headers), known.body)
+    return None
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -135,12 +135,12 @@
             return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
         self.in_flight += 1
         try:
-            if call.key is None or call.idempotent:
+            if call.claimed or not call.is_keyed:
                 return await self._run(upstream, call, AnswerRelay(response))
             return await self._kernel.get("keys").run_once(
                 call,
                 response,
-                lambda relay: self._run(upstream, call, relay),
+                lambda recording: self._run(upstream, call, AnswerRelay(recording)),
             )
         finally:
             self.in_flight -= 1
--- a/flamingohead/settings.py
+++ b/flamingohead/settings.py
@@ -15,7 +15,7 @@
 )
 
 ENVIRONMENT_PREFIX = "FLAMINGOHEAD_"
-SECRET_SETTINGS = frozenset(("control_token",))
+SECRET_SETTINGS = frozenset(("control_token", "key_scope_secret"))
 ADDRESS_SETTINGS = (
     "ingress_address",
     "relay_address",
@@ -107,6 +107,21 @@
         le=604_800,
         description="seconds that answers to keyed requests are kept",
     )
+    key_limit: int = Field(
+        20_000, ge=100, le=1_000_000, description="keys that a daemon keeps"
+    )
+    key_answer_mib: int = Field(
+        8, ge=1, le=1024, description="MiB of answers kept, each for claims and scopes"
+    )
+    claim_limit: int = Field(
+        64, ge=1, le=10_000, description="claims that may wait for the table at once"
+    )
+    key_scope_lifetime: float = Field(
+        600.0, ge=1, le=86_400, description="seconds that a key scope is good for"
+    )
+    key_scope_secret: str = Field(
+        "", description="secret shared by all daemons, or empty for the control token"
+    )
 
     @model_validator(mode="after")
     def _check_distinct(self) -> DaemonSettings:
--- a/flamingohead/standins/platform.py
+++ b/flamingohead/standins/platform.py
@@ -132,9 +132,14 @@
         return b""
 
     def _remove(self, request, key: str) -> bytes:
-        if self._rows.pop(key, None) is None:
+        row = self._rows.get(key)
+        expected = request.getHeader("if-match")
+        if row is None:
             request.setResponseCode(404)
+        elif expected is not None and row.tag != expected:
+            request.setResponseCode(412)
         else:
+            del self._rows[key]
             self._keys.remove(key)
             request.setResponseCode(204)
         return b""
--- /dev/null
+++ b/flamingohead/testing/fake_keys.py
@@ -0,0 +1,270 @@
+"""Fakes around the core of keys: a table, hosts that fail, a journal that judges.
+
+Time stands still unless told to pass, and every message waits until it is stepped,
+so that a test decides on each order, loss and delay.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from flamingohead.core.claims import (
+    AnswerAttempt,
+    AskOwner,
+    Claim,
+    ClaimAttempt,
+    ClaimEffect,
+    ClaimRow,
+    InsertClaim,
+    ReadClaim,
+    RunClaim,
+    meet_claimed,
+)
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.idempotency import (
+    KeyedRequest,
+    KeyState,
+    Outcome,
+    StoredAnswer,
+)
+from flamingohead.core.ledger import KeyLedger, LedgerEntry
+
+SERVICE = "booking"
+LOST = Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "no answer")
+
+
+class Delivery(Enum):
+    """Say what happens to a message and its answer."""
+
+    ANSWERED = "answered"
+    ANSWER_LOST = "answer lost"
+    LOST = "lost"
+    LATE = "late"
+
+
+class Execution(Enum):
+    """Say what an upstream does with a request."""
+
+    ANSWERED = "answered"
+    CUT_AFTER = "cut after execution"
+    CUT_BEFORE = "cut before execution"
+    SHED = "shed"
+
+
+@dataclass(frozen=True)
+class Run:
+    """Record one execution: a key, its content and the attempt in sending order."""
+
+    key: str
+    content: str
+    sequence: int
+
+
+@dataclass
+class FakeTable:
+    """Keep claim rows; writes may take effect late."""
+
+    outage: bool = False
+    rows: dict[str, ClaimRow] = field(default_factory=dict)
+    late: list[ClaimEffect] = field(default_factory=list)
+    writes: int = 0
+
+    def write(self, effect: ClaimEffect, delivery: Delivery) -> bool | Refusal:
+        if self.outage or delivery is Delivery.LOST:
+            return LOST
+        if delivery is Delivery.LATE:
+            self.late.append(effect)
+            return LOST
+        written = self.apply(effect)
+        return LOST if delivery is Delivery.ANSWER_LOST else written
+
+    def apply(self, effect: ClaimEffect) -> bool:
+        claim = effect.claim
+        row = self.rows.get(claim.request.key)
+        if isinstance(effect, InsertClaim):
+            allowed = row is None
+        else:
+            allowed = row is not None and row.tag == effect.tag
+        if allowed:
+            self.writes += 1
+            self.rows[claim.request.key] = ClaimRow(claim, str(self.writes))
+        return allowed
+
+    def read(self, key: str, delivery: Delivery) -> ClaimRow | None | Refusal:
+        if self.outage or delivery is not Delivery.ANSWERED:
+            return LOST
+        return self.rows.get(key)
+
+    def sweep(self, now: float, margin: float) -> None:
+        """Delete the rows that have expired by more than the margin."""
+        for key, row in list(self.rows.items()):
+            if now >= row.claim.expires_at + margin:
+                del self.rows[key]
+
+
+@dataclass
+class FakeHost:
+    """Hold the memory of one daemon; a restart loses it."""
+
+    host_id: str
+    ledger_id: str
+    ledger: KeyLedger = field(default_factory=KeyLedger)
+    frozen: bool = False
+    cut: bool = False
+
+
+@dataclass
+class SentAttempt:
+    """Follow one attempt of a caller at one host; ``sequence`` counts sendings."""
+
+    request: KeyedRequest
+    sequence: int
+    host: FakeHost
+    timeout: float
+    deadline: float = 0.0
+    entry: LedgerEntry | None = None
+    process: ClaimAttempt | None = None
+    effect: ClaimEffect | None = None
+    running: Execution | None = None
+    result: StoredAnswer | Refusal | None = None
+
+
+@dataclass
+class FakeKeys:
+    """Step attempts at a few hosts over one table."""
+
+    lifetime: float = 100.0
+    margin: float = 50.0
+    now: float = 0.0
+    table: FakeTable = field(default_factory=FakeTable)
+    hosts: list[FakeHost] = field(default_factory=list)
+    journal: list[Run] = field(default_factory=list)
+    _counter: int = 0
+
+    def add_host(self, host_id: str) -> None:
+        self.hosts.append(FakeHost(host_id, self._name("ledger")))
+
+    def send(
+        self,
+        host: FakeHost,
+        request: KeyedRequest,
+        sequence: int,
+        *,
+        timeout: float = 5.0,
+    ) -> SentAttempt:
+        """Return an attempt that has arrived at a host, not yet looked at."""
+        return SentAttempt(request, sequence, host, timeout)
+
+    def make_request(
+        self, key: str, content: str, attempt: int, call_id: str | None = None
+    ) -> KeyedRequest:
+        call_id = call_id or self._name("call")
+        return KeyedRequest(SERVICE, key, content, attempt, call_id)
+
+    def restart(self, host: FakeHost, attempts: list[SentAttempt]) -> None:
+        """Lose the memory of a host and cut its attempts."""
+        host.ledger = KeyLedger()
+        host.ledger_id = self._name("ledger")
+        host.frozen = False
+        for attempt in attempts:
+            if attempt.host is host and attempt.result is None:
+                attempt.result = Refusal(ErrorKind.HOST_CUT, host.host_id)
+
+    def step(
+        self, attempt: SentAttempt, delivery: Delivery, execution: Execution
+    ) -> None:
+        """Let an attempt take its next step, unless its host is frozen."""
+        if attempt.host.frozen or attempt.result is not None:
+            return
+        if attempt.process is None:
+            self._open(attempt)
+        elif attempt.running is not None:
+            self._conclude(attempt)
+        elif isinstance(attempt.effect, RunClaim):
+            self._start(attempt, execution)
+        else:
+            self._perform(attempt, delivery)
+
+    def _open(self, attempt: SentAttempt) -> None:
+        if self.now >= self.lifetime:
+            attempt.result = Refusal(ErrorKind.HOST_CUT, "lost on the way")
+            return
+        attempt.deadline = self.now + attempt.timeout
+        host, request = attempt.host, attempt.request
+        known = meet_claimed(host.ledger, request)
+        if isinstance(known, LedgerEntry):
+            return
+        if known is not None:
+            attempt.result = known
+            return
+        seen = host.ledger.find(request.service, request.key) is not None
+        nonce = self._name("nonce")
+        attempt.entry = host.ledger.open(request, nonce, self.now + self.lifetime)
+        claim = Claim(
+            request, host.host_id, "", host.ledger_id, nonce, self.now + self.lifetime
+        )
+        attempt.process = ClaimAttempt(host.ledger, claim)
+        self._take(attempt, attempt.process.begin(seen=seen))
+
+    def _perform(self, attempt: SentAttempt, delivery: Delivery) -> None:
+        process, effect = attempt.process, attempt.effect
+        if isinstance(effect, ReadClaim):
+            row = self.table.read(effect.request.key, delivery)
+            self._take(attempt, process.receive_row(row))
+        elif isinstance(effect, AskOwner):
+            outcome = self._ask(attempt.host, effect.claim, delivery)
+            self._take(attempt, process.receive_outcome(outcome))
+        else:
+            written = self.table.write(effect, delivery)
+            self._take(attempt, process.receive_write(written))
+
+    def _take(self, attempt: SentAttempt, effect: ClaimEffect) -> None:
+        attempt.effect = effect
+        if isinstance(effect, AnswerAttempt):
+            attempt.result = effect.result
+
+    def _ask(
+        self, asker: FakeHost, claim: Claim, delivery: Delivery
+    ) -> Outcome | Refusal:
+        owner = next(host for host in self.hosts if host.host_id == claim.host_id)
+        parted = owner is not asker and (owner.frozen or owner.cut or asker.cut)
+        if parted or (owner is not asker and delivery is not Delivery.ANSWERED):
+            return Refusal(ErrorKind.HOST_UNREACHABLE, owner.host_id)
+        request = claim.request
+        entry = owner.ledger.fetch(request.service, request.key, claim.nonce)
+        return Outcome(KeyState.UNKNOWN) if entry is None else entry.outcome
+
+    def _start(self, attempt: SentAttempt, execution: Execution) -> None:
+        ledger = attempt.host.ledger
+        refusal = ledger.start(attempt.entry.nonce, self.now, attempt.deadline)
+        if refusal is not None:
+            attempt.result = refusal
+            return
+        attempt.running = execution
+        if execution in (Execution.ANSWERED, Execution.CUT_AFTER):
+            request = attempt.request
+            self.journal.append(Run(request.key, request.digest, attempt.sequence))
+
+    def _conclude(self, attempt: SentAttempt) -> None:
+        ledger, nonce = attempt.host.ledger, attempt.entry.nonce
+        if attempt.running is Execution.ANSWERED:
+            request = attempt.request
+            answer = StoredAnswer(200, (), f"{request.key} {request.digest}".encode())
+            ledger.finish(nonce, answer)
+            attempt.result = answer
+        elif attempt.running is Execution.SHED:
+            ledger.refuse(nonce)
+            attempt.result = Refusal(ErrorKind.UPSTREAM_SHED, key_checked=True)
+        else:
+            ledger.lose(nonce)
+            attempt.result = Refusal(ErrorKind.UPSTREAM_CUT)
+
+    def _name(self, kind: str) -> str:
+        self._counter += 1
+        return f"{kind}-{self._counter}"
+
+
+def may_try_elsewhere(result: StoredAnswer | Refusal | None) -> bool:
+    """Tell whether a daemon may try the same attempt at another host."""
+    return isinstance(result, Refusal) and result.ran is Ran.NO
