--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -12,7 +12,8 @@
     Headers are pairs of a lower-case name and a value. ``key`` is the caller's
     idempotency key, if it sent one, and ``attempt`` its number of the attempt, 0 if
     it gave none. ``call_id`` names the call across daemons. A call is ``claimed``
-    where another daemon has made sure that its key runs once.
+    where another daemon has made sure that its key runs once. ``caller`` names who
+    sent it.
     """
 
     service: str
@@ -24,6 +25,7 @@
     deadline: float
     idempotent: bool
     key: str | None = None
+    caller: str = ""
     attempt: int = 0
     call_id: str = ""
     claimed: bool = False
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -26,15 +26,21 @@
     VERSION_REJECTED = EventKind(201, logging.ERROR, "configuration not taken")
     VERSION_ACCEPTED = EventKind(202, logging.INFO, "change accepted")
     CHANGE_REFUSED = EventKind(203, logging.WARNING, "change refused")
+    CONFIGURATION_READY = EventKind(210, logging.INFO, "ready with configuration")
+    PULL_MALFORMED = EventKind(211, logging.WARNING, "pulled answer not understood")
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
+    LEGACY_DIFFERENCE = EventKind(600, logging.WARNING, "old scripts differ")
     REQUEST_FAILED = EventKind(500, logging.ERROR, "request handler failed")
     CLAIM_MALFORMED = EventKind(570, logging.ERROR, "claim row not understood")
     OUTCOMES_HANDED_OVER = EventKind(571, logging.INFO, "outcomes of keys handed over")
     OUTCOME_MALFORMED = EventKind(572, logging.WARNING, "outcome not understood")
+    REQUEST_CUT_BY_STOP = EventKind(510, logging.WARNING, "request cut by the stop")
+    UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
+    UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream taken back")
 
 
 def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
--- a/flamingohead/services/history.py
+++ b/flamingohead/services/history.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from flamingohead.core.changes import apply_change, compute_change
+from flamingohead.core.changes import Change, apply_change, compute_change
 from flamingohead.core.differences import Difference, describe_change
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.resources import EMPTY_SNAPSHOT, Snapshot
-from flamingohead.services.configuration import LOG_PREFIX, get_log_key
+from flamingohead.core.resources import Snapshot
 
 if TYPE_CHECKING:
     from flamingohead.core.versions import VersionRecord
@@ -59,11 +58,15 @@
         held = self._kernel.get("configuration").replica.snapshot
         if held.version == version:
             return held
-        records = await self._read_records(0, version)
+        snapshot = await self._kernel.get("configuration").read_stored_snapshot(version)
+        if isinstance(snapshot, Refusal):
+            return snapshot
+        records = await self._read_records(snapshot.version, version)
         if isinstance(records, Refusal):
             return records
-        snapshot = EMPTY_SNAPSHOT
         for record in records:
+            if record.change is None:
+                return _describe_whole(record)
             snapshot = apply_change(snapshot, record.change, version=record.version)
         if snapshot.version != version:
             return Refusal(ErrorKind.NOT_FOUND, f"there is no version {version}")
@@ -87,26 +90,25 @@
         records: list[VersionRecord] = []
         position = max(after, 0)
         while position < last:
-            rows = await self._kernel.get("table").scan(
-                LOG_PREFIX,
-                after=get_log_key(position),
-                limit=min(SCAN_LIMIT, last - position),
-            )
-            if isinstance(rows, Refusal):
-                return rows
-            if not rows:
+            limit = min(SCAN_LIMIT, last - position)
+            page = await configuration.read_records(position, limit)
+            if isinstance(page, Refusal):
+                return page
+            if not page:
                 break
-            for row in rows:
-                record = await configuration.load_record(row.value)
-                if isinstance(record, Refusal):
-                    return record
-                records.append(record)
-            position = records[-1].version
+            records += page
+            position = page[-1].version
         return records
 
 
+def _describe_whole(record: VersionRecord) -> Refusal:
+    detail = f"version {record.version} is kept as a whole snapshot, which is damaged"
+    return Refusal(ErrorKind.NOT_FOUND, detail)
+
+
 def _summarize(record: VersionRecord) -> VersionSummary:
-    touched = len(record.change.upserts) + len(record.change.removals)
+    change = record.change or Change()
+    touched = len(change.upserts) + len(change.removals)
     return VersionSummary(
         record.version, record.change_id, record.author, record.accepted_at, touched
     )
--- a/flamingohead/services/key_runs.py
+++ b/flamingohead/services/key_runs.py
@@ -15,7 +15,8 @@
     from collections.abc import Awaitable, Callable
 
     from flamingohead.core.ledger import KeyLedger, LedgerEntry
-    from flamingohead.services.http_server import Headers, ServerResponse
+    from flamingohead.services.http_messages import Headers
+    from flamingohead.services.http_response import ServerResponse
 
     Runner = Callable[["RecordingResponse"], Awaitable[Refusal | None]]
 
--- a/flamingohead/services/keys.py
+++ b/flamingohead/services/keys.py
@@ -44,7 +44,7 @@
     from flamingohead.core.claims import ClaimEffect
     from flamingohead.core.idempotency import KeyedRequest
     from flamingohead.kernel import Kernel
-    from flamingohead.services.http_server import ServerResponse
+    from flamingohead.services.http_response import ServerResponse
     from flamingohead.services.key_runs import Runner
 
 logger = logging.getLogger(__name__)
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -8,21 +8,23 @@
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.idempotency import FIRST_ATTEMPT, UNMARKED
-from flamingohead.services.http_client import OutgoingRequest
-from flamingohead.services.http_server import CHECKED_HEADER, RAN_HEADER, REFUSAL_HEADER
+from flamingohead.services.http_messages import (
+    CHECKED_HEADER,
+    KEY_ATTEMPT_HEADER,
+    KEY_HEADER,
+    RAN_HEADER,
+    REFUSAL_HEADER,
+    RELAY_PREFIX,
+    TIMEOUT_HEADER,
+    OutgoingRequest,
+)
 
 if TYPE_CHECKING:
     from flamingohead.core.balancing import Candidate
-    from flamingohead.services.http_server import (
-        Headers,
-        IncomingRequest,
-        ServerResponse,
-    )
+    from flamingohead.services.http_connection import ClientConnection
+    from flamingohead.services.http_messages import Headers, IncomingRequest
+    from flamingohead.services.http_response import ServerResponse
 
-KEY_HEADER = b"idempotency-key"
-ATTEMPT_HEADER = b"request-attempt"
-TIMEOUT_HEADER = b"request-timeout-ms"
-RELAY_PREFIX = b"flamingohead-"
 RELAY_UPSTREAM = b"flamingohead-upstream"
 RELAY_SERVICE = b"flamingohead-service"
 RELAY_RANK = b"flamingohead-rank"
@@ -45,6 +47,11 @@
     def started(self) -> bool:
         return self._response.started
 
+    def attach(self, connection: ClientConnection) -> None:
+        """Let the caller's pace hold back the connection of the answer."""
+        self._response.on_pause = connection.pause
+        self._response.on_resume = connection.resume
+
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         self.refusal = _read_refusal(headers, time.monotonic())
         if self.refusal is None:
@@ -88,14 +95,14 @@
 
 def read_attempt(request: IncomingRequest) -> int | Refusal:
     """Return the caller's number of an attempt, or 0 if it gave none."""
-    value = request.get_header(ATTEMPT_HEADER)
+    value = request.get_header(KEY_ATTEMPT_HEADER)
     if value is None:
         return UNMARKED
     valid = value.isdigit() and len(value) <= MAX_ATTEMPT_DIGITS
     if not valid or int(value) < FIRST_ATTEMPT:
         return Refusal(
             ErrorKind.MALFORMED_REQUEST,
-            f"request-attempt {value[:20]!r} is not a whole number from 1",
+            f"idempotency-attempt {value[:20]!r} is not a whole number from 1",
         )
     return int(value)
 
--- a/flamingohead/services/scopes.py
+++ b/flamingohead/services/scopes.py
@@ -23,7 +23,7 @@
 from flamingohead.core.ledger import KeyLedger, LedgerEntry, LedgerSettings
 from flamingohead.core.scopes import Scope, meet_scoped, read_scope
 from flamingohead.protocol import peers_pb2 as pb
-from flamingohead.services.http_client import OutgoingRequest
+from flamingohead.services.http_messages import OutgoingRequest
 from flamingohead.services.key_runs import KeyRuns
 from flamingohead.services.relay import RelaySink, build_home_headers
 
@@ -31,7 +31,7 @@
     from flamingohead.core.calls import Call
     from flamingohead.core.idempotency import KeyedRequest
     from flamingohead.kernel import Kernel
-    from flamingohead.services.http_server import ServerResponse
+    from flamingohead.services.http_response import ServerResponse
 
 logger = logging.getLogger(__name__)
 
