--- a/flamingohead/services/keys.py
+++ b/flamingohead/services/keys.py
@@ -132,14 +132,12 @@
         self, request: KeyedRequest, deadline: float
     ) -> StoredAnswer | Refusal | None:
         known = meet_claimed(self.ledger, request)
-        if isinstance(known, LedgerEntry):
+        while isinstance(known, LedgerEntry):
             self._kernel.get("metrics").count("key.attached")
             outcome = await self.runs.wait(known, deadline)
             if not outcome.state.is_final:
                 return describe_outcome(outcome)
             known = meet_claimed(self.ledger, request)
-        if isinstance(known, LedgerEntry):
-            return Refusal(ErrorKind.KEY_IN_PROGRESS, "another attempt is running")
         return known
 
     def _check_limits(
--- a/flamingohead/services/scopes.py
+++ b/flamingohead/services/scopes.py
@@ -165,14 +165,12 @@
         self, scope: Scope, request: KeyedRequest, deadline: float
     ) -> StoredAnswer | Refusal | None:
         known = self._look_up(scope, request)
-        if isinstance(known, LedgerEntry):
+        while isinstance(known, LedgerEntry):
             self._kernel.get("metrics").count("key.attached")
             outcome = await self.runs.wait(known, deadline)
             if not outcome.state.is_final:
                 return describe_outcome(outcome)
             known = self._look_up(scope, request)
-        if isinstance(known, LedgerEntry):
-            return Refusal(ErrorKind.KEY_IN_PROGRESS, "another attempt is running")
         return known
 
     def _look_up(
--- /dev/null
+++ b/flamingohead/testing/fake_scopes.py
@@ -0,0 +1,122 @@
+"""Fakes around the core of scoped keys: homes that restart, a journal that judges."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.idempotency import FIRST_ATTEMPT, KeyedRequest, StoredAnswer
+from flamingohead.core.ledger import KeyLedger, LedgerEntry
+from flamingohead.core.scopes import Scope, meet_scoped, read_scope
+from flamingohead.testing.fake_keys import SERVICE, Execution, Run
+
+SECRET = b"fake"
+TIMEOUT = 5.0
+SCOPE_SECONDS = 60
+RETENTION = 60.0
+
+
+@dataclass
+class FakeHome:
+    """Hold the memory of one home; a restart loses it."""
+
+    number: int
+    ledger_id: str
+    ledger: KeyLedger = field(default_factory=KeyLedger)
+    cut: bool = False
+
+
+@dataclass
+class ScopedAttempt:
+    """Follow one attempt; ``sequence`` counts the sendings of its key."""
+
+    request: KeyedRequest
+    sequence: int
+    home: FakeHome
+    scope: Scope
+    entry: LedgerEntry | None = None
+    running: Execution | None = None
+    result: StoredAnswer | Refusal | None = None
+
+
+class FakeHomes:
+    """Step attempts with scoped keys at their homes."""
+
+    def __init__(self, count: int) -> None:
+        self.now = 0.0
+        self.journal: list[Run] = []
+        self._counter = 0
+        self.homes = [FakeHome(number, self._name("")) for number in range(count)]
+
+    def make_key(self, home: int, suffix: str) -> str:
+        expires_at = int(self.now) + SCOPE_SECONDS
+        scope = Scope(str(home), "", self.homes[home].ledger_id, expires_at)
+        return scope.encode(SECRET) + suffix
+
+    def send(self, key: str, number: int, sequence: int) -> ScopedAttempt:
+        scope = read_scope(key, SECRET)
+        request = KeyedRequest(SERVICE, key, "", number, self._name("call"))
+        home = self.homes[int(scope.host_id)]
+        return ScopedAttempt(request, sequence, home, scope)
+
+    def restart(self, number: int, attempts: list[ScopedAttempt]) -> None:
+        """Replace a home by another process at the same address."""
+        home = self.homes[number]
+        home.ledger = KeyLedger()
+        home.ledger_id = self._name("")
+        for attempt in attempts:
+            if attempt.home is home and attempt.entry is not None:
+                attempt.result = Refusal(ErrorKind.HOST_CUT)
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for home in self.homes:
+            home.ledger.expire(self.now)
+
+    def step(self, attempt: ScopedAttempt, execution: Execution) -> None:
+        """Let an attempt arrive at its home, or let its run end."""
+        if attempt.result is not None:
+            return
+        if attempt.running is not None:
+            self._conclude(attempt)
+        elif attempt.home.cut:
+            ran = Ran.NO if attempt.request.attempt == FIRST_ATTEMPT else None
+            attempt.result = Refusal(ErrorKind.KEY_HOME_UNREACHABLE, ran_override=ran)
+        else:
+            self._arrive(attempt, execution)
+
+    def _arrive(self, attempt: ScopedAttempt, execution: Execution) -> None:
+        home, scope, request = attempt.home, attempt.scope, attempt.request
+        known = meet_scoped(home.ledger, home.ledger_id, scope, request, self.now)
+        if isinstance(known, LedgerEntry):
+            return
+        if known is None:
+            expires_at = scope.expires_at + RETENTION
+            known = home.ledger.open(request, self._name("nonce"), expires_at)
+        if not isinstance(known, LedgerEntry):
+            attempt.result = known
+            return
+        attempt.entry = known
+        refusal = home.ledger.start(known.nonce, self.now, self.now + TIMEOUT)
+        if refusal is not None:
+            attempt.result = refusal
+            return
+        attempt.running = execution
+        if execution in (Execution.ANSWERED, Execution.CUT_AFTER):
+            self.journal.append(Run(request.key, "", attempt.sequence))
+
+    def _conclude(self, attempt: ScopedAttempt) -> None:
+        ledger, nonce = attempt.home.ledger, attempt.entry.nonce
+        if attempt.running is Execution.ANSWERED:
+            attempt.result = StoredAnswer(200, (), attempt.request.key.encode())
+            ledger.finish(nonce, attempt.result)
+        elif attempt.running is Execution.SHED:
+            ledger.refuse(nonce)
+            attempt.result = Refusal(ErrorKind.UPSTREAM_SHED, key_checked=True)
+        else:
+            ledger.lose(nonce)
+            attempt.result = Refusal(ErrorKind.UPSTREAM_CUT)
+
+    def _name(self, kind: str) -> str:
+        self._counter += 1
+        return f"{kind}{self._counter}"
