Check admission before a claim is written, so that a flood writes none

Cause: a keyed request wrote its claim before admission refused it; a flood of hand-overs would have spent the table's several hundred writes a second on rows for requests that never ran.

Change: Admission.check gives the refusal that an offer would meet and queues nothing; the slots pass it to the key service, which asks before it writes.

Tests (flamingohead/tests/test_key_services.py): a flood refused by admission leaves 0 writes and 0 ledger entries; with the table hanging and a limit of 2 the third claim is refused at once and nothing has started; an answer is kept for a caller that left; a row is deleted when its key expires.

--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -166,6 +166,16 @@
         self._enqueue(queue, ticket, now)
         return False
 
+    def check(self, ticket: Ticket, now: float) -> Refusal | None:
+        """Return the refusal that an offer would meet; the ticket isn't queued."""
+        if now >= ticket.deadline:
+            return Refusal(
+                ErrorKind.DEADLINE_PASSED, "deadline passed before admission"
+            )
+        if self.in_use < self.limit and not self._waiting:
+            return None
+        return self._check_queue(self._find_queue(ticket.rank), ticket, now)
+
     def release(self, ticket: Ticket, now: float) -> Turn:
         """Free the slot of a ticket and pass it on."""
         if ticket.state is not TicketState.ADMITTED:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -143,10 +143,15 @@
                 call,
                 response,
                 lambda recording: self._run(upstream, call, AnswerRelay(recording)),
+                check=lambda: self._check(upstream, call),
             )
         finally:
             self.in_flight -= 1
 
+    def _check(self, upstream: LocalUpstream, call: Call) -> Refusal | None:
+        ticket = Ticket(call.rank, call.deadline, call.caller)
+        return upstream.admission.check(ticket, time.monotonic())
+
     async def _run(
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
--- /dev/null
+++ b/flamingohead/tests/test_key_services.py
@@ -0,0 +1,196 @@
+"""Tests of the service around claims, with fakes for the table and the response."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from types import SimpleNamespace
+
+from flamingohead.core.calls import Call
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.ledger import LedgerSettings
+from flamingohead.core.members import Member
+from flamingohead.services.keys import KeyService
+from flamingohead.services.platform import Row
+
+QUEUE_FULL = Refusal(ErrorKind.QUEUE_FULL)
+
+
+class FakeTable:
+    def __init__(self):
+        self.rows = {}
+        self.writes = 0
+        self.answering = asyncio.Event()
+        self.answering.set()
+
+    async def insert(self, key, value):
+        await self.answering.wait()
+        self.writes += 1
+        if key in self.rows:
+            return False
+        self.rows[key] = Row(key, value, f"{self.writes}")
+        return True
+
+    async def read(self, key):
+        await self.answering.wait()
+        return self.rows.get(key)
+
+    async def delete(self, key, *, tag=None):
+        if self.rows[key].tag != tag:
+            return False
+        del self.rows[key]
+        return True
+
+
+class FakeResponse:
+    def __init__(self):
+        self.on_disconnect = self.on_pause = self.on_resume = None
+        self.started = self.finished = False
+        self.body = b""
+
+    def start(self, status, headers, *, length):
+        self.started = True
+
+    def write(self, data):
+        self.body += data
+
+    def finish(self):
+        self.finished = True
+
+    def send(self, status, headers, body):
+        self.start(status, headers, length=len(body))
+        self.write(body)
+        self.finish()
+
+
+class FakeRun:
+    """Answer when told to, and count the runs."""
+
+    def __init__(self):
+        self.count = 0
+        self.answering = asyncio.Event()
+        self.answering.set()
+
+    async def __call__(self, response):
+        self.count += 1
+        await self.answering.wait()
+        response.start(200, [], length=4)
+        response.write(b"done")
+        response.finish()
+
+
+def build_service(table, *, claim_limit=64, key_lifetime=60.0):
+    member = Member("osu-1", "osu", "127.0.0.1:1", "127.0.0.1:2", 1)
+    membership = SimpleNamespace(
+        myself=member, list_alive=lambda: [], count_members=lambda: 1
+    )
+    counters = Counter()
+    services = {
+        "table": table,
+        "gossip": SimpleNamespace(membership=membership),
+        "metrics": SimpleNamespace(
+            count=lambda name, amount=1: counters.update({name: amount}),
+            set_gauge=lambda name, value: None,
+        ),
+    }
+    return KeyService(
+        SimpleNamespace(get=services.__getitem__),
+        key_lifetime=key_lifetime,
+        claim_limit=claim_limit,
+        stop_timeout=1.0,
+        limits=LedgerSettings(),
+        random=random.Random(1),
+    )
+
+
+def build_call(key, attempt=0):
+    deadline = time.monotonic() + 5.0
+    return Call(
+        "booking",
+        "confirm",
+        "POST",
+        b"/visits",
+        (),
+        b"",
+        deadline,
+        False,
+        key,
+        attempt=attempt,
+        call_id=f"{key}-{attempt}",
+    )
+
+
+class TestKeyService:
+    def test_flood_refused_by_admission_writes_no_claim(self):
+        async def run():
+            table, fake_run = FakeTable(), FakeRun()
+            service = build_service(table)
+            call = build_call("visit-1")
+            refusal = await service.run_once(
+                call, FakeResponse(), fake_run, check=lambda: QUEUE_FULL
+            )
+            assert refusal is QUEUE_FULL
+            assert (table.writes, fake_run.count, len(service.ledger)) == (0, 0, 0)
+
+        asyncio.run(run())
+
+    def test_slow_table_bounds_claims_and_starts_nothing(self):
+        async def run():
+            table, fake_run = FakeTable(), FakeRun()
+            table.answering.clear()
+            service = build_service(table, claim_limit=2)
+            waiting = [
+                asyncio.create_task(
+                    service.run_once(build_call(key), FakeResponse(), fake_run)
+                )
+                for key in ("visit-1", "visit-2")
+            ]
+            await asyncio.sleep(0)
+            for attempt, ran in ((0, Ran.UNKNOWN), (1, Ran.NO)):
+                call = build_call("visit-3", attempt)
+                refusal = await service.run_once(call, FakeResponse(), fake_run)
+                assert refusal.kind is ErrorKind.CLAIM_UNAVAILABLE
+                assert refusal.ran is ran
+            assert fake_run.count == 0
+            table.answering.set()
+            assert await asyncio.gather(*waiting) == [None, None]
+            assert fake_run.count == 2
+
+        asyncio.run(run())
+
+    def test_answer_is_kept_for_a_caller_that_left(self):
+        async def run():
+            service, fake_run = build_service(FakeTable()), FakeRun()
+            fake_run.answering.clear()
+            left = FakeResponse()
+            task = asyncio.create_task(
+                service.run_once(build_call("visit-1"), left, fake_run)
+            )
+            left.on_disconnect = task.cancel
+            while not fake_run.count:
+                await asyncio.sleep(0)
+            left.on_disconnect()
+            await asyncio.gather(task, return_exceptions=True)
+            fake_run.answering.set()
+            response = FakeResponse()
+            call = build_call("visit-1", 2)
+            assert await service.run_once(call, response, fake_run) is None
+            assert (response.body, fake_run.count) == (b"done", 1)
+
+        asyncio.run(run())
+
+    def test_row_is_deleted_when_its_key_expires(self):
+        async def run():
+            table = FakeTable()
+            service = build_service(table, key_lifetime=0.5)
+            await service.start()
+            await service.run_once(build_call("visit-1"), FakeResponse(), FakeRun())
+            assert len(table.rows) == 1
+            while table.rows:
+                await asyncio.sleep(0.05)
+            assert len(service.ledger) == 0
+            await service.stop()
+
+        asyncio.run(run())
