Let answers of peers expire, and pull past a rejected version at once

A second one, found by a directed property: a daemon that had rejected a version waited up to 60 s before it pulled a later one (times=1: no PullFromPeer at 0.5 s).

Change: an answer of a peer counts for 5 s; a rejection puts off pulls of that version and earlier ones only.

--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -129,11 +129,11 @@
         """Pull from a peer that holds a newer version."""
         effects: list[DisseminationEffect] = []
         if not self.readiness.is_ready:
-            self.readiness.receive_peer_version(address, version)
+            self.readiness.receive_peer_version(address, version, now)
             effects += self._update_readiness(now)
         if version <= self.replica.version:
             return effects
-        if now < self._next_pull_at or self.rejections.postpones(now):
+        if now < self._next_pull_at or self.rejections.postpones(version, now):
             return effects
         self._next_pull_at = now + self._settings.pull_timeout
         return [*effects, PullFromPeer(address, self.replica.version)]
--- a/flamingohead/core/readiness.py
+++ b/flamingohead/core/readiness.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from automat import TypeMachineBuilder
 
 SAMPLE_SIZE = 3
 SAMPLE_WAIT = 3.0
+ANSWER_LIFETIME = 5.0
 
 
 class _Inputs(Protocol):
@@ -52,12 +54,18 @@
 _Machine = _build_machine()
 
 
+@dataclass(frozen=True)
+class _Answer:
+    version: int
+    expires_at: float
+
+
 class Readiness:
     """Decide when a started daemon may serve; it stays ready from then on."""
 
     def __init__(self) -> None:
         self._machine = _Machine(_NoCore())
-        self._answers: dict[str, int] = {}
+        self._answers: dict[str, _Answer] = {}
         self._sample_ends_at: float | None = None
         self.is_ready = False
 
@@ -71,17 +79,23 @@
             self._sample_ends_at = now + SAMPLE_WAIT
         self.is_ready = self._machine.fail_table_read()
 
-    def receive_peer_version(self, address: str, version: int) -> None:
+    def receive_peer_version(self, address: str, version: int, now: float) -> None:
         """Note the version that a peer holds; 0 says nothing about the newest."""
         if self.is_ready or version == 0:
             return
-        self._answers[address] = max(version, self._answers.get(address, 0))
+        known = self._answers.get(address)
+        if known is None or version >= known.version or now >= known.expires_at:
+            self._answers[address] = _Answer(version, now + ANSWER_LIFETIME)
 
     def update(self, held: int, now: float, *, members: int) -> None:
         """Check the sample; ``members`` counts the failure domain with this daemon."""
-        if self.is_ready or not self._answers or self._sample_ends_at is None:
+        if self.is_ready or self._sample_ends_at is None:
+            return
+        # A peer that is gone can't hold this daemon back with what it once showed.
+        answers = [a.version for a in self._answers.values() if now < a.expires_at]
+        if not answers:
             return
         wanted = min(SAMPLE_SIZE, max(1, members - 1))
-        complete = len(self._answers) >= wanted or now >= self._sample_ends_at
-        if complete and held >= max(self._answers.values()):
+        complete = len(answers) >= wanted or now >= self._sample_ends_at
+        if complete and held >= max(answers):
             self.is_ready = self._machine.complete_sample()
--- a/flamingohead/core/rejections.py
+++ b/flamingohead/core/rejections.py
@@ -38,9 +38,12 @@
             del self._rejections[min(self._rejections)]
         return known is None or known.refusal.detail != refusal.detail
 
-    def postpones(self, now: float) -> bool:
-        """Tell whether pulls wait because a rejection is recent."""
-        return any(now < r.retry_at for r in self._rejections.values())
+    def postpones(self, version: int, now: float) -> bool:
+        """Tell whether a version waits, as it or a later one was rejected lately."""
+        return any(
+            rejected >= version and now < rejection.retry_at
+            for rejected, rejection in self._rejections.items()
+        )
 
     def clear_up_to(self, version: int) -> None:
         """Forget the rejections of versions that are behind."""
--- a/properties/test_configuration_storms.py
+++ b/properties/test_configuration_storms.py
@@ -42,6 +42,15 @@
         assert reports == 1
         assert [r.version for r in state.rejections.list_all()] == [1]
 
+    @given(times=st.integers(1, 12))
+    def test_news_of_a_later_version_is_pulled_at_once(self, times):
+        state = Dissemination(Replica(), random=Random(0))
+        torn = replace(create_record(state.replica.snapshot), change=Change())
+        for _ in range(times):
+            state.receive_records([torn], 0.0)
+        assert not state.receive_peer_version("x", 1, 0.5)
+        assert PullFromPeer("x", 0) in state.receive_peer_version("x", 2, 0.5)
+
     def test_taking_it_later_clears_the_report(self):
         state = Dissemination(Replica(), random=Random(0))
         record = create_record(state.replica.snapshot)
