--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -253,7 +253,7 @@
         target = self._choose_target()
         if target is None:
             return []
-        suspected = target if target.status is MemberStatus.SUSPECT else None
+        suspected = (target,) if target.status is MemberStatus.SUSPECT else ()
         ping = self._ping(target.peer_address, first=suspected)
         self._probe = Probe(
             ping.datagram.sequence,
@@ -308,11 +308,20 @@
         return ping
 
     def _answer_ping(self, datagram: Datagram) -> MembershipEffect:
-        """Acknowledge; tell a sender held to be suspect or dead, so it can refute."""
+        """Acknowledge; tell a sender held to be suspect or dead, so it can refute.
+
+        A sender that holds an older state of this member is told the current one.
+        """
+        first: list[Member] = []
         held = self._list.get_held(datagram.sender)
-        told = held if held and held.status is not MemberStatus.ALIVE else None
+        if held is not None and held.status is not MemberStatus.ALIVE:
+            first.append(held)
+        if any(member.host_id == self.myself.host_id for member in datagram.updates):
+            first.append(self.myself)
         ack = Ack(self.myself.host_id)
-        return self._send(datagram.sender_address, ack, datagram.sequence, first=told)
+        return self._send(
+            datagram.sender_address, ack, datagram.sequence, first=tuple(first)
+        )
 
     def _take_ack(self, datagram: Datagram, body: Ack) -> list[MembershipEffect]:
         relayed = self._relayed.get(datagram.sequence)
@@ -335,7 +344,7 @@
         dead = self._list.tombstones.choose_dead(self._random)
         if dead is None:
             return []
-        return [self._ping(dead.peer_address, first=dead)]
+        return [self._ping(dead.peer_address, first=(dead,))]
 
     def _gossip(self, now: float) -> list[MembershipEffect]:
         self._next_gossip_at = now + self._settings.gossip_period
@@ -347,7 +356,7 @@
     # Sending
 
     def _ping(
-        self, address: str, *, first: Member | None = None, size: int | None = None
+        self, address: str, *, first: tuple[Member, ...] = (), size: int | None = None
     ) -> SendDatagram:
         self._sequence += 1
         return self._send(address, Ping(), self._sequence, first=first, size=size)
@@ -358,7 +367,7 @@
         body: Body,
         sequence: int = 0,
         *,
-        first: Member | None = None,
+        first: tuple[Member, ...] = (),
         size: int | None = None,
     ) -> SendDatagram:
         used = estimate_body_size(body) if size is None else size
@@ -374,9 +383,15 @@
         )
         return SendDatagram(address, datagram)
 
-    def _choose_updates(self, used: int, first: Member | None) -> tuple[Member, ...]:
+    def _choose_updates(
+        self, used: int, first: tuple[Member, ...]
+    ) -> tuple[Member, ...]:
         room = MAX_DATAGRAM_BYTES - estimate_envelope_size(self.myself) - used
-        if first is None:
-            return self._list.take_updates(room)
-        room -= estimate_member_size(first)
-        return (first, *self._list.take_updates(room))
+        told: list[Member] = []
+        for member in first:
+            size = estimate_member_size(member)
+            if size <= room:
+                room -= size
+                told.append(member)
+        told += [m for m in self._list.take_updates(room) if m not in told]
+        return tuple(told)
--- /dev/null
+++ b/flamingohead/services/summaries.py
@@ -0,0 +1,82 @@
+"""Summaries exchanged with daemons of other failure domains."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from twisted.internet.task import LoopingCall
+
+from flamingohead.core.messages import Datagram
+from flamingohead.core.summaries import (
+    LocalSummary,
+    RemoteSummaries,
+    RemoteSummary,
+    SummaryReply,
+    SummaryRequest,
+    summarize_members,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from flamingohead.kernel import Kernel
+
+TICK_PERIOD = 0.1
+REFRESH_PERIOD = 1.0
+CONTACTS_TOLD = 2
+
+
+class SummaryService:
+    """Ask other failure domains for their services, and answer them."""
+
+    def __init__(self, kernel: Kernel, failure_domain: str, *, random: Random) -> None:
+        self.remote = RemoteSummaries(failure_domain, random=random)
+        self._kernel = kernel
+        self._random = random
+        self._local = LocalSummary()
+        self._refreshed_at = 0.0
+        self._ticks = LoopingCall(self._tick)
+
+    async def start(self) -> None:
+        self._ticks.start(TICK_PERIOD, now=False)
+
+    async def stop(self) -> None:
+        self._ticks.stop()
+
+    def list_remote(self, service: str) -> list[RemoteSummary]:
+        """Return what other failure domains offer of a service now."""
+        return self.remote.list_remote(service, time.monotonic())
+
+    def receive(self, datagram: Datagram) -> None:
+        """Handle a datagram from another failure domain."""
+        now = time.monotonic()
+        domain = datagram.failure_domain
+        self.remote.add_contact(domain, datagram.sender_address, now)
+        body = datagram.body
+        if isinstance(body, SummaryRequest):
+            self._answer(datagram, body, now)
+        elif isinstance(body, SummaryReply):
+            self._kernel.get("metrics").count("summary.replies")
+            self.remote.receive_reply(domain, datagram.sequence, body, now)
+
+    def _answer(self, datagram: Datagram, request: SummaryRequest, now: float) -> None:
+        membership = self._kernel.get("gossip").membership
+        if now >= self._refreshed_at + REFRESH_PERIOD:
+            self._refreshed_at = now
+            members = [membership.myself, *membership.list_alive()]
+            self._local.set_services(summarize_members(members))
+        alive = membership.list_alive()
+        told = self._random.sample(alive, min(len(alive), CONTACTS_TOLD))
+        contacts = tuple(member.peer_address for member in told)
+        for reply in self._local.answer(request, contacts, self._random):
+            self._kernel.get("gossip").send_remote(
+                datagram.sender_address, datagram.sequence, reply
+            )
+
+    def _tick(self) -> None:
+        for effect in self.remote.tick(time.monotonic()):
+            self._kernel.get("metrics").count("summary.requests")
+            self._kernel.get("gossip").send_remote(
+                effect.address, effect.sequence, effect.request
+            )
--- a/flamingohead/standins/upstream.py
+++ b/flamingohead/standins/upstream.py
@@ -88,6 +88,8 @@
     counters: UpstreamCounters = field(default_factory=UpstreamCounters)
     journal: list[JournalEntry] = field(default_factory=list)
     _queue: deque[_Job] = field(default_factory=deque)
+    _incarnation: int = field(default_factory=lambda: int(time.time() * 1000))
+    _sequence: int = 0
     _in_use: int = 0
     _started_at: float = 0.0
     _loads: deque[_LoadSample] = field(default_factory=deque)
@@ -113,10 +115,13 @@
 
     async def _drain(self) -> None:
         self.status = "draining"
-        await self._announce("draining")
         deadline = time.monotonic() + 10
         quiet_at = time.monotonic() + 1.0
+        announce_at = 0.0
         while time.monotonic() < deadline:
+            if time.monotonic() >= announce_at:
+                announce_at = time.monotonic() + ANNOUNCE_PERIOD
+                await self._announce("draining")
             await asyncio.sleep(0.05)
             if self._in_use or self._queue:
                 quiet_at = time.monotonic() + 0.5
@@ -125,7 +130,10 @@
         await self._announce("gone")
 
     async def _announce(self, status: str) -> None:
+        self._sequence += 1
         body = {
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
             "service": self.service,
             "address": self.address,
             "slots": self.settings.slots,
--- a/flamingohead/testing/network.py
+++ b/flamingohead/testing/network.py
@@ -41,6 +41,7 @@
 
     membership: Membership
     address: str
+    number: int
     frozen: bool = False
     frozen_at: float = 0.0
     group: int = 0
@@ -85,7 +86,8 @@
         address = address or f"{host_id}:1"
         myself = Member(host_id, failure_domain, address, address, incarnation)
         random = Random(self._random.getrandbits(64))
-        node = FakeNode(Membership(myself, random=random, settings=settings), address)
+        membership = Membership(myself, random=random, settings=settings)
+        node = FakeNode(membership, address, next(self._counter))
         self.nodes[address] = node
         first_at = self.now + self._random.uniform(0, TICK_PERIOD)
         heapq.heappush(self._ticks, (first_at, next(self._counter), node))
