--- a/flamingohead/core/memberlist.py
+++ b/flamingohead/core/memberlist.py
@@ -55,6 +55,15 @@
         limit = TRANSMIT_FACTOR * math.ceil(math.log10(len(self.members) + 2))
         return self.queue.take(self.get_held, size=size, limit=limit)
 
+    def list_accused(self) -> list[Member]:
+        """Return the members that this one suspects by its own probes."""
+        own = self.myself.host_id
+        return [
+            self.members[host_id]
+            for host_id, suspicion in self._suspicions.items()
+            if own in suspicion.accusers
+        ]
+
     # Events
 
     def restate(self, *, incarnation: int | None = None, **changes) -> None:
@@ -64,8 +73,13 @@
         self.myself = replace(self.myself, incarnation=incarnation, **changes)
         self.queue.add(self.myself.host_id)
 
-    def take_update(self, member: Member, now: float) -> list[MemberChanged]:
-        """Take a state told by another member, unless a newer one is held."""
+    def take_update(
+        self, member: Member, now: float, *, spread: bool = True
+    ) -> list[MemberChanged]:
+        """Take a state told by another member, unless a newer one is held.
+
+        It is told on to others where ``spread`` is set.
+        """
         if member.host_id == self.myself.host_id:
             self._refute(member)
             return []
@@ -73,9 +87,11 @@
             return []
         held = self.get_held(member.host_id)
         if held is None:
-            return self._store(member, now) if member.is_usable else []
+            if not member.is_usable:
+                return []
+            return self._store(member, now, spread=spread)
         if member.supersedes(held):
-            return self._store(member, now)
+            return self._store(member, now, spread=spread)
         if member.incarnation == held.incarnation:
             self._confirm_suspicion(member)
         return []
@@ -134,7 +150,9 @@
             self.members[accused.host_id] = accused
             self.queue.add(accused.host_id)
 
-    def _store(self, member: Member, now: float) -> list[MemberChanged]:
+    def _store(
+        self, member: Member, now: float, *, spread: bool = True
+    ) -> list[MemberChanged]:
         host_id = member.host_id
         previous = self.get_held(host_id)
         self._suspicions.pop(host_id, None)
@@ -147,7 +165,8 @@
                 self.queue.discard(dropped)
         if member.status is MemberStatus.SUSPECT:
             self._suspicions[host_id] = self._build_suspicion(member.accuser, now)
-        self.queue.add(host_id)
+        if spread:
+            self.queue.add(host_id)
         return [MemberChanged(member, previous)]
 
     def _build_suspicion(self, accuser: str, now: float) -> Suspicion:
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from flamingohead.core.datagrams import DatagramBuilder, SendDatagram
 from flamingohead.core.memberlist import MemberChanged, MemberList
 from flamingohead.core.members import Member, MemberStatus, UpstreamState
 from flamingohead.core.messages import (
@@ -22,9 +23,7 @@
     News,
     Ping,
     PingRequest,
-    estimate_body_size,
     estimate_envelope_size,
-    estimate_member_size,
 )
 from flamingohead.core.probes import Probe, RelayedProbe
 
@@ -38,6 +37,7 @@
 
 INDIRECT_PROBES = 3
 LEAVE_FANOUT = 8
+MAX_SPREAD = 64
 
 
 @dataclass(frozen=True)
@@ -58,14 +58,6 @@
     pause_threshold: float = 0.5
 
 
-@dataclass(frozen=True)
-class SendDatagram:
-    """Send a datagram to an address."""
-
-    address: str
-    datagram: Datagram
-
-
 MembershipEffect = SendDatagram | MemberChanged
 
 
@@ -91,12 +83,10 @@
         settings: MembershipSettings = MembershipSettings(),
     ) -> None:
         self.heard_versions: dict[str, HeardVersion] = {}
-        self.version = 0
-        self.digest = b""
         self._list = MemberList(myself, settings)
         self._settings = settings
         self._random = random
-        self._sequence = random.getrandbits(32)
+        self._datagrams = DatagramBuilder(self._list, random.getrandbits(32))
         self._probe: Probe | None = None
         self._next_probe_at = 0.0
         self._next_gossip_at = 0.0
@@ -138,8 +128,8 @@
 
     def set_version(self, version: int, digest: bytes) -> None:
         """Set the configuration version that datagrams advertise."""
-        self.version = version
-        self.digest = digest
+        self._datagrams.version = version
+        self._datagrams.digest = digest
 
     def set_upstreams(self, upstreams: Iterable[UpstreamState]) -> None:
         """Announce new states of the upstreams on this host."""
@@ -151,15 +141,31 @@
         """Announce that this member leaves."""
         self._list.restate(status=MemberStatus.LEFT)
         return [
-            self._send(member.peer_address, Gossip())
+            self._datagrams.send(member.peer_address, Gossip())
             for member in self._choose_members(LEAVE_FANOUT)
         ]
 
     def merge(self, members: Iterable[Member], now: float) -> list[MembershipEffect]:
-        """Take in member states learned from a peer."""
+        """Take in member states learned from a peer, and tell them on."""
         self._note_time(now)
         return self._take_updates(members, now)
 
+    def take_state(
+        self, members: Iterable[Member], now: float
+    ) -> list[MembershipEffect]:
+        """Take in the state that a peer gave at a join.
+
+        A member that knew nobody tells on nothing of it, since the others know
+        already; one that did may have come from another part of the failure domain.
+        """
+        self._note_time(now)
+        room = MAX_SPREAD if self.members else 0
+        effects: list[MembershipEffect] = []
+        for member in members:
+            taken = self._take_updates([member], now, spread=len(effects) < room)
+            effects += taken
+        return effects
+
     def build_news(
         self, record: VersionRecord, fanout: int, *, size: int
     ) -> list[SendDatagram]:
@@ -172,18 +178,21 @@
         body = News(record) if size <= room else Gossip()
         used = size if size <= room else 0
         return [
-            self._send(member.peer_address, body, size=used)
+            self._datagrams.send(member.peer_address, body, size=used)
             for member in self._choose_members(fanout)
         ]
 
     def build_pings(self, host_ids: Iterable[str]) -> list[SendDatagram]:
         """Return pings whose answers tell the versions of some members."""
         members = [self.members[h] for h in host_ids if h in self.members]
-        return [self._ping(m.peer_address, size=MAX_DATAGRAM_BYTES) for m in members]
+        return [
+            self._datagrams.ping(m.peer_address, size=MAX_DATAGRAM_BYTES)
+            for m in members
+        ]
 
     def build_remote(self, address: str, sequence: int, body: Body) -> SendDatagram:
         """Return a datagram to a daemon of another failure domain."""
-        return self._send(address, body, sequence, size=MAX_DATAGRAM_BYTES)
+        return self._datagrams.send(address, body, sequence, size=MAX_DATAGRAM_BYTES)
 
     def tick(self, now: float) -> list[MembershipEffect]:
         """Advance probes, suspicions and removals to ``now``."""
@@ -194,6 +203,7 @@
             effects += self._start_probe(now)
         if now >= self._next_gossip_at:
             effects += self._gossip(now)
+            effects += self._tell_accused()
         if now >= self._next_dead_probe_at:
             effects += self._probe_dead(now)
         return effects
@@ -232,11 +242,11 @@
         return self._note_changes(self._list.expire(now))
 
     def _take_updates(
-        self, members: Iterable[Member], now: float
+        self, members: Iterable[Member], now: float, *, spread: bool = True
     ) -> list[MembershipEffect]:
         effects: list[MemberChanged] = []
         for member in members:
-            effects += self._list.take_update(member, now)
+            effects += self._list.take_update(member, now, spread=spread)
         return self._note_changes(effects)
 
     def _note_changes(self, effects: list[MemberChanged]) -> list[MembershipEffect]:
@@ -254,7 +264,7 @@
         if target is None:
             return []
         suspected = (target,) if target.status is MemberStatus.SUSPECT else ()
-        ping = self._ping(target.peer_address, first=suspected)
+        ping = self._datagrams.ping(target.peer_address, first=suspected)
         self._probe = Probe(
             ping.datagram.sequence,
             target,
@@ -292,14 +302,20 @@
         return []
 
     def _send_indirect_probes(self, probe: Probe) -> list[MembershipEffect]:
+        """Probe again through others, and once more directly."""
+        address = probe.target.peer_address
+        effects = [self._datagrams.send(address, Ping(), probe.sequence)]
         chosen = self._choose_members(INDIRECT_PROBES, excluded=probe.target.host_id)
-        body = PingRequest(probe.target.peer_address)
-        return [self._send(m.peer_address, body, probe.sequence) for m in chosen]
+        body = PingRequest(address)
+        effects += [
+            self._datagrams.send(m.peer_address, body, probe.sequence) for m in chosen
+        ]
+        return effects
 
     def _relay_probe(
         self, datagram: Datagram, body: PingRequest, now: float
     ) -> MembershipEffect:
-        ping = self._ping(body.target)
+        ping = self._datagrams.ping(body.target)
         self._relayed[ping.datagram.sequence] = RelayedProbe(
             datagram.sender_address,
             datagram.sequence,
@@ -318,16 +334,28 @@
             first.append(held)
         if any(member.host_id == self.myself.host_id for member in datagram.updates):
             first.append(self.myself)
-        ack = Ack(self.myself.host_id)
-        return self._send(
+        known = held is not None and held.is_usable
+        ack = Ack(self.myself.host_id, unknown_sender=not known)
+        return self._datagrams.send(
             datagram.sender_address, ack, datagram.sequence, first=tuple(first)
         )
 
     def _take_ack(self, datagram: Datagram, body: Ack) -> list[MembershipEffect]:
+        if body.unknown_sender and body.subject == datagram.sender:
+            address = datagram.sender_address
+            return [
+                *self._end_probe(datagram, body),
+                self._datagrams.send(address, Gossip(), first=(self.myself,)),
+            ]
+        return self._end_probe(datagram, body)
+
+    def _end_probe(self, datagram: Datagram, body: Ack) -> list[MembershipEffect]:
         relayed = self._relayed.get(datagram.sequence)
         if relayed is not None:
             return [
-                self._send(relayed.requester_address, body, relayed.requester_sequence)
+                self._datagrams.send(
+                    relayed.requester_address, body, relayed.requester_sequence
+                )
             ]
         probe = self._probe
         if probe is None or probe.sequence != datagram.sequence:
@@ -344,54 +372,18 @@
         dead = self._list.tombstones.choose_dead(self._random)
         if dead is None:
             return []
-        return [self._ping(dead.peer_address, first=(dead,))]
+        return [self._datagrams.ping(dead.peer_address, first=(dead,))]
+
+    def _tell_accused(self) -> list[MembershipEffect]:
+        """Tell the members that this one suspects, so that they can refute soon."""
+        accused = self._list.list_accused()
+        return [self._datagrams.ping(m.peer_address, first=(m,)) for m in accused]
 
     def _gossip(self, now: float) -> list[MembershipEffect]:
         self._next_gossip_at = now + self._settings.gossip_period
         if not self._list.queue:
             return []
         chosen = self._choose_members(1)
-        return [self._send(member.peer_address, Gossip()) for member in chosen]
-
-    # Sending
-
-    def _ping(
-        self, address: str, *, first: tuple[Member, ...] = (), size: int | None = None
-    ) -> SendDatagram:
-        self._sequence += 1
-        return self._send(address, Ping(), self._sequence, first=first, size=size)
-
-    def _send(
-        self,
-        address: str,
-        body: Body,
-        sequence: int = 0,
-        *,
-        first: tuple[Member, ...] = (),
-        size: int | None = None,
-    ) -> SendDatagram:
-        used = estimate_body_size(body) if size is None else size
-        datagram = Datagram(
-            sender=self.myself.host_id,
-            sender_address=self.myself.peer_address,
-            failure_domain=self.myself.failure_domain,
-            sequence=sequence,
-            version=self.version,
-            digest=self.digest,
-            body=body,
-            updates=self._choose_updates(used, first),
-        )
-        return SendDatagram(address, datagram)
-
-    def _choose_updates(
-        self, used: int, first: tuple[Member, ...]
-    ) -> tuple[Member, ...]:
-        room = MAX_DATAGRAM_BYTES - estimate_envelope_size(self.myself) - used
-        told: list[Member] = []
-        for member in first:
-            size = estimate_member_size(member)
-            if size <= room:
-                room -= size
-                told.append(member)
-        told += [m for m in self._list.take_updates(room) if m not in told]
-        return tuple(told)
+        return [
+            self._datagrams.send(member.peer_address, Gossip()) for member in chosen
+        ]
--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -23,9 +23,13 @@
 
 @dataclass(frozen=True)
 class Ack:
-    """Confirm that the member ``subject`` answered."""
+    """Confirm that the member ``subject`` answered.
+
+    ``unknown_sender`` is set if it does not hold the sender as usable.
+    """
 
     subject: str
+    unknown_sender: bool = False
 
 
 @dataclass(frozen=True)
@@ -43,10 +47,10 @@
 Body = Ping | PingRequest | Ack | News | Gossip | SummaryRequest | SummaryReply
 
 MAX_DATAGRAM_BYTES = 1200
-_FIELD_BYTES = 4
-_NUMBER_BYTES = 11
-_UPSTREAM_NUMBERS_BYTES = 12
-_FIXED_BYTES = 80
+_FIELD_BYTES = 3
+_MEMBER_NUMBERS_BYTES = 13
+_UPSTREAM_NUMBERS_BYTES = 10
+_FIXED_BYTES = 64
 
 
 def _estimate_text(*texts: str) -> int:
@@ -55,7 +59,7 @@
 
 def estimate_member_size(member: Member) -> int:
     """Return an upper bound of the bytes of a member update in a datagram."""
-    size = 2 * _FIELD_BYTES + 2 * _NUMBER_BYTES
+    size = _FIELD_BYTES + _MEMBER_NUMBERS_BYTES
     size += _estimate_text(
         member.host_id,
         member.failure_domain,
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -291,6 +291,7 @@
         message.ping_request.target = body.target
     elif isinstance(body, Ack):
         message.ack.subject = body.subject
+        message.ack.unknown_sender = body.unknown_sender
     elif isinstance(body, Gossip):
         message.gossip.SetInParent()
     elif isinstance(body, SummaryRequest):
@@ -324,7 +325,7 @@
     if kind == "ping_request":
         return PingRequest(message.ping_request.target)
     if kind == "ack":
-        return Ack(message.ack.subject)
+        return Ack(message.ack.subject, message.ack.unknown_sender)
     if kind == "news":
         return News(decode_record(message.news))
     if kind == "gossip":
--- /dev/null
+++ b/flamingohead/testing/bootstraps.py
@@ -0,0 +1,124 @@
+"""A fake table and calls for the bootstraps of a failure domain."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+
+from flamingohead.core.bootstrap import (
+    Bootstrap,
+    BootstrapSettings,
+    DeleteRow,
+    HostRow,
+    JoinAdmission,
+    JoinPeers,
+    ReadRows,
+    WriteRow,
+)
+
+if TYPE_CHECKING:
+    from flamingohead.testing.network import FakeNetwork, FakeNode
+
+STEP = 0.2
+CALL_TIMEOUT = 2.0
+
+
+class FakeBootstraps:
+    """Run a bootstrap for each node of a network against one table.
+
+    ``table_up`` is false during an outage; ``reads`` and ``writes`` count the
+    operations of each second.
+    """
+
+    def __init__(self, network: FakeNetwork, random: Random) -> None:
+        self.rows: dict[str, HostRow] = {}
+        self.table_up = True
+        self.reads: Counter[int] = Counter()
+        self.writes: Counter[int] = Counter()
+        self.joins: Counter[int] = Counter()
+        self.refused_joins = 0
+        self._network = network
+        self._random = random
+        self._bootstraps: dict[str, tuple[FakeNode, Bootstrap]] = {}
+        self._admissions: dict[int, JoinAdmission] = {}
+
+    def add(
+        self,
+        node: FakeNode,
+        seeds: tuple[str, ...] = (),
+        settings: BootstrapSettings = BootstrapSettings(),
+    ) -> Bootstrap:
+        """Start the bootstrap of a node."""
+        random = Random(self._random.getrandbits(64))
+        bootstrap = Bootstrap(
+            node.host_id, node.address, seeds, random=random, settings=settings
+        )
+        self._bootstraps[node.host_id] = (node, bootstrap)
+        return bootstrap
+
+    def clear_counters(self) -> None:
+        """Forget what was counted so far."""
+        for counter in (self.reads, self.writes, self.joins):
+            counter.clear()
+        self.refused_joins = 0
+
+    def run(self, seconds: float) -> None:
+        """Run the network and the bootstraps for some simulated seconds."""
+        until = self._network.now + seconds
+        while self._network.now < until:
+            self._network.run(STEP)
+            for node, bootstrap in list(self._bootstraps.values()):
+                if self._network.nodes.get(node.address) is not node:
+                    del self._bootstraps[node.host_id]
+                elif not node.frozen:
+                    effects = bootstrap.tick(self._network.now, node.membership.members)
+                    self._apply(node, bootstrap, effects)
+
+    def note_gone(self, node: FakeNode, host_id: str) -> None:
+        """Tell the bootstrap of a node that another host died."""
+        known = self._bootstraps.get(node.host_id)
+        if known is not None:
+            members = node.membership.members
+            known[1].note_gone(host_id, members, self._network.now)
+
+    def _apply(self, node: FakeNode, bootstrap: Bootstrap, effects) -> None:
+        second = int(self._network.now)
+        for effect in effects:
+            if isinstance(effect, ReadRows):
+                self.reads[second] += 1
+                rows = list(self.rows.values()) if self.table_up else None
+                answer = bootstrap.receive_rows(
+                    rows, node.membership.members, self._network.now
+                )
+                self._apply(node, bootstrap, answer)
+            elif isinstance(effect, WriteRow):
+                self.writes[second] += 1
+                if self.table_up:
+                    row = HostRow(node.host_id, node.address, self._network.now)
+                    self.rows[node.host_id] = row
+                    bootstrap.has_row = True
+            elif isinstance(effect, DeleteRow):
+                self.writes[second] += 1
+                if self.table_up:
+                    self.rows.pop(effect.host_id, None)
+            elif isinstance(effect, JoinPeers):
+                self._join(node, bootstrap, effect.addresses)
+
+    def _join(self, node: FakeNode, bootstrap: Bootstrap, addresses) -> None:
+        now = self._network.now
+        joined = False
+        retry_at = None
+        for address in addresses:
+            other = self._network.nodes.get(address)
+            if other is None or other is node:
+                continue
+            admission = self._admissions.setdefault(other.number, JoinAdmission())
+            refused_until = admission.admit(now)
+            if refused_until is not None:
+                self.refused_joins += 1
+                retry_at = refused_until
+                continue
+            self.joins[int(now)] += 1
+            joined = self._network.join(node, other) or joined
+        bootstrap.finish_join(joined, now, retry_at=retry_at)
--- a/flamingohead/testing/network.py
+++ b/flamingohead/testing/network.py
@@ -119,7 +119,7 @@
         members = other.membership.list_all()
         joiner = [node.membership.myself]
         self._apply(other, other.membership.merge(joiner, self.now))
-        self._apply(node, node.membership.merge(members, self.now))
+        self._apply(node, node.membership.take_state(members, self.now))
         return True
 
     def leave_node(self, node: FakeNode) -> None:
