Run joins, host rows and connections by the new rules; ask versions by pings

Cause: BootstrapService wrote a row for every daemon; the pool of channels grew with every peer and kept silent connections; a question for the versions of a domain opened a call to each of its members.

ChannelPool keeps 32 channels, closes idle ones, pings on them, and never cuts the other calls on a channel when one fails; a failure on a channel that was in use before is tried again on a new one. collect_domain_status pings all members over UDP in groups, twice at most, within 1.5 s, and shares a round between questions.

--- a/flamingohead/core/bootstrap.py
+++ b/flamingohead/core/bootstrap.py
@@ -20,12 +20,14 @@
 
     from flamingohead.core.members import Member
 
+GROWTH = 1.02
+
 
 @dataclass(frozen=True)
 class BootstrapSettings:
     """Set waits and periods in seconds, and numbers of rows and of joins at once."""
 
-    spread: float = 5.0
+    spread: float = 2.0
     first_wait: float = 0.5
     longest_wait: float = 10.0
     attempt_timeout: float = 5.0
@@ -150,6 +152,7 @@
         self._state = _State()
         self._machine = _MACHINE(self._state)
         self._attempts = 0
+        self._members_at_exchange = 0
         self._busy_until = 0.0
         self._next_attempt_at: float | None = None
         self._next_row_check_at = 0.0
@@ -226,8 +229,8 @@
         self._busy_until = now + self._settings.attempt_timeout
         self._next_attempt_at = now + self._compute_wait()
         if self.phase is Phase.JOINED:
-            period = self._settings.synchronize_period
-            self._next_attempt_at = now + self._random.uniform(0.5, 1.5) * period
+            wait = self._choose_exchange_wait(len(members))
+            self._next_attempt_at = now + self._random.uniform(0.5, 1.5) * wait
             chosen = self._random.choice(list(members.values()))
             return [JoinPeers((chosen.peer_address,))]
         if self.phase is Phase.SEEDS and self._seeds:
@@ -235,6 +238,14 @@
             return [JoinPeers(tuple(self._random.sample(self._seeds, count)))]
         return [ReadRows()]
 
+    def _choose_exchange_wait(self, count: int) -> float:
+        """Exchange states soon again while the number of members still grows."""
+        grows = count > GROWTH * self._members_at_exchange
+        self._members_at_exchange = count
+        if grows:
+            return self._settings.second_join_wait
+        return self._settings.synchronize_period
+
     def _note_joined(self, now: float) -> None:
         if self.phase is not Phase.JOINED:
             spread = self._settings.first_row_spread
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -24,6 +24,7 @@
     """Return a kernel with every service of a daemon, not yet started."""
     install_reactor()
     from flamingohead.core.balancing import Balancer
+    from flamingohead.core.bootstrap import Bootstrap
     from flamingohead.core.dissemination import Dissemination
     from flamingohead.core.members import Member
     from flamingohead.core.membership import Membership
@@ -88,9 +89,13 @@
         "operators",
         OperatorService(kernel, settings.control_address, settings.control_token),
     )
-    kernel.add(
-        "bootstrap", BootstrapService(kernel, settings.list_seeds(), random=generator)
+    bootstrap = Bootstrap(
+        settings.host_id,
+        settings.peer_address,
+        settings.list_seeds(),
+        random=generator,
     )
+    kernel.add("bootstrap", BootstrapService(kernel, bootstrap))
     return kernel
 
 
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -1,88 +1,171 @@
-"""Finding first peers: seeds from the settings, then rows of the table."""
+"""Joins and host rows, as the bootstrap of the core decides."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
+import time
 from typing import TYPE_CHECKING
 
+from pydantic import BaseModel, ConfigDict, ValidationError, field_validator
+from twisted.internet.task import LoopingCall
+
+from flamingohead.core.bootstrap import (
+    Bootstrap,
+    DeleteRow,
+    HostRow,
+    JoinPeers,
+    Phase,
+    ReadRows,
+    WriteRow,
+)
 from flamingohead.core.errors import Refusal
+from flamingohead.events import Event, log_event
+from flamingohead.settings import check_address
 
 if TYPE_CHECKING:
-    from random import Random
-
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
 
 HOST_PREFIX = "hosts/"
-FIRST_WAIT = 0.2
-MAX_WAIT = 5.0
-SCAN_LIMIT = 50
-JOIN_TARGETS = 3
+TICK_PERIOD = 0.2
+SCAN_LIMIT = 1000
+
+
+class HostRowBody(BaseModel):
+    """Hold one checked host row; ``written_at`` is wall-clock time."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    peer_address: str
+    written_at: float = 0.0
+
+    @field_validator("peer_address")
+    @classmethod
+    def _check_address(cls, value: str) -> str:
+        check_address(value)
+        return value
 
 
 class BootstrapService:
-    """Join the failure domain, and write this host's row once."""
+    """Join the failure domain, and keep a few host rows in the table."""
 
-    def __init__(self, kernel: Kernel, seeds: list[str], *, random: Random) -> None:
+    def __init__(self, kernel: Kernel, bootstrap: Bootstrap) -> None:
         self._kernel = kernel
-        self._seeds = seeds
-        self._random = random
-        self._task: asyncio.Task | None = None
+        self._bootstrap = bootstrap
+        self._ticks = LoopingCall(self._tick)
+        self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._ticks.start(TICK_PERIOD, now=True)
 
     async def stop(self) -> None:
-        self._task.cancel()
-        await self._kernel.get("table").delete(self._get_row_key())
-
-    async def _run(self) -> None:
-        wait = FIRST_WAIT
-        registered = False
-        while True:
-            if not registered:
-                registered = await self._register()
-            await self._join_peers()
-            if registered and self._kernel.get("gossip").membership.list_alive():
-                return
-            await asyncio.sleep(self._random.uniform(0.5, 1.0) * wait)
-            wait = min(wait * 2, MAX_WAIT)
-
-    async def _register(self) -> bool:
-        myself = self._kernel.get("gossip").membership.myself
-        value = json.dumps({"peer_address": myself.peer_address}).encode()
-        table = self._kernel.get("table")
-        inserted = await table.insert(self._get_row_key(), value)
-        if inserted is True:
-            return True
-        row = await table.read(self._get_row_key())
-        if isinstance(row, Refusal) or row is None:
-            return False
-        if row.value == value:
-            return True
-        return await table.update(row.key, value, row.tag) is True
-
-    async def _join_peers(self) -> None:
+        self._ticks.stop()
+        for task in self._tasks:
+            task.cancel()
+        if self._bootstrap.has_row:
+            await self._delete_row(self._get_membership().myself.host_id)
+
+    def note_gone(self, host_id: str) -> None:
+        """Note that a member of the failure domain died or left."""
+        members = self._get_membership().members
+        self._bootstrap.note_gone(host_id, members, time.monotonic())
+
+    # Effects
+
+    def _tick(self) -> None:
+        members = self._get_membership().members
+        self._run(self._bootstrap.tick(time.monotonic(), members))
+
+    def _run(self, effects) -> None:
+        for effect in effects:
+            if isinstance(effect, ReadRows):
+                self._spawn(self._read_rows())
+            elif isinstance(effect, JoinPeers):
+                self._spawn(self._join_peers(effect.addresses))
+            elif isinstance(effect, WriteRow):
+                self._spawn(self._write_row())
+            elif isinstance(effect, DeleteRow):
+                log_event(logger, Event.HOST_ROW_DELETED, host=effect.host_id)
+                self._spawn(self._delete_row(effect.host_id))
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _join_peers(self, addresses: tuple[str, ...]) -> None:
         peers = self._kernel.get("peers")
-        addresses = set(self._seeds) | set(await self._read_hosts())
-        addresses.discard(self._kernel.get("gossip").membership.myself.peer_address)
-        chosen = self._random.sample(
-            sorted(addresses), min(len(addresses), JOIN_TARGETS)
-        )
-        await asyncio.gather(*(peers.join(address) for address in chosen))
-
-    async def _read_hosts(self) -> list[str]:
-        domain = self._kernel.get("gossip").membership.myself.failure_domain
-        rows = await self._kernel.get("table").scan(
-            f"{HOST_PREFIX}{domain}/", limit=SCAN_LIMIT
+        results = await asyncio.gather(*(peers.join(a) for a in addresses))
+        joined = any(result is True for result in results)
+        waits = [r.retry_at for r in results if isinstance(r, Refusal) and r.retry_at]
+        before = self._bootstrap.phase
+        self._bootstrap.finish_join(
+            joined, time.monotonic(), retry_at=min(waits, default=None)
         )
-        if isinstance(rows, Refusal):
-            return []
-        return [json.loads(row.value)["peer_address"] for row in rows]
-
-    def _get_row_key(self) -> str:
-        myself = self._kernel.get("gossip").membership.myself
-        return f"{HOST_PREFIX}{myself.failure_domain}/{myself.host_id}"
+        metrics = self._kernel.get("metrics")
+        if joined:
+            metrics.count("join.done")
+        else:
+            metrics.count("join.failed")
+        if joined and before is not Phase.JOINED:
+            count = self._get_membership().count_members()
+            log_event(logger, Event.DOMAIN_JOINED, members=count)
+
+    # Rows
+
+    async def _read_rows(self) -> None:
+        """Read the rows; once joined, those of all failure domains."""
+        domain = self._get_membership().myself.failure_domain
+        prefix = f"{HOST_PREFIX}{domain}/"
+        if self._bootstrap.phase is Phase.JOINED:
+            prefix = HOST_PREFIX
+        found = await self._kernel.get("table").scan(prefix, limit=SCAN_LIMIT)
+        own = None if isinstance(found, Refusal) else self._take_rows(found, domain)
+        if own is not None and len(found) == SCAN_LIMIT:
+            own = None
+        members = self._get_membership().members
+        self._run(self._bootstrap.receive_rows(own, members, time.monotonic()))
+
+    def _take_rows(self, found, domain: str) -> list[HostRow]:
+        own: list[HostRow] = []
+        for row in found:
+            parts = row.key.split("/")
+            try:
+                body = HostRowBody.model_validate_json(row.value)
+            except ValidationError:
+                self._kernel.get("metrics").count("host_row.malformed")
+                continue
+            if parts[1] == domain:
+                own.append(HostRow(parts[2], body.peer_address, body.written_at))
+            else:
+                remote = self._kernel.get("summaries").remote
+                remote.add_contact(parts[1], body.peer_address, time.monotonic())
+        return own
+
+    async def _write_row(self) -> None:
+        myself = self._get_membership().myself
+        body = HostRowBody(peer_address=myself.peer_address, written_at=time.time())
+        value = body.model_dump_json().encode()
+        table = self._kernel.get("table")
+        key = self._get_row_key(myself.host_id)
+        self._kernel.get("metrics").count("host_row.written")
+        written = await table.insert(key, value)
+        if written is False:
+            row = await table.read(key)
+            if not isinstance(row, Refusal) and row is not None:
+                written = await table.update(key, value, row.tag)
+        if written is True:
+            self._bootstrap.has_row = True
+
+    async def _delete_row(self, host_id: str) -> None:
+        self._kernel.get("metrics").count("host_row.deleted")
+        await self._kernel.get("table").delete(self._get_row_key(host_id))
+
+    def _get_row_key(self, host_id: str) -> str:
+        myself = self._get_membership().myself
+        return f"{HOST_PREFIX}{myself.failure_domain}/{host_id}"
+
+    def _get_membership(self):
+        return self._kernel.get("gossip").membership
--- /dev/null
+++ b/flamingohead/services/channels.py
@@ -0,0 +1,119 @@
+"""Connections to other daemons: few, closed when idle, replaced when silent."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+
+from flamingohead.settings import split_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_CHANNELS = 32
+IDLE_SECONDS = 60.0
+KEEPALIVE_SECONDS = 10.0
+KEEPALIVE_TIMEOUT = 3.0
+
+
+@dataclass
+class PooledChannel:
+    """Hold a channel and how it is used; ``fresh`` until a call on it ended well."""
+
+    address: str
+    channel: Channel
+    idle_at: float
+    calls: int = 0
+    fresh: bool = True
+    retired: bool = False
+
+
+def open_channel(address: str) -> Channel:
+    """Return a channel that pings its peer, so that a silent connection ends."""
+    host, port = split_address(address)
+    configuration = Configuration(
+        _keepalive_time=KEEPALIVE_SECONDS,
+        _keepalive_timeout=KEEPALIVE_TIMEOUT,
+        _keepalive_permit_without_calls=True,
+        _http2_max_pings_without_data=0,
+    )
+    return Channel(host, port, config=configuration)
+
+
+class ChannelPool:
+    """Keep the most recently used channels; one in use is never closed."""
+
+    def __init__(
+        self,
+        *,
+        open_channel: Callable[[str], Channel] = open_channel,
+        clock: Callable[[], float] = time.monotonic,
+        limit: int = MAX_CHANNELS,
+    ) -> None:
+        self._open_channel = open_channel
+        self._clock = clock
+        self._limit = limit
+        self._pooled: dict[str, PooledChannel] = {}
+        self._all: dict[int, PooledChannel] = {}
+
+    def __len__(self) -> int:
+        return len(self._pooled)
+
+    def acquire(self, address: str) -> PooledChannel:
+        """Return a channel to an address for one call."""
+        self.close_idle()
+        pooled = self._pooled.pop(address, None)
+        if pooled is None:
+            channel = self._open_channel(address)
+            pooled = PooledChannel(address, channel, self._clock())
+            self._all[id(pooled)] = pooled
+        self._pooled[address] = pooled
+        pooled.calls += 1
+        self._trim()
+        return pooled
+
+    def release(self, pooled: PooledChannel, *, failed: bool) -> None:
+        """End a call; after a failure the next call opens a new channel."""
+        pooled.calls -= 1
+        pooled.idle_at = self._clock()
+        if failed:
+            self._retire(pooled)
+        else:
+            pooled.fresh = False
+        if pooled.retired and not pooled.calls:
+            self._close(pooled)
+
+    def close_idle(self) -> None:
+        """Close channels that no call has used for a while."""
+        oldest = self._clock() - IDLE_SECONDS
+        for pooled in list(self._pooled.values()):
+            if not pooled.calls and pooled.idle_at <= oldest:
+                self._retire(pooled)
+                self._close(pooled)
+
+    def close(self) -> None:
+        """Close every channel."""
+        for pooled in list(self._all.values()):
+            self._close(pooled)
+        self._pooled.clear()
+
+    def _trim(self) -> None:
+        for pooled in list(self._pooled.values()):
+            if len(self._pooled) <= self._limit:
+                return
+            if not pooled.calls:
+                self._retire(pooled)
+                self._close(pooled)
+
+    def _retire(self, pooled: PooledChannel) -> None:
+        pooled.retired = True
+        if self._pooled.get(pooled.address) is pooled:
+            del self._pooled[pooled.address]
+
+    def _close(self, pooled: PooledChannel) -> None:
+        self._all.pop(id(pooled), None)
+        pooled.channel.close()
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -23,6 +24,8 @@
 
 TICK_PERIOD = 0.1
 PUBLISH_PERIOD = 0.25
+POLL_GROUP = 50
+POLL_WAIT = 0.03
 
 
 class GossipService(DatagramProtocol):
@@ -58,6 +61,43 @@
         """Take in members learned through a call."""
         self._run(self.membership.merge(members, time.monotonic()))
 
+    def take_state(self, members) -> None:
+        """Take in the state that a peer gave at a join."""
+        self._run(self.membership.take_state(members, time.monotonic()))
+
+    async def poll_versions(self, deadline: float) -> dict[str, int]:
+        """Ping every member and return the versions heard until ``deadline``.
+
+        Pings go out in groups over the first half of the time, and again to those
+        that have not answered.
+        """
+        asked_at = time.monotonic()
+        for part in (0.5, 0.8):
+            until = asked_at + part * (deadline - asked_at)
+            await self._ping_members(self._list_unheard(asked_at), until)
+        while self._list_unheard(asked_at) and time.monotonic() < deadline:
+            await asyncio.sleep(POLL_WAIT)
+        return {
+            host_id: heard.version
+            for host_id, heard in self.membership.heard_versions.items()
+            if heard.heard_at >= asked_at
+        }
+
+    def _list_unheard(self, since: float) -> list[str]:
+        heard = self.membership.heard_versions
+        return [
+            host_id
+            for host_id in self.membership.members
+            if host_id not in heard or heard[host_id].heard_at < since
+        ]
+
+    async def _ping_members(self, host_ids: list[str], until: float) -> None:
+        groups = range(0, len(host_ids), POLL_GROUP)
+        wait = (until - time.monotonic()) / max(1, len(groups))
+        for start in groups:
+            self._run(self.membership.build_pings(host_ids[start : start + POLL_GROUP]))
+            await asyncio.sleep(min(wait, POLL_WAIT))
+
     def set_upstreams(self, upstreams) -> None:
         """Announce the upstreams of this host."""
         before = self.membership.myself
@@ -106,6 +146,8 @@
             else:
                 self._changed = True
                 self._log_change(effect)
+                if not effect.member.is_usable:
+                    self._kernel.get("bootstrap").note_gone(effect.member.host_id)
 
     def _log_change(self, effect) -> None:
         member = effect.member
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING
 
-from grpclib.client import Channel
 from grpclib.server import Server
 
+from flamingohead.core.bootstrap import JoinAdmission
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import KeyState, StoredAnswer
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec, peers_pb2 as pb
 from flamingohead.protocol.peers_grpc import PeersBase, PeersStub
+from flamingohead.services.channels import ChannelPool, PooledChannel
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
@@ -22,7 +24,8 @@
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT = 2.0
-STATUS_TIMEOUT = 1.0
+STATUS_TIMEOUT = 1.5
+CONTACTS_TOLD = 2
 
 
 class PeersService(PeersBase):
@@ -32,7 +35,9 @@
         self._kernel = kernel
         self._address = address
         self._server: Server | None = None
-        self._channels: dict[str, Channel] = {}
+        self._channels = ChannelPool()
+        self._joins = JoinAdmission()
+        self._status: asyncio.Task | None = None
 
     async def start(self) -> None:
         self._server = Server([self])
@@ -40,8 +45,7 @@
         await self._server.start(host, port)
 
     async def stop(self) -> None:
-        for channel in self._channels.values():
-            channel.close()
+        self._channels.close()
         self._server.close()
         await self._server.wait_closed()
 
@@ -50,46 +54,82 @@
     async def call(self, address: str, method: str, request, *, timeout=CALL_TIMEOUT):
         """Call a method of a peer; return its reply or a refusal.
 
-        A failed call closes the channel, so that the next call opens a new one.
+        ``timeout`` is in seconds. A connection that was in use before may have gone
+        silent, so a failure on it says nothing of the peer: the call is made again,
+        once, on a new one. Every method of the service may be called twice.
         """
-        channel = self._channels.get(address)
-        if channel is None:
-            host, port = split_address(address)
-            channel = self._channels[address] = Channel(host, port)
+        pooled = self._channels.acquire(address)
+        fresh = pooled.fresh
+        reply = await self._call_once(pooled, method, request, timeout)
+        if isinstance(reply, Refusal) and not fresh:
+            self._kernel.get("metrics").count("peer.reconnected")
+            log_event(logger, Event.PEER_RECONNECTED, peer=address, method=method)
+            pooled = self._channels.acquire(address)
+            reply = await self._call_once(pooled, method, request, timeout)
+        return reply
+
+    async def _call_once(
+        self, pooled: PooledChannel, method: str, request, timeout: float
+    ):
+        failed = True
         try:
-            stub = PeersStub(channel)
-            return await getattr(stub, method)(request, timeout=timeout)
+            stub = PeersStub(pooled.channel)
+            reply = await getattr(stub, method)(request, timeout=timeout)
+            failed = False
+            return reply
         except Exception as error:
-            if self._channels.get(address) is channel:
-                del self._channels[address]
-            channel.close()
             log_event(
                 logger,
                 Event.PEER_FAILED,
-                peer=address,
+                peer=pooled.address,
                 method=method,
                 error=type(error).__name__,
             )
-            return Refusal(ErrorKind.HOST_UNREACHABLE, f"{method} at {address}")
+            return Refusal(ErrorKind.HOST_UNREACHABLE, f"{method} at {pooled.address}")
+        finally:
+            self._channels.release(pooled, failed=failed)
 
-    async def join(self, address: str) -> bool:
-        """Join the failure domain through a peer; return whether it answered."""
+    async def join(self, address: str) -> bool | Refusal:
+        """Join the failure domain through a peer; return whether it answered.
+
+        A refusal holds the time at which the peer admits a join again.
+        """
         gossip = self._kernel.get("gossip")
         member = codec.encode_member(gossip.membership.myself)
         reply = await self.call(address, "Join", pb.JoinRequest(member=member))
         if isinstance(reply, Refusal):
             return False
-        gossip.merge(codec.decode_member(member) for member in reply.members)
+        now = time.monotonic()
+        if reply.retry_after_ms:
+            self._kernel.get("metrics").count("join.put_off")
+            return Refusal(
+                ErrorKind.QUEUE_FULL, address, now + reply.retry_after_ms / 1000
+            )
+        gossip.take_state(codec.decode_member(member) for member in reply.members)
+        for contact in reply.contacts:
+            self._kernel.get("summaries").remote.add_contact(
+                contact.failure_domain, contact.peer_address, now
+            )
         return True
 
     # Incoming calls
 
     async def Join(self, stream) -> None:  # noqa: N802
         request = await stream.recv_message()
+        now = time.monotonic()
+        retry_at = self._joins.admit(now)
+        if retry_at is not None:
+            wait_ms = max(1, round((retry_at - now) * 1000))
+            await stream.send_message(pb.JoinReply(retry_after_ms=wait_ms))
+            return
         gossip = self._kernel.get("gossip")
         gossip.merge([codec.decode_member(request.member)])
         members = gossip.membership.list_all()
         reply = pb.JoinReply(members=[codec.encode_member(m) for m in members])
+        remote = self._kernel.get("summaries").remote
+        for domain in remote.list_domains():
+            for address in remote.list_contacts(domain)[-CONTACTS_TOLD:]:
+                reply.contacts.add(failure_domain=domain, peer_address=address)
         await stream.send_message(reply)
 
     async def Pull(self, stream) -> None:  # noqa: N802
@@ -138,25 +178,30 @@
         )
 
     async def collect_domain_status(self) -> pb.DomainStatusReply:
-        """Ask every member of this failure domain which version it holds."""
-        membership = self._kernel.get("gossip").membership
-        members = membership.list_alive()
-        replies = await asyncio.gather(
-            *(
-                self.call(
-                    member.peer_address,
-                    "FetchStatus",
-                    pb.StatusRequest(),
-                    timeout=STATUS_TIMEOUT,
-                )
-                for member in members
-            )
-        )
-        status = pb.DomainStatusReply(failure_domain=membership.myself.failure_domain)
+        """Ask every member of this failure domain which version it holds.
+
+        Questions asked at the same time share one round of pings.
+        """
+        if self._status is None:
+            task = asyncio.get_running_loop().create_task(self._poll_domain())
+            self._status = task
+            task.add_done_callback(self._forget_status)
+        return await asyncio.shield(self._status)
+
+    def _forget_status(self, task: asyncio.Task) -> None:
+        self._status = None
+
+    async def _poll_domain(self) -> pb.DomainStatusReply:
+        gossip = self._kernel.get("gossip")
+        asked_at = time.monotonic()
+        versions = await gossip.poll_versions(asked_at + STATUS_TIMEOUT)
+        domain = gossip.membership.myself.failure_domain
+        status = pb.DomainStatusReply(failure_domain=domain)
         status.members.append(self.describe_myself())
-        for member, reply in zip(members, replies, strict=True):
-            if isinstance(reply, Refusal):
-                status.unreachable.append(member.host_id)
+        for host_id in sorted(gossip.membership.members):
+            version = versions.get(host_id)
+            if version is None:
+                status.unreachable.append(host_id)
             else:
-                status.members.append(reply)
+                status.members.add(host_id=host_id, version=version)
         return status
