Match answers between daemons by id; answer what a stop must cut at once

Cause: a daemon matched another daemon's answer to its request by the order on the connection alone. A request still open at the stop deadline saw its connection cut with no answer. A relayed request with a timeout of thousands of digits or a name that isn't UTF-8 raised out of the reader (found by the fuzz test). Change: each relayed request carries an exchange id, which the other daemon repeats and which must match; it is not passed on. At the stop deadline a request without an answer yet gets 502 host_cut, run unknown, with the time to come back. Relayed headers are checked before they are used.

--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -143,7 +143,10 @@
         try:
             await coroutine
         except asyncio.CancelledError:
-            response.abort()
+            if response.started or response.is_disconnected:
+                response.abort()
+            else:
+                self._refuse(response, Refusal(ErrorKind.HOST_CUT, "cut by a stop"))
         except Exception:
             logger.exception("call failed")
             log_event(logger, Event.REQUEST_FAILED)
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -9,6 +9,7 @@
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.services.http_messages import (
+    EXCHANGE_HEADER,
     REQUEST_ID_HEADER,
     drop_hop_headers,
     find_header,
@@ -53,6 +54,7 @@
         self._in_head = False
         self._method = ""
         self._request_id: bytes | None = None
+        self._exchange_id: bytes | None = None
 
     def exchange(
         self,
@@ -68,6 +70,7 @@
         self._in_head = True
         self._method = request.method
         self._request_id = find_header(request.headers, REQUEST_ID_HEADER)
+        self._exchange_id = find_header(request.headers, EXCHANGE_HEADER)
         self._on_done = on_done
         self.transport.write(request.encode(self.address))
 
@@ -141,7 +144,7 @@
             return
         self._in_head = False
         length = self._find_length()
-        self._check_request_id()
+        self._check_ids()
         options = list_connection_options(self._headers)
         headers = drop_hop_headers(self._headers, options)
         self._sink.start(self._status, headers, length)
@@ -172,7 +175,12 @@
             self._reject("answer with neither a length nor chunks")
         return None
 
-    def _check_request_id(self) -> None:
+    def _check_ids(self) -> None:
+        """Refuse an answer to another request; upstreams may leave their id out."""
+        if self._exchange_id is not None:
+            if find_header(self._headers, EXCHANGE_HEADER) != self._exchange_id:
+                self._reject("answer to another exchange")
+            self._headers.remove((EXCHANGE_HEADER, self._exchange_id))
         answered_id = find_header(self._headers, REQUEST_ID_HEADER)
         expected = self._request_id
         if expected is not None and answered_id not in (None, expected):
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -12,6 +12,8 @@
 KEY_HEADER = b"idempotency-key"
 TIMEOUT_HEADER = b"request-timeout-ms"
 REQUEST_ID_HEADER = b"request-id"
+# Between daemons: the answer repeats the value of its request.
+EXCHANGE_HEADER = b"flamingohead-exchange"
 
 HOP_HEADERS = frozenset(
     (
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.services.http_messages import (
+    EXCHANGE_HEADER,
     RAN_HEADER,
     REFUSAL_HEADER,
     check_head,
@@ -67,6 +68,11 @@
         if handler is not None and self._protocol.is_write_paused:
             handler()
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Tell whether nothing more can be sent."""
+        return self._protocol.is_closing
+
     def start(self, status: int, headers: Headers, *, length: int | None) -> None:
         """Begin; ``length`` of the body in bytes, or ``None`` if it isn't known."""
         has_body = status not in (NO_CONTENT, NOT_MODIFIED)
@@ -81,6 +87,9 @@
         parts = [STATUS_LINES.get(status) or _build_status_line(status)]
         for name, value in headers:
             parts.append(b"%b: %b\r\n" % (name, value))
+        exchange = self._request.get_header(EXCHANGE_HEADER)
+        if exchange is not None:
+            parts.append(b"%b: %b\r\n" % (EXCHANGE_HEADER, exchange))
         if length is not None and status != NO_CONTENT:
             parts.append(b"content-length: %d\r\n" % length)
         elif sends_chunks:
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -43,7 +43,7 @@
         self._pending_bytes = 0
         self._active: ServerResponse | None = None
         self._rejection: Refusal | None = None
-        self._closing = False
+        self.is_closing = False
         self.is_write_paused = False
         self._read_deadline = math.inf
         self._idle_deadline = math.inf
@@ -70,7 +70,7 @@
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self._factory.connections.discard(self)
-        self._closing = True
+        self.is_closing = True
         self._pending.clear()
         self.resumeProducing()
         active, self._active = self._active, None
@@ -78,7 +78,7 @@
             active.on_disconnect()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self._closing or self._rejection is not None:
+        if self.is_closing or self._rejection is not None:
             return
         refusal = self._reader.feed(data)
         if refusal is not None:
@@ -125,7 +125,7 @@
         self._factory.count_refusal(refusal)
 
     def _start_next(self) -> None:
-        if self._active is not None or self._closing:
+        if self._active is not None or self.is_closing:
             return
         if self._pending:
             request = self._pending.popleft()
@@ -140,12 +140,12 @@
     # Responses
 
     def write(self, data: bytes) -> None:
-        if not self._closing:
+        if not self.is_closing:
             self.transport.write(data)
 
     def abort(self) -> None:
         """Drop the connection and what was not sent yet."""
-        self._closing = True
+        self.is_closing = True
         self.transport.abortConnection()
 
     def finish_response(self, response: ServerResponse) -> None:
@@ -163,14 +163,14 @@
 
     def close(self) -> None:
         """Close once everything written has been sent."""
-        self._closing = True
+        self.is_closing = True
         self._close_deadline = self._factory.clock() + CLOSE_TIMEOUT
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def check_deadlines(self, now: float) -> None:
         """Close if the caller is too slow or has been idle for long."""
-        if self._closing:
+        if self.is_closing:
             if now >= self._close_deadline:
                 self.transport.abortConnection()
         elif now >= self._read_deadline:
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import secrets
 import time
 from typing import TYPE_CHECKING
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ERROR_ANSWERS, ErrorKind, Refusal
 from flamingohead.services.http_messages import (
+    EXCHANGE_HEADER,
     KEY_HEADER,
     RAN_HEADER,
     REFUSAL_HEADER,
@@ -27,6 +29,7 @@
 RELAY_RANK = b"flamingohead-rank"
 RELAY_IDEMPOTENT = b"flamingohead-idempotent"
 RETRY_HEADER = b"flamingohead-retry-after-ms"
+MAX_TIMEOUT_DIGITS = 9
 
 
 class RelaySink:
@@ -71,6 +74,7 @@
         (RELAY_SERVICE, call.service.encode()),
         (RELAY_RANK, call.rank.encode()),
         (RELAY_IDEMPOTENT, b"yes" if call.idempotent else b"no"),
+        (EXCHANGE_HEADER, secrets.token_hex(8).encode()),
     )
     return OutgoingRequest(call.method, call.target, headers, call.body, call.deadline)
 
@@ -80,7 +84,8 @@
     timeout = request.get_header(TIMEOUT_HEADER) or b""
     service = request.get_header(RELAY_SERVICE)
     rank = request.get_header(RELAY_RANK)
-    if service is None or rank is None or not timeout.isdigit():
+    is_number = timeout.isdigit() and len(timeout) <= MAX_TIMEOUT_DIGITS
+    if service is None or rank is None or not is_number:
         return Refusal(ErrorKind.MALFORMED_REQUEST, "not a request of a daemon")
     key = request.get_header(KEY_HEADER)
     headers = tuple(
@@ -89,8 +94,8 @@
         if not name.startswith(RELAY_PREFIX) and name != TIMEOUT_HEADER
     )
     return Call(
-        service=service.decode(),
-        rank=rank.decode(),
+        service=service.decode("latin-1"),
+        rank=rank.decode("latin-1"),
         method=request.method,
         target=request.target,
         headers=headers,
--- a/properties/test_answers_cancel.py
+++ b/properties/test_answers_cancel.py
@@ -43,7 +43,7 @@
         self.upstream_ends: list[FakeTransport] = []
         self.callers: list[FakeTransport] = []
         self.tasks: list[asyncio.Task] = []
-        kernel = Kernel()
+        self.kernel = kernel = Kernel()
         kernel.add("metrics", MetricsService())
         kernel.add("gossip", SimpleNamespace(set_upstreams=lambda states: None))
         kernel.add("http_client", HttpClientService(self.connect))
@@ -130,14 +130,37 @@
         assert not self.calls._tasks
 
 
+def run_scene(scene, coroutine):
+    clock = SimpleNamespace(monotonic=lambda: scene.now)
+    with ExitStack() as stack:
+        for module in (calls, dispatch, http_client, slots):
+            stack.enter_context(mock.patch.object(module, "time", clock))
+        install_reactor().run_until_complete(coroutine)
+
+
 class TestCancellation:
     @given(steps=STEPS)
     @example(steps=[("leave", 0), ("cut", 0)])
     @settings(max_examples=300)
     def test_place_connection_and_slot_are_given_up_once(self, steps):
         scene = Scene()
-        clock = SimpleNamespace(monotonic=lambda: scene.now)
-        with ExitStack() as stack:
-            for module in (calls, dispatch, http_client, slots):
-                stack.enter_context(mock.patch.object(module, "time", clock))
-            install_reactor().run_until_complete(scene.run(steps))
+        run_scene(scene, scene.run(steps))
+
+
+class TestStopDeadline:
+    def test_what_a_stop_cuts_is_answered_counted_and_named(self, caplog):
+        scene = Scene()
+
+        async def run() -> None:
+            scene.act("call", 0)
+            await scene.turn()
+            await scene.calls._cut_calls()
+
+        run_scene(scene, run())
+        written = scene.callers[0].written
+        assert written.startswith(b"HTTP/1.1 502")
+        assert b"flamingohead-refusal: host_cut\r\n" in written
+        assert b"flamingohead-ran: unknown\r\n" in written
+        assert scene.kernel.get("metrics").counters["stop.cut_calls"] == 1
+        assert "E510 request cut by the stop method=GET target=/" in caplog.text
+        assert scene.upstream.admission.in_use == 0
