--- a/properties/test_http_fuzz.py
+++ b/properties/test_http_fuzz.py
@@ -44,12 +44,14 @@
 VERSIONS = (b"HTTP/1.1", b"HTTP/1.1", b"HTTP/1.0", b"HTTP/2.0", b"RTSP/1.0", b"")
 ENDS = (b"\r\n", b"\r\n", b"\r\n", b"\r\n", b"\n", b"\r", b"\r\n ", b"\0\r\n")
 COLONS = (b": ", b": ", b":", b" : ", b"\t:", b"")
-NAMES = b"Content-Length|Transfer-Encoding|Connection|Expect|Upgrade|Host|X-Own|flamingohead-upstream|Idempotency-Key|Te||X\x00Y".split(
-    b"|"
-)
-VALUES = b"0|5|5, 5|+5|0x5|chunked|gzip, chunked|chunked, identity|close|keep-alive, x-own|idempotency-key|100-continue|h2c|a\rb|a\x00b|\xe9".split(
-    b"|"
-)
+NAMES = (
+    b"Content-Length|Transfer-Encoding|Connection|Expect|Upgrade|Host|"
+    b"X-Own|flamingohead-upstream|Idempotency-Key|Te||X\x00Y"
+).split(b"|")
+VALUES = (
+    b"0|5|5, 5|+5|0x5|chunked|gzip, chunked|chunked, identity|"
+    b"close|keep-alive, x-own|idempotency-key|100-continue|h2c|a\rb|a\x00b|\xe9"
+).split(b"|")
 BODIES = (
     b"",
     b"hello",
@@ -288,6 +290,18 @@
         size=st.integers(1, 60),
     )
     @settings(max_examples=400)
+    @example(
+        status=b"200 OK",
+        lines=[b"flamingohead-refusal: draining\r\n", b"te: x\r\n"],
+        body=BODIES[2],
+        size=60,
+    )
+    @example(
+        status=b"200 OK",
+        lines=[b"Content-Length: 5\r\n", b"flamingohead-ran: no\r\n"],
+        body=BODIES[1],
+        size=60,
+    )
     def test_caller_sees_one_clean_answer_or_none(self, status, lines, body, size):
         caller = FakeCaller(answers=False)
         caller.deliver(SMUGGLED)
