--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 from flamingohead.core.idempotency import FIRST_ATTEMPT, UNMARKED
 from flamingohead.services.http_messages import (
     CHECKED_HEADER,
+    EXCHANGE_HEADER,
     KEY_ATTEMPT_HEADER,
     KEY_HEADER,
     RAN_HEADER,
@@ -34,6 +36,7 @@
 RELAY_HOME = b"flamingohead-home"
 RETRY_HEADER = b"flamingohead-retry-after-ms"
 MAX_ATTEMPT_DIGITS = 9
+MAX_TIMEOUT_DIGITS = 9
 
 
 class RelaySink:
@@ -90,6 +93,7 @@
         (RELAY_IDEMPOTENT, b"yes" if call.idempotent else b"no"),
         (RELAY_CALL, call.call_id.encode()),
         (RELAY_CLAIMED, b"yes" if call.claimed else b"no"),
+        (EXCHANGE_HEADER, secrets.token_hex(8).encode()),
     )
 
 
@@ -112,7 +116,8 @@
     timeout = request.get_header(TIMEOUT_HEADER) or b""
     service = request.get_header(RELAY_SERVICE)
     rank = request.get_header(RELAY_RANK)
-    if service is None or rank is None or not timeout.isdigit():
+    is_number = timeout.isdigit() and len(timeout) <= MAX_TIMEOUT_DIGITS
+    if service is None or rank is None or not is_number:
         return Refusal(ErrorKind.MALFORMED_REQUEST, "not a request of a daemon")
     attempt = read_attempt(request)
     if isinstance(attempt, Refusal):
@@ -124,8 +129,8 @@
         if not name.startswith(RELAY_PREFIX) and name != TIMEOUT_HEADER
     )
     return Call(
-        service=service.decode(),
-        rank=rank.decode(),
+        service=service.decode("latin-1"),
+        rank=rank.decode("latin-1"),
         method=request.method,
         target=request.target,
         headers=headers,
