Reserve the ports that tests choose

Cause: a whole run failed once with "nothing listens on 127.0.0.1:20875 after 20 s" under a load of 20 and passed when run again. Tests choose a free port some time before a process binds it, and meshes that start at once can choose the same.

Ruled out: ports of the kernel's choice (a daemon must be told its addresses, and its peers' as well, before it starts).

Change: a chosen port is locked in a directory of temporary files until the process that chose it ends.

That this was the cause of the failed run is likely, not shown.

--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -5,17 +5,21 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import random
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TextIO
 
 ROOT = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
+RESERVATIONS = Path(tempfile.gettempdir()) / "flamingohead-ports"
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 30_000
 START_TIMEOUT = 20.0
@@ -25,24 +29,39 @@
 _given_ports: set[int] = set()
 
 
-def choose_address() -> str:
-    """Return a loopback address whose port is free for TCP and UDP.
+_reservations: list[TextIO] = []
+
 
-    No port is given out twice, as its user may not listen on it yet.
-    """
+def choose_address() -> str:
+    """Return a loopback address that is free, and reserved until this process ends."""
     while True:
         port = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
-        if port in _given_ports:
-            continue
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                try:
-                    tcp.bind((LOOPBACK, port))
-                    udp.bind((LOOPBACK, port))
-                except OSError:
-                    continue
-        _given_ports.add(port)
-        return f"{LOOPBACK}:{port}"
+        if _reserve_port(port) and _is_port_free(port):
+            return f"{LOOPBACK}:{port}"
+
+
+def _reserve_port(port: int) -> bool:
+    """Lock a file for a port, since tests choose ports at the same time."""
+    RESERVATIONS.mkdir(exist_ok=True)
+    file = (RESERVATIONS / str(port)).open("a")
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        file.close()
+        return False
+    _reservations.append(file)
+    return True
+
+
+def _is_port_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind((LOOPBACK, port))
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
 
 
 def wait_for_port(address: str, timeout: float = START_TIMEOUT) -> None:
