Kill a daemon while it accepts, and keep an unready daemon from serving

Cause: both were proved in the pure core only.

Change: a test with real processes loses the answer of the insert, kills the daemon before it can read the row back, and asks again through another one, twice: one version both times, whichever step the kill met. A test of the service takes a version before the end of the log is known: no route matches until then.

Failing first: with routes published at once the service's test matches a ResolvedRoute.

--- a/flamingohead/tests/test_configuration.py
+++ b/flamingohead/tests/test_configuration.py
@@ -5,9 +5,19 @@
 import http.client
 import json
 import time
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+from unittest.mock import MagicMock
 
 import pytest
 
+from flamingohead.core.changes import Change
+from flamingohead.core.dissemination import Dissemination
+from flamingohead.core.errors import ErrorKind
+from flamingohead.core.resources import EMPTY_SNAPSHOT
+from flamingohead.core.versions import Replica, build_record
+from flamingohead.services.configuration import ConfigurationService
+from flamingohead.testing.fakes import create_service
 from flamingohead.testing.processes import ROOT, TOKEN, LocalMesh, run_command
 
 SHEET = ROOT / "examples" / "kente-mirror.csv"
@@ -22,6 +32,14 @@
     assert status == 200
 
 
+def read_usage(address):
+    connection = http.client.HTTPConnection(address, timeout=10)
+    connection.request("GET", "/usage")
+    usage = json.loads(connection.getresponse().read())
+    connection.close()
+    return usage
+
+
 def read_status(daemon):
     connection = http.client.HTTPConnection(daemon.addresses.control, timeout=10)
     headers = {"Authorization": f"Bearer {TOKEN}"}
@@ -97,3 +115,52 @@
         again = [run_command(mesh, "apply", sheet, *options) for _ in range(2)]
         for result in again:
             assert "accepted as version 2" in result.stdout, result.stderr
+
+    def test_daemon_killed_while_it_accepts_leaves_one_outcome(self, mesh, tmp_path):
+        sheet = tmp_path / "sheet.csv"
+        sheet.write_text(SHEET.read_text().replace("2000", "2001"))
+        options = ["--change-id", "killed-between", "--base", "2"]
+        first, second = mesh.daemons["osu-1"], mesh.daemons["osu-0"]
+        set_faults(mesh.table_address, delay_ms=200, lose_answers=1)
+        with ThreadPoolExecutor(1) as pool:
+            control = first.addresses.control
+            asking = pool.submit(
+                run_command, mesh, "apply", str(sheet), *options, control=control
+            )
+            writes = read_usage(mesh.table_address)["writes"]
+            while read_usage(mesh.table_address)["writes"] == writes:
+                if asking.done():
+                    break
+            first.process.kill()
+            assert asking.result().returncode in (0, 4)
+        set_faults(mesh.table_address)
+        control = second.addresses.control
+        for _ in range(2):
+            result = run_command(mesh, "apply", str(sheet), *options, control=control)
+            assert "accepted as version 3" in result.stdout, result.stderr
+
+
+class FakeKernel:
+    """Give one service whatever it asks for."""
+
+    def __init__(self):
+        self.services = {}
+
+    def get(self, name):
+        return self.services.setdefault(name, MagicMock())
+
+
+class TestReadyService:
+    def test_version_taken_before_the_newest_is_known_serves_nobody(self):
+        dissemination = Dissemination(Replica(), random=Random(0))
+        service = ConfigurationService(FakeKernel(), dissemination)
+        change = Change(tuple(create_service("a")))
+        record = build_record(
+            EMPTY_SNAPSHOT, change, change_id="c", author="t", accepted_at=0.0
+        )
+        service.receive_record(record)
+        assert service.replica.version == 1
+        refusal = service.routes.match("GET", "/a")
+        assert refusal.kind is ErrorKind.NO_CONFIGURATION
+        service._run(dissemination.finish_table_read(0.0))
+        assert service.routes.match("GET", "/a").pool.name == "a-pool"
