--- a/flamingohead/core/bootstrap.py
+++ b/flamingohead/core/bootstrap.py
@@ -32,7 +32,7 @@
     longest_wait: float = 10.0
     attempt_timeout: float = 5.0
     row_period: float = 600.0
-    next_rows_wait: float = 20.0
+    next_rows_wait: float = 30.0
     first_row_spread: float = 30.0
     synchronize_period: float = 120.0
     second_join_wait: float = 15.0
@@ -75,6 +75,18 @@
     host_id: str
 
 
+@dataclass(frozen=True)
+class JoinOutcome:
+    """Tell how a join ended.
+
+    A peer that put it off names when it admits one again, and other members.
+    """
+
+    joined: bool
+    retry_at: float | None = None
+    alternatives: tuple[str, ...] = ()
+
+
 BootstrapEffect = JoinPeers | ReadRows | WriteRow | DeleteRow
 
 
@@ -158,6 +170,7 @@
         self._next_row_check_at = 0.0
         self._doubtful: set[str] = set()
         self._tried: set[str] = set()
+        self._alternatives: set[str] = set()
         self._deletions: dict[str, float] = {}
 
     @property
@@ -194,16 +207,15 @@
         effects = self._choose_row_write(rows)
         addresses = self._choose_addresses(rows or [])
         if not addresses:
-            self.finish_join(False, now)
+            self.finish_join((), now)
             return effects
         return [*effects, JoinPeers(addresses)]
 
-    def finish_join(
-        self, joined: bool, now: float, *, retry_at: float | None = None
-    ) -> None:
-        """Take the outcome of a join; ``retry_at`` is set by a peer that refused."""
+    def finish_join(self, outcomes: Iterable[JoinOutcome], now: float) -> None:
+        """Take the outcomes of the joins that were asked for together."""
+        outcomes = list(outcomes)
         self._busy_until = now
-        if joined:
+        if any(outcome.joined for outcome in outcomes):
             self._note_joined(now)
             return
         if self.phase is Phase.JOINED:
@@ -211,9 +223,15 @@
         self._machine.fail()
         self._attempts += 1
         self._next_attempt_at = now + self._compute_wait()
-        if retry_at is not None:
+        self._alternatives = {a for o in outcomes for a in o.alternatives}
+        if self._alternatives:
+            wait = self._settings.first_wait
+            self._next_attempt_at = now + self._random.uniform(0.5, 1.0) * wait
+            return
+        waits = [o.retry_at for o in outcomes if o.retry_at is not None]
+        if waits:
             jitter = self._random.uniform(0, self._settings.first_wait)
-            self._next_attempt_at = max(self._next_attempt_at, retry_at + jitter)
+            self._next_attempt_at = max(self._next_attempt_at, min(waits) + jitter)
 
     def note_gone(self, host_id: str, members: Iterable[str], now: float) -> None:
         """Note that a member died; one member by hash deletes its row later."""
@@ -233,6 +251,10 @@
             self._next_attempt_at = now + self._random.uniform(0.5, 1.5) * wait
             chosen = self._random.choice(list(members.values()))
             return [JoinPeers((chosen.peer_address,))]
+        if self._alternatives:
+            known = sorted(self._alternatives)
+            self._alternatives = set()
+            return [JoinPeers((self._random.choice(known),))]
         if self.phase is Phase.SEEDS and self._seeds:
             count = min(len(self._seeds), self._settings.join_targets)
             return [JoinPeers(tuple(self._random.sample(self._seeds, count)))]
@@ -248,6 +270,7 @@
 
     def _note_joined(self, now: float) -> None:
         if self.phase is not Phase.JOINED:
+            self._tried.clear()
             spread = self._settings.first_row_spread
             self._next_row_check_at = now + self._random.uniform(0, spread)
         self._attempts = 0
@@ -266,12 +289,17 @@
     def _choose_addresses(self, rows: list[HostRow]) -> tuple[str, ...]:
         """Return some of the newest rows, which live most likely, and any other."""
         others = [row for row in rows if row.peer_address != self._peer_address]
+        untried = [row for row in others if row.host_id not in self._tried]
+        if not untried:
+            self._tried.clear()
+        others = untried or others
         others.sort(key=lambda row: row.written_at, reverse=True)
         newest = others[: self._settings.newest_rows]
         count = min(len(newest), self._settings.join_targets - 1)
         chosen = self._random.sample(newest, count)
         if others:
             chosen.append(self._random.choice(others))
+        self._tried |= {row.host_id for row in chosen}
         return tuple({row.peer_address: None for row in chosen})
 
     # Rows
@@ -320,14 +348,15 @@
         that formed by itself while everyone started.
         """
         untried = [row for row in unknown if row.host_id not in self._tried]
+        wait = self._random.uniform(0.5, 1.5) * self._settings.next_rows_wait
+        if unknown:
+            self._next_row_check_at = now + wait
         if not untried:
             self._tried.clear()
             return []
         untried.sort(key=lambda row: row.written_at, reverse=True)
         chosen = untried[: self._settings.join_targets]
         self._tried |= {row.host_id for row in chosen}
-        wait = self._random.uniform(0.5, 1.5) * self._settings.next_rows_wait
-        self._next_row_check_at = now + wait
         return [JoinPeers(tuple(row.peer_address for row in chosen))]
 
     def _delete_rows(
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -37,6 +37,7 @@
 
 INDIRECT_PROBES = 3
 LEAVE_FANOUT = 8
+ALTERNATIVES = 4
 MAX_SPREAD = 64
 
 
@@ -124,6 +125,11 @@
         """Return this member, the usable ones and those known to be gone."""
         return [self.myself, *self.members.values(), *self._list.tombstones]
 
+    def choose_alternatives(self) -> tuple[str, ...]:
+        """Return the addresses of a few members, for a peer that is put off."""
+        chosen = self._choose_members(ALTERNATIVES)
+        return tuple(member.peer_address for member in chosen)
+
     # Events
 
     def set_version(self, version: int, digest: bytes) -> None:
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -98,12 +98,9 @@
     async def _join_peers(self, addresses: tuple[str, ...]) -> None:
         peers = self._kernel.get("peers")
         results = await asyncio.gather(*(peers.join(a) for a in addresses))
-        joined = any(result is True for result in results)
-        waits = [r.retry_at for r in results if isinstance(r, Refusal) and r.retry_at]
+        joined = any(result.joined for result in results)
         before = self._bootstrap.phase
-        self._bootstrap.finish_join(
-            joined, time.monotonic(), retry_at=min(waits, default=None)
-        )
+        self._bootstrap.finish_join(results, time.monotonic())
         metrics = self._kernel.get("metrics")
         if joined:
             metrics.count("join.done")
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -9,7 +9,7 @@
 
 from grpclib.server import Server
 
-from flamingohead.core.bootstrap import JoinAdmission
+from flamingohead.core.bootstrap import JoinAdmission, JoinOutcome
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import KeyState, StoredAnswer
 from flamingohead.events import Event, log_event
@@ -89,40 +89,38 @@
         finally:
             self._channels.release(pooled, failed=failed)
 
-    async def join(self, address: str) -> bool | Refusal:
-        """Join the failure domain through a peer; return whether it answered.
-
-        A refusal holds the time at which the peer admits a join again.
-        """
+    async def join(self, address: str) -> JoinOutcome:
+        """Join the failure domain through a peer."""
         gossip = self._kernel.get("gossip")
         member = codec.encode_member(gossip.membership.myself)
         reply = await self.call(address, "Join", pb.JoinRequest(member=member))
         if isinstance(reply, Refusal):
-            return False
+            return JoinOutcome(False)
         now = time.monotonic()
         if reply.retry_after_ms:
             self._kernel.get("metrics").count("join.put_off")
-            return Refusal(
-                ErrorKind.QUEUE_FULL, address, now + reply.retry_after_ms / 1000
-            )
+            retry_at = now + reply.retry_after_ms / 1000
+            return JoinOutcome(False, retry_at, tuple(reply.alternatives))
         gossip.take_state(codec.decode_member(member) for member in reply.members)
         for contact in reply.contacts:
             self._kernel.get("summaries").remote.add_contact(
                 contact.failure_domain, contact.peer_address, now
             )
-        return True
+        return JoinOutcome(True)
 
     # Incoming calls
 
     async def Join(self, stream) -> None:  # noqa: N802
         request = await stream.recv_message()
+        gossip = self._kernel.get("gossip")
         now = time.monotonic()
         retry_at = self._joins.admit(now)
         if retry_at is not None:
             wait_ms = max(1, round((retry_at - now) * 1000))
-            await stream.send_message(pb.JoinReply(retry_after_ms=wait_ms))
+            others = gossip.membership.choose_alternatives()
+            reply = pb.JoinReply(retry_after_ms=wait_ms, alternatives=others)
+            await stream.send_message(reply)
             return
-        gossip = self._kernel.get("gossip")
         gossip.merge([codec.decode_member(request.member)])
         members = gossip.membership.list_all()
         reply = pb.JoinReply(members=[codec.encode_member(m) for m in members])
--- a/flamingohead/testing/bootstraps.py
+++ b/flamingohead/testing/bootstraps.py
@@ -12,6 +12,7 @@
     DeleteRow,
     HostRow,
     JoinAdmission,
+    JoinOutcome,
     JoinPeers,
     ReadRows,
     WriteRow,
@@ -106,19 +107,20 @@
                 self._join(node, bootstrap, effect.addresses)
 
     def _join(self, node: FakeNode, bootstrap: Bootstrap, addresses) -> None:
+        outcomes = [self._join_one(node, address) for address in addresses]
+        bootstrap.finish_join(outcomes, self._network.now)
+
+    def _join_one(self, node: FakeNode, address: str) -> JoinOutcome:
         now = self._network.now
-        joined = False
-        retry_at = None
-        for address in addresses:
-            other = self._network.nodes.get(address)
-            if other is None or other is node:
-                continue
-            admission = self._admissions.setdefault(other.number, JoinAdmission())
-            refused_until = admission.admit(now)
-            if refused_until is not None:
-                self.refused_joins += 1
-                retry_at = refused_until
-                continue
-            self.joins[int(now)] += 1
-            joined = self._network.join(node, other) or joined
-        bootstrap.finish_join(joined, now, retry_at=retry_at)
+        other = self._network.nodes.get(address)
+        reachable = other is not None and not other.frozen
+        if not reachable or other is node or other.group != node.group:
+            return JoinOutcome(False)
+        admission = self._admissions.setdefault(other.number, JoinAdmission())
+        retry_at = admission.admit(now)
+        if retry_at is not None:
+            self.refused_joins += 1
+            alternatives = other.membership.choose_alternatives()
+            return JoinOutcome(False, retry_at, alternatives)
+        self.joins[int(now)] += 1
+        return JoinOutcome(self._network.join(node, other))
