--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -98,12 +98,9 @@
     async def _join_peers(self, addresses: tuple[str, ...]) -> None:
         peers = self._kernel.get("peers")
         results = await asyncio.gather(*(peers.join(a) for a in addresses))
-        joined = any(result is True for result in results)
-        waits = [r.retry_at for r in results if isinstance(r, Refusal) and r.retry_at]
+        joined = any(result.joined for result in results)
         before = self._bootstrap.phase
-        self._bootstrap.finish_join(
-            joined, time.monotonic(), retry_at=min(waits, default=None)
-        )
+        self._bootstrap.finish_join(results, time.monotonic())
         metrics = self._kernel.get("metrics")
         if joined:
             metrics.count("join.done")
@@ -116,12 +113,9 @@
     # Rows
 
     async def _read_rows(self) -> None:
-        """Read the rows; once joined, those of all failure domains."""
+        """Read the rows of all failure domains; those of others give contacts."""
         domain = self._get_membership().myself.failure_domain
-        prefix = f"{HOST_PREFIX}{domain}/"
-        if self._bootstrap.phase is Phase.JOINED:
-            prefix = HOST_PREFIX
-        found = await self._kernel.get("table").scan(prefix, limit=SCAN_LIMIT)
+        found = await self._kernel.get("table").scan(HOST_PREFIX, limit=SCAN_LIMIT)
         own = None if isinstance(found, Refusal) else self._take_rows(found, domain)
         if own is not None and len(found) == SCAN_LIMIT:
             own = None
