Decide the steps of a planned stop in the core

Cause: the order and the deadlines of a stop were a sequence of awaits in the calls service, provable only with processes. Change: core/stopping.py, a state machine (automat) with the steps as effects; the service carries them out. Ruled out: transitions that call one another inside the machine; automat refuses a reentrant call that returns a value, so the choice of the transition stands outside.

--- /dev/null
+++ b/flamingohead/core/stopping.py
@@ -0,0 +1,129 @@
+"""The planned stop of a daemon: leave, settle, drain, cut what is left.
+
+The other daemons are told first. Some still send for a moment, so the listeners stay
+open for a short time; every answer closes its connection meanwhile. Then the daemon
+waits until no connection is in use, at most until the deadline of the stop.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+SETTLE_SECONDS = 1.0
+
+
+class StopEffect(Enum):
+    """Name what a stop asks of the daemon."""
+
+    LEAVE_MESH = "leave_mesh"
+    CLOSE_AFTER_ANSWERS = "close_after_answers"
+    CLOSE_LISTENERS = "close_listeners"
+    CLOSE_IDLE = "close_idle"
+    CUT = "cut"
+
+
+class StopPhase(Enum):
+    """Name the phases of a stop."""
+
+    SERVING = "serving"
+    SETTLING = "settling"
+    DRAINING = "draining"
+    ENDED = "ended"
+
+
+class StopMachine(Protocol):
+    """Move through the phases of a stop."""
+
+    def begin(self) -> list[StopEffect]:
+        """Leave the mesh and serve on."""
+
+    def drain(self) -> list[StopEffect]:
+        """Take no new connections."""
+
+    def wait(self) -> list[StopEffect]:
+        """Close the connections that have come to rest."""
+
+    def finish(self) -> list[StopEffect]:
+        """End with nothing left open."""
+
+    def cut(self) -> list[StopEffect]:
+        """End with requests still open."""
+
+    def get_phase(self) -> StopPhase:
+        """Return the phase reached."""
+
+
+_builder = TypeMachineBuilder(StopMachine, object)
+_states = {phase: _builder.state(phase.value) for phase in StopPhase}
+
+
+def _add_transition(
+    event, source: StopPhase, target: StopPhase, *effects: StopEffect
+) -> None:
+    @_states[source].upon(event).to(_states[target])
+    def _return_effects(machine: StopMachine, core: object) -> list[StopEffect]:
+        return list(effects)
+
+
+def _add_phase(phase: StopPhase) -> None:
+    @_states[phase].upon(StopMachine.get_phase).loop()
+    def _get_phase(machine: StopMachine, core: object) -> StopPhase:
+        return phase
+
+
+_add_transition(
+    StopMachine.begin,
+    StopPhase.SERVING,
+    StopPhase.SETTLING,
+    StopEffect.LEAVE_MESH,
+    StopEffect.CLOSE_AFTER_ANSWERS,
+)
+_add_transition(
+    StopMachine.drain,
+    StopPhase.SETTLING,
+    StopPhase.DRAINING,
+    StopEffect.CLOSE_LISTENERS,
+    StopEffect.CLOSE_IDLE,
+)
+_add_transition(
+    StopMachine.wait, StopPhase.DRAINING, StopPhase.DRAINING, StopEffect.CLOSE_IDLE
+)
+_add_transition(StopMachine.finish, StopPhase.DRAINING, StopPhase.ENDED)
+_add_transition(StopMachine.cut, StopPhase.DRAINING, StopPhase.ENDED, StopEffect.CUT)
+for _phase in StopPhase:
+    _add_phase(_phase)
+_create_machine = _builder.build()
+
+
+class PlannedStop:
+    """Order the steps of one stop; times in seconds."""
+
+    def __init__(self, now: float, *, timeout: float) -> None:
+        self._machine: StopMachine = _create_machine(object())
+        self._settled_at = now + min(SETTLE_SECONDS, timeout / 2)
+        self._deadline = now + timeout
+
+    @property
+    def has_ended(self) -> bool:
+        """Tell whether nothing is left to do."""
+        return self._machine.get_phase() is StopPhase.ENDED
+
+    def begin(self) -> list[StopEffect]:
+        """Start the stop."""
+        return self._machine.begin()
+
+    def advance(self, now: float, connections: int) -> list[StopEffect]:
+        """Go on at ``now`` with this number of open connections."""
+        phase = self._machine.get_phase()
+        if phase is StopPhase.SETTLING and now >= self._settled_at:
+            return self._machine.drain()
+        if phase is not StopPhase.DRAINING:
+            return []
+        if connections == 0:
+            return self._machine.finish()
+        if now >= self._deadline:
+            return self._machine.cut()
+        return self._machine.wait()
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -9,6 +9,7 @@
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.stopping import PlannedStop, StopEffect
 from flamingohead.events import Event, log_event
 from flamingohead.services.http_server import HttpServerFactory
 from flamingohead.services.relay import (
@@ -30,8 +31,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_KEY_BYTES = 256
-SETTLE_SECONDS = 1.0
-DRAIN_POLL_SECONDS = 0.05
+STOP_POLL_SECONDS = 0.05
 
 
 class CallService:
@@ -51,6 +51,13 @@
         self._factories: list[HttpServerFactory] = []
         self._ports = []
         self._tasks: dict[asyncio.Task, IncomingRequest] = {}
+        self._stop_steps = {
+            StopEffect.LEAVE_MESH: self._leave_mesh,
+            StopEffect.CLOSE_AFTER_ANSWERS: self._close_after_answers,
+            StopEffect.CLOSE_LISTENERS: self._close_listeners,
+            StopEffect.CLOSE_IDLE: self._close_idle,
+            StopEffect.CUT: self._cut_calls,
+        }
 
     async def start(self) -> None:
         handlers = (self._handle_ingress, self._handle_relay)
@@ -62,28 +69,34 @@
             self._ports.append(await listen(factory, host, port))
 
     async def stop(self) -> None:
-        """Leave the mesh, finish the calls in progress, cut what is left.
+        """Leave the mesh, finish the calls in progress, cut what is left."""
+        stop = PlannedStop(time.monotonic(), timeout=self._stop_timeout)
+        await self._run_effects(stop.begin())
+        while not stop.has_ended:
+            connections = sum(len(factory.connections) for factory in self._factories)
+            await self._run_effects(stop.advance(time.monotonic(), connections))
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        for factory in self._factories:
+            factory.doStop()
 
-        The listeners stay open for a short time after the other daemons were told,
-        since some still send; every answer from now on closes its connection.
-        """
-        deadline = time.monotonic() + self._stop_timeout
+    async def _run_effects(self, effects: list[StopEffect]) -> None:
+        for effect in effects:
+            await self._stop_steps[effect]()
+
+    async def _leave_mesh(self) -> None:
         self._kernel.get("gossip").leave()
+
+    async def _close_after_answers(self) -> None:
         for factory in self._factories:
             factory.drain()
-        await asyncio.sleep(min(SETTLE_SECONDS, self._stop_timeout / 2))
+
+    async def _close_listeners(self) -> None:
         for port in self._ports:
             port.close()
-        await self._wait_for_connections(deadline)
-        await self._cut_calls()
 
-    async def _wait_for_connections(self, deadline: float) -> None:
-        while time.monotonic() < deadline:
-            for factory in self._factories:
-                factory.close_idle()
-            if not any(factory.connections for factory in self._factories):
-                return
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+    async def _close_idle(self) -> None:
+        for factory in self._factories:
+            factory.close_idle()
 
     async def _cut_calls(self) -> None:
         metrics = self._kernel.get("metrics")
@@ -103,7 +116,6 @@
             metrics.count("stop.cut_connections", len(factory.connections))
             for connection in list(factory.connections):
                 connection.abort()
-            factory.doStop()
 
     # Entry points
 
--- a/flamingohead/tests/test_http_client.py
+++ b/flamingohead/tests/test_http_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.services.calls import SETTLE_SECONDS
+from flamingohead.core.stopping import SETTLE_SECONDS
 from flamingohead.services.http_client import (
     MAX_IDLE_SECONDS,
     RECENT_SECONDS,
