--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -8,8 +8,10 @@
 
 RAN_HEADER = b"flamingohead-ran"
 REFUSAL_HEADER = b"flamingohead-refusal"
+CHECKED_HEADER = b"flamingohead-key-checked"
 RELAY_PREFIX = b"flamingohead-"
 KEY_HEADER = b"idempotency-key"
+KEY_ATTEMPT_HEADER = b"idempotency-attempt"
 TIMEOUT_HEADER = b"request-timeout-ms"
 REQUEST_ID_HEADER = b"request-id"
 # Between daemons: the answer repeats the value of its request.
@@ -30,7 +32,9 @@
     )
 )
 # A Connection header that names one of these would change what the request means.
-UNDROPPABLE_HEADERS = frozenset((b"host", b"expect", KEY_HEADER, TIMEOUT_HEADER))
+UNDROPPABLE_HEADERS = frozenset(
+    (b"host", b"expect", KEY_HEADER, KEY_ATTEMPT_HEADER, TIMEOUT_HEADER)
+)
 # These the sender of a request sets itself.
 SENDER_HEADERS = HOP_HEADERS | {b"host", b"expect"}
 
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.services.http_messages import (
+    CHECKED_HEADER,
     EXCHANGE_HEADER,
     RAN_HEADER,
     REFUSAL_HEADER,
@@ -152,6 +153,8 @@
             (REFUSAL_HEADER, refusal.kind.value.encode()),
             (RAN_HEADER, (ran or refusal.ran).value.encode()),
         ]
+        if refusal.key_checked:
+            headers.append((CHECKED_HEADER, b"yes"))
         retry_after_ms = refusal.compute_retry_after_ms(now)
         if retry_after_ms is not None:
             seconds = max(1, -(-retry_after_ms // 1000))
