--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -17,6 +17,8 @@
 
 SMOOTHING = 0.1
 QUEUE_LIMIT = 1024
+UNKNOWN_QUEUE_LIMIT = 4
+QUEUED_TARGET_FRACTION = 0.5
 RETIRED_ORDER = 2**31
 RETIRED_SHARE = 0.05
 CLEANUP_MINIMUM = 64
@@ -73,6 +75,12 @@
     interval: float = 0.0
     turn_at: float = 0.0
 
+    def start_waiting(self, limit: int, now: float) -> None:
+        """Note that tickets wait from now on, at first at the pace of the share."""
+        self.turn_at = now
+        if not self.interval and self.rank.share > 0:
+            self.interval = self.service_time / (self.rank.share * limit)
+
     def record_turn(self, now: float) -> None:
         """Learn the time between turns while tickets wait."""
         self.interval += SMOOTHING * (now - self.turn_at - self.interval)
@@ -265,7 +273,7 @@
 
     def _enqueue(self, queue: _RankQueue, ticket: Ticket, now: float) -> None:
         if not queue.waiting:
-            queue.turn_at = now
+            queue.start_waiting(self.limit, now)
         ticket.queue = queue
         ticket.state = TicketState.WAITING
         ticket.place = queue.waiting.push(ticket.caller, ticket)
@@ -294,7 +302,10 @@
     ) -> Refusal | None:
         wait = self._estimate_wait(queue, ticket.caller)
         detail = f"queue of {ticket.rank}"
-        if len(queue.waiting) >= QUEUE_LIMIT:
+        longest = QUEUE_LIMIT
+        if not queue.service_time:
+            longest = max(queue.guaranteed, UNKNOWN_QUEUE_LIMIT)
+        if len(queue.waiting) >= longest:
             return Refusal(ErrorKind.QUEUE_FULL, detail, now + wait)
         if wait > self._get_longest_wait(queue, ticket, now):
             return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail, now + wait)
@@ -303,10 +314,12 @@
     def _get_longest_wait(self, queue: _RankQueue, ticket: Ticket, now: float) -> float:
         """Return the wait with which a ticket is still worth queueing.
 
-        A rank's target bounds it where an idle upstream can meet the target.
+        A rank's target bounds it where an idle upstream can meet the target; the
+        rest of the target is left for waits and services longer than the mean.
         """
         by_deadline = ticket.deadline - now - queue.service_time
         by_target = queue.rank.target_ms / 1000 - queue.service_time
+        by_target *= QUEUED_TARGET_FRACTION
         return min(by_deadline, by_target) if by_target > 0 else by_deadline
 
     def _estimate_wait(self, queue: _RankQueue, caller: str) -> float:
