--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import json
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -62,6 +62,11 @@
     worth: float
     share: float
 
+    def __post_init__(self) -> None:
+        # A whole number would change its digest on the way through a message.
+        object.__setattr__(self, "worth", float(self.worth))
+        object.__setattr__(self, "share", float(self.share))
+
     @property
     def key(self) -> ResourceKey:
         return ResourceKey("rank", self.service, self.name)
@@ -80,6 +85,9 @@
     timeout_ms: int
     idempotent: bool
 
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "methods", tuple(self.methods))
+
     @property
     def key(self) -> ResourceKey:
         return ResourceKey("route", self.service, self.name)
@@ -89,8 +97,11 @@
 
 
 def _hash_resources(resources: Iterable[Resource]) -> bytes:
-    rows = [[type(r).__name__, asdict(r)] for r in sorted(resources, key=_get_key)]
-    text = json.dumps(rows, sort_keys=True, separators=(",", ":"))
+    rows = [
+        [type(resource).__name__, *vars(resource).values()]
+        for resource in sorted(resources, key=_get_key)
+    ]
+    text = json.dumps(rows, separators=(",", ":"))
     return hashlib.sha256(text.encode()).digest()
 
 
@@ -154,6 +165,17 @@
     def get_service(self, name: str) -> Service | None:
         return self.resources.get(ResourceKey("service", name, name))
 
+    def list_changed_services(self, base: Snapshot) -> set[str]:
+        """Return the services that differ from ``base``, removed ones included."""
+        mine, others = self.service_digests, base.service_digests
+        changed = {name for name in mine if others.get(name) != mine[name]}
+        changed.update(name for name in others if name not in mine)
+        return changed
+
+    def list_owned(self, services: set[str]) -> list[Resource]:
+        """Return the resources of some services."""
+        return [r for key, r in self.resources.items() if key.service in services]
+
     def list_kind(self, kind: str) -> list[Resource]:
         return [r for key, r in self.resources.items() if key.kind == kind]
 
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -11,6 +11,7 @@
 from flamingohead.core.validation import validate_snapshot
 
 KEPT_RECORDS = 256
+KEPT_RESOURCES = 10_000
 
 
 @dataclass(frozen=True)
@@ -18,7 +19,10 @@
     """Describe one accepted version.
 
     ``change`` is ``None`` while the change is only known by ``change_digest``
-    in the object store. ``accepted_at`` is in seconds since the epoch.
+    in the object store. ``snapshot_object`` is the digest of the object that holds
+    the whole snapshot, or empty. With neither a change nor its digest, the version
+    is taken from its whole snapshot alone. ``accepted_at`` is in seconds since the
+    epoch.
     """
 
     version: int
@@ -29,6 +33,7 @@
     accepted_at: float
     change: Change | None
     change_digest: bytes = b""
+    snapshot_object: bytes = b""
 
 
 def build_record(
@@ -41,7 +46,7 @@
 ) -> VersionRecord | Refusal:
     """Return the record that follows ``base``, or the reason it is invalid."""
     snapshot = apply_change(base, change, version=base.version + 1)
-    problems = validate_snapshot(snapshot)
+    problems = validate_snapshot(snapshot, base=base)
     if problems:
         detail = "; ".join(f"{p.key.kind} {p.key.name}: {p.message}" for p in problems)
         return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
@@ -65,6 +70,7 @@
     def __init__(self, snapshot: Snapshot = EMPTY_SNAPSHOT) -> None:
         self.snapshot = snapshot
         self.records: OrderedDict[int, VersionRecord] = OrderedDict()
+        self._kept_resources = 0
 
     @property
     def version(self) -> int:
@@ -83,7 +89,7 @@
                 f"version {record.version} does not follow the digest held",
             )
         snapshot = apply_change(self.snapshot, record.change, version=record.version)
-        refusal = _check_snapshot(snapshot, record.snapshot_digest)
+        refusal = check_snapshot(snapshot, record.snapshot_digest, base=self.snapshot)
         if refusal is not None:
             return refusal
         self._remember_record(record)
@@ -97,10 +103,11 @@
         """
         if snapshot.version <= self.version:
             return self.snapshot
-        refusal = _check_snapshot(snapshot, digest)
+        refusal = check_snapshot(snapshot, digest)
         if refusal is not None:
             return refusal
         self.records.clear()
+        self._kept_resources = 0
         self.snapshot = snapshot
         return snapshot
 
@@ -114,17 +121,22 @@
 
     def _remember_record(self, record: VersionRecord) -> None:
         self.records[record.version] = record
-        while len(self.records) > KEPT_RECORDS:
-            self.records.popitem(last=False)
+        self._kept_resources += record.change.count_resources()
+        while len(self.records) > KEPT_RECORDS or self._kept_resources > KEPT_RESOURCES:
+            _, dropped = self.records.popitem(last=False)
+            self._kept_resources -= dropped.change.count_resources()
 
 
-def _check_snapshot(snapshot: Snapshot, digest: bytes) -> Refusal | None:
+def check_snapshot(
+    snapshot: Snapshot, digest: bytes, *, base: Snapshot | None = None
+) -> Refusal | None:
+    """Return why a snapshot can't be taken, or ``None``; ``base`` is a valid one."""
     if snapshot.digest != digest:
         return Refusal(
             ErrorKind.INVALID_CONFIGURATION,
             f"version {snapshot.version} does not match its digest",
         )
-    problems = validate_snapshot(snapshot)
+    problems = validate_snapshot(snapshot, base=base)
     if problems:
         first = problems[0]
         return Refusal(
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 from google.protobuf.message import DecodeError
 
 from flamingohead.core.changes import Change
@@ -14,7 +16,15 @@
     UpstreamState,
     UpstreamStatus,
 )
-from flamingohead.core.messages import Ack, Datagram, News, Ping, PingRequest
+from flamingohead.core.messages import (
+    Ack,
+    Body,
+    Datagram,
+    Gossip,
+    News,
+    Ping,
+    PingRequest,
+)
 from flamingohead.core.resources import (
     Pool,
     Rank,
@@ -24,8 +34,13 @@
     Service,
     Snapshot,
 )
+from flamingohead.core.summaries import SummaryReply, SummaryRequest
 from flamingohead.core.versions import VersionRecord
 from flamingohead.protocol import peers_pb2 as pb
+from flamingohead.protocol.summaries import (
+    decode_summary_reply,
+    encode_summary_reply,
+)
 
 RESOURCE_KINDS = ("service", "pool", "rank", "route")
 
@@ -143,6 +158,7 @@
         accepted_at=record.accepted_at,
         change=change,
         change_digest=record.change_digest,
+        snapshot_object=record.snapshot_object,
     )
 
 
@@ -159,9 +175,25 @@
         accepted_at=message.accepted_at,
         change=change,
         change_digest=message.change_digest,
+        snapshot_object=message.snapshot_object,
     )
 
 
+def serialize_row(record: VersionRecord) -> bytes:
+    """Return the value of a table row, which carries its own digest."""
+    body = encode_record(record).SerializeToString()
+    stored = pb.StoredRecord(digest=hashlib.sha256(body).digest(), record=body)
+    return stored.SerializeToString()
+
+
+def parse_row(data: bytes) -> VersionRecord:
+    """Decode the value of a table row; raise ``CodecError``."""
+    stored = _parse(pb.StoredRecord(), data)
+    if hashlib.sha256(stored.record).digest() != stored.digest:
+        raise CodecError("row does not match its digest")
+    return parse_record(stored.record)
+
+
 def parse_record(data: bytes) -> VersionRecord:
     """Decode a serialized record; raise ``CodecError``."""
     return decode_record(_parse(pb.VersionRecord(), data))
@@ -195,7 +227,13 @@
 
 def encode_member(member: Member) -> pb.Member:
     upstreams = [
-        pb.Upstream(name=u.name, service=u.service, status=int(u.status), slots=u.slots)
+        pb.Upstream(
+            name=u.name,
+            service=u.service,
+            status=int(u.status),
+            slots=u.slots,
+            load_percent=round(u.load * 100),
+        )
         for u in member.upstreams
     ]
     return pb.Member(
@@ -206,6 +244,7 @@
         incarnation=member.incarnation,
         status=int(member.status),
         upstreams=upstreams,
+        accuser=member.accuser,
     )
 
 
@@ -220,12 +259,14 @@
         incarnation=message.incarnation,
         status=_decode_enum(MemberStatus, message.status),
         upstreams=tuple(_decode_upstream(u) for u in message.upstreams),
+        accuser=message.accuser,
     )
 
 
 def _decode_upstream(message: pb.Upstream) -> UpstreamState:
     status = _decode_enum(UpstreamStatus, message.status)
-    return UpstreamState(message.name, message.service, status, message.slots)
+    load = message.load_percent / 100
+    return UpstreamState(message.name, message.service, status, message.slots, load)
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
@@ -245,6 +286,12 @@
         message.ping_request.target = body.target
     elif isinstance(body, Ack):
         message.ack.subject = body.subject
+    elif isinstance(body, Gossip):
+        message.gossip.SetInParent()
+    elif isinstance(body, SummaryRequest):
+        message.summary_request.digests = body.digests
+    elif isinstance(body, SummaryReply):
+        message.summary_reply.CopyFrom(encode_summary_reply(body))
     else:
         message.news.CopyFrom(encode_record(body.record))
     return message.SerializeToString()
@@ -265,7 +312,7 @@
     )
 
 
-def _decode_body(message: pb.Datagram) -> Ping | PingRequest | Ack | News:
+def _decode_body(message: pb.Datagram) -> Body:
     kind = message.WhichOneof("body")
     if kind == "ping":
         return Ping()
@@ -275,6 +322,12 @@
         return Ack(message.ack.subject)
     if kind == "news":
         return News(decode_record(message.news))
+    if kind == "gossip":
+        return Gossip()
+    if kind == "summary_request":
+        return SummaryRequest(message.summary_request.digests)
+    if kind == "summary_reply":
+        return decode_summary_reply(message.summary_reply)
     raise CodecError("datagram of no known kind")
 
 
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -4,20 +4,26 @@
 
 import asyncio
 import logging
+import secrets
 import time
 from typing import TYPE_CHECKING
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.idempotency import UNMARKED, qualify_refusal
+from flamingohead.core.scopes import is_scoped_key
 from flamingohead.events import Event, log_event
 from flamingohead.services.http_server import HttpServerFactory
 from flamingohead.services.relay import (
     KEY_HEADER,
+    RELAY_HOME,
     RELAY_PREFIX,
     RELAY_UPSTREAM,
     TIMEOUT_HEADER,
+    read_attempt,
     read_relayed_call,
 )
+from flamingohead.services.scopes import SCOPE_PATH
 from flamingohead.services.transport import listen
 from flamingohead.settings import split_address
 
@@ -30,6 +36,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_KEY_BYTES = 256
+SETTLE_SECONDS = 1.0
+DRAIN_POLL_SECONDS = 0.05
 
 
 class CallService:
@@ -48,7 +56,7 @@
         self._stop_timeout = stop_timeout
         self._factories: list[HttpServerFactory] = []
         self._ports = []
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks: dict[asyncio.Task, IncomingRequest] = {}
 
     async def start(self) -> None:
         handlers = (self._handle_ingress, self._handle_relay)
@@ -60,17 +68,48 @@
             self._ports.append(await listen(factory, host, port))
 
     async def stop(self) -> None:
-        """Finish the calls in progress, up to the stop deadline."""
+        """Leave the mesh, finish the calls in progress, cut what is left.
+
+        The listeners stay open for a short time after the other daemons were told,
+        since some still send; every answer from now on closes its connection.
+        """
+        deadline = time.monotonic() + self._stop_timeout
+        self._kernel.get("gossip").leave()
+        for factory in self._factories:
+            factory.drain()
+        await asyncio.sleep(min(SETTLE_SECONDS, self._stop_timeout / 2))
         for port in self._ports:
             port.close()
+        await self._wait_for_connections(deadline)
+        await self._cut_calls()
+
+    async def _wait_for_connections(self, deadline: float) -> None:
+        while time.monotonic() < deadline:
+            for factory in self._factories:
+                factory.close_idle()
+            if not any(factory.connections for factory in self._factories):
+                return
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _cut_calls(self) -> None:
+        metrics = self._kernel.get("metrics")
+        tasks = dict(self._tasks)
+        metrics.count("stop.cut_calls", len(tasks))
+        for task, request in tasks.items():
+            log_event(
+                logger,
+                Event.REQUEST_CUT_BY_STOP,
+                method=request.method,
+                target=request.target.decode("latin-1"),
+            )
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
         for factory in self._factories:
-            factory.drain()
-            factory.close_idle()
-        if self._tasks:
-            _, cut = await asyncio.wait(self._tasks, timeout=self._stop_timeout)
-            for task in cut:
-                task.cancel()
-            self._kernel.get("metrics").count("stop.cut_calls", len(cut))
+            metrics.count("stop.cut_connections", len(factory.connections))
+            for connection in list(factory.connections):
+                connection.abort()
+            factory.doStop()
 
     # Entry points
 
@@ -78,28 +117,38 @@
         self, request: IncomingRequest, response: ServerResponse
     ) -> None:
         routes = self._kernel.get("configuration").routes
+        if request.method == "GET" and request.target == SCOPE_PATH:
+            self._kernel.get("scopes").send_scope(response)
+            return
         resolved = routes.match(request.method, request.target.decode("latin-1"))
         if isinstance(resolved, Refusal):
-            self._refuse(response, resolved)
+            self._refuse(response, _qualify(request, resolved))
             return
         call = _build_call(request, resolved, time.monotonic())
         if isinstance(call, Refusal):
-            self._refuse(response, call)
+            self._refuse(response, _qualify(request, call))
             return
-        self._spawn(self._serve(call, response), response)
+        self._spawn(self._serve(call, response), request, response)
 
     def _handle_relay(self, request: IncomingRequest, response: ServerResponse) -> None:
         call = read_relayed_call(request, time.monotonic())
         if isinstance(call, Refusal):
             self._refuse(response, call)
             return
+        if request.get_header(RELAY_HOME) is not None:
+            self._spawn(self._serve_home(call, response), request, response)
+            return
         upstream = (request.get_header(RELAY_UPSTREAM) or b"").decode("latin-1")
-        self._spawn(self._serve_local(upstream, call, response), response)
+        self._spawn(self._serve_local(upstream, call, response), request, response)
 
-    def _spawn(self, coroutine, response: ServerResponse) -> None:
+    def _spawn(
+        self, coroutine, request: IncomingRequest, response: ServerResponse
+    ) -> None:
         task = asyncio.get_running_loop().create_task(self._guard(coroutine, response))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = request
+        task.add_done_callback(self._tasks.pop)
+        # A task that is cancelled before its first step never runs the coroutine.
+        task.add_done_callback(lambda _: coroutine.close())
         response.on_disconnect = task.cancel
 
     async def _guard(self, coroutine, response: ServerResponse) -> None:
@@ -118,7 +167,15 @@
     # Calls
 
     async def _serve(self, call: Call, response: ServerResponse) -> None:
-        refusal = await self._kernel.get("attempts").serve(call, response)
+        scoped = call.is_keyed and is_scoped_key(call.key)
+        service = self._kernel.get("scopes" if scoped else "attempts")
+        refusal = await service.serve(call, response)
+        if refusal is not None and call.key is not None:
+            refusal = qualify_refusal(refusal, call.attempt)
+        self._conclude(response, refusal)
+
+    async def _serve_home(self, call: Call, response: ServerResponse) -> None:
+        refusal = await self._kernel.get("scopes").serve_home(call, response)
         self._conclude(response, refusal)
 
     async def _serve_local(
@@ -148,6 +205,9 @@
     timeout_ms = _read_timeout(request, route.timeout_ms)
     if isinstance(timeout_ms, Refusal):
         return timeout_ms
+    attempt = read_attempt(request)
+    if isinstance(attempt, Refusal):
+        return attempt
     key = request.get_header(KEY_HEADER)
     if key is not None and not 0 < len(key) <= MAX_KEY_BYTES:
         return Refusal(
@@ -168,6 +228,17 @@
         deadline=now + timeout_ms / 1000,
         idempotent=route.idempotent,
         key=None if key is None else key.decode("latin-1"),
+        attempt=attempt,
+        call_id="" if key is None else secrets.token_hex(8),
+    )
+
+
+def _qualify(request: IncomingRequest, refusal: Refusal) -> Refusal:
+    if request.get_header(KEY_HEADER) is None:
+        return refusal
+    attempt = read_attempt(request)
+    return qualify_refusal(
+        refusal, UNMARKED if isinstance(attempt, Refusal) else attempt
     )
 
 
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -3,53 +3,57 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import logging
+import random
 import time
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from twisted.internet.task import LoopingCall
 
-from flamingohead.core.changes import compute_change
+from flamingohead.core.acceptance import Acceptance, Accepted, ChangeRequest
 from flamingohead.core.dissemination import (
     ActivateSnapshot,
+    AskSample,
+    BecomeReady,
     Dissemination,
     PullFromPeer,
     PushRecord,
     ReadTable,
     ReportRejected,
 )
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import Refusal
+from flamingohead.core.pulls import PullAdmission
+from flamingohead.core.recovery import (
+    Recovery,
+    read_records,
+    read_stored_snapshot,
+)
+from flamingohead.core.resources import EMPTY_SNAPSHOT
 from flamingohead.core.routing import RouteTable
-from flamingohead.core.versions import VersionRecord, build_record
+from flamingohead.core.storage import (
+    CatchUp,
+    Reply,
+    ReportDamaged,
+    TakeRecords,
+    TakeSnapshot,
+)
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec, peers_pb2 as pb
+from flamingohead.services.log import OPERATIONS
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import Resource
+    from flamingohead.core.rejections import Rejection
+    from flamingohead.core.resources import Resource, Snapshot
+    from flamingohead.core.storage import Operation, Procedure
+    from flamingohead.core.versions import VersionRecord
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
 
 TICK_PERIOD = 0.05
-SCAN_LIMIT = 100
-MAX_INLINE_CHANGE_BYTES = 64 * 1024
-LOG_PREFIX = "log/"
-
-
-@dataclass(frozen=True)
-class Accepted:
-    """Report the version under which a change was accepted."""
-
-    version: int
-    change_id: str
-    accepted_at: float
-
-
-def get_log_key(version: int) -> str:
-    """Return the table key of a version; keys sort by version."""
-    return f"{LOG_PREFIX}{version:012d}"
+ACCEPT_TIMEOUT = 6.0
+MAX_NEWS_BYTES = 1200
 
 
 class ConfigurationService:
@@ -60,14 +64,26 @@
         self._dissemination = dissemination
         self._ticks = LoopingCall(self._tick)
         self._tasks: set[asyncio.Task] = set()
-        self._reading = False
-        self.routes = RouteTable(dissemination.replica.snapshot)
+        self._recovery: asyncio.Task | None = None
+        self._random = random.Random()
+        self._pulls = PullAdmission(random=self._random)
+        self._encoded_snapshot = pb.Snapshot()
+        self.routes = RouteTable(EMPTY_SNAPSHOT)
         self.activated_at = 0.0
 
     @property
     def replica(self):
         return self._dissemination.replica
 
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may be served."""
+        return self._dissemination.readiness.is_ready
+
+    def list_rejections(self) -> list[Rejection]:
+        """Return the versions that this daemon could not take."""
+        return self._dissemination.rejections.list_all()
+
     async def start(self) -> None:
         self._ticks.start(TICK_PERIOD, now=True)
 
@@ -97,30 +113,55 @@
     def _run(self, effects) -> None:
         for effect in effects:
             if isinstance(effect, ReadTable):
-                self._spawn(self._read_table())
+                self._spawn(self.catch_up())
             elif isinstance(effect, PullFromPeer):
                 self._spawn(self._pull(effect))
+            elif isinstance(effect, AskSample):
+                self._ask_sample(effect)
             elif isinstance(effect, PushRecord):
-                self._kernel.get("gossip").push_record(effect.record, effect.fanout)
+                self._push(effect)
             elif isinstance(effect, ActivateSnapshot):
                 self._activate(effect.snapshot)
+            elif isinstance(effect, BecomeReady):
+                self._become_ready()
             elif isinstance(effect, ReportRejected):
                 self._report_rejected(effect)
 
-    def _spawn(self, coroutine) -> None:
+    def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish_task)
+        return task
 
-    def _activate(self, snapshot) -> None:
-        self.routes = RouteTable(snapshot)
+    def _finish_task(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("configuration task failed", exc_info=task.exception())
+
+    def _activate(self, snapshot: Snapshot) -> None:
         self.activated_at = time.time()
         membership = self._kernel.get("gossip").membership
         membership.set_version(snapshot.version, snapshot.digest)
         self._kernel.get("metrics").set_gauge("version", snapshot.version)
-        self._kernel.get("slots").set_routes(self.routes)
+        if self.is_ready:
+            self._publish_routes()
         log_event(logger, Event.VERSION_ACTIVATED, version=snapshot.version)
 
+    def _become_ready(self) -> None:
+        self._publish_routes()
+        log_event(logger, Event.CONFIGURATION_READY, version=self.replica.version)
+
+    def _publish_routes(self) -> None:
+        self.routes = self.routes.build_next(self.replica.snapshot)
+        self._kernel.get("slots").set_routes(self.routes)
+
+    def _push(self, effect: PushRecord) -> None:
+        """Push a record, or only its version if it is too large for a datagram."""
+        record = effect.record
+        if codec.encode_record(record).ByteSize() > MAX_NEWS_BYTES:
+            record = replace(record, change=None, change_digest=b"")
+        self._kernel.get("gossip").push_record(record, effect.fanout)
+
     def _report_rejected(self, effect: ReportRejected) -> None:
         self._kernel.get("metrics").count("version.rejected")
         log_event(
@@ -130,75 +171,103 @@
             reason=effect.refusal.detail,
         )
 
-    async def _read_table(self) -> None:
-        if self._reading:
-            return
-        self._reading = True
-        try:
-            await self.catch_up()
-        finally:
-            self._reading = False
+    # Peers
+
+    def _ask_sample(self, effect: AskSample) -> None:
+        alive = self._kernel.get("gossip").membership.list_alive()
+        for member in self._random.sample(alive, min(len(alive), effect.count)):
+            self._spawn(self._ask_version(member.peer_address))
+
+    async def _ask_version(self, address: str) -> None:
+        request = pb.StatusRequest()
+        reply = await self._kernel.get("peers").call(address, "FetchStatus", request)
+        if not isinstance(reply, Refusal):
+            self.receive_peer_version(address, reply.version)
 
     async def _pull(self, effect: PullFromPeer) -> None:
-        request = pb.PullRequest(version=effect.version)
+        retry_at: float | None = None
         try:
-            reply = await self._kernel.get("peers").call(
-                effect.address, "Pull", request
-            )
+            request = pb.PullRequest(version=effect.version)
+            peers = self._kernel.get("peers")
+            reply = await peers.call(effect.address, "Pull", request)
             if isinstance(reply, Refusal):
                 return
-            now = time.monotonic()
-            if reply.HasField("snapshot"):
-                snapshot = codec.decode_snapshot(reply.snapshot)
-                self._run(
-                    self._dissemination.receive_snapshot(
-                        snapshot, reply.snapshot.digest, now
-                    )
-                )
-            records = [codec.decode_record(record) for record in reply.records]
-            self._run(self._dissemination.receive_records(records, now))
+            if reply.retry_after_ms:
+                retry_at = time.monotonic() + reply.retry_after_ms / 1000
+                self._kernel.get("metrics").count("pull.postponed")
+                return
+            self._take_pulled(reply)
+        except codec.CodecError as error:
+            log_event(logger, Event.PULL_MALFORMED, peer=effect.address, error=error)
+            self._kernel.get("metrics").count("pull.malformed")
+            retry_at = time.monotonic() + 1.0
         finally:
-            self._dissemination.finish_pull()
+            self._dissemination.finish_pull(time.monotonic(), retry_at)
+
+    def answer_pull(self, version: int) -> pb.PullReply:
+        """Return the records after a version, a whole snapshot or a time to retry."""
+        reply = pb.PullReply(version=self.replica.version)
+        records = self.replica.list_records_after(version)
+        if records is not None:
+            reply.records.extend(codec.encode_record(record) for record in records)
+            return reply
+        wait = self._pulls.admit(time.monotonic())
+        if wait is not None:
+            self._kernel.get("metrics").count("pull.refused")
+            reply.retry_after_ms = round(wait * 1000)
+            return reply
+        if self._encoded_snapshot.version != self.replica.version:
+            self._encoded_snapshot = codec.encode_snapshot(self.replica.snapshot)
+        self._kernel.get("metrics").count("pull.snapshot_sent")
+        reply.snapshot.CopyFrom(self._encoded_snapshot)
+        return reply
+
+    def _take_pulled(self, reply: pb.PullReply) -> None:
+        records = [codec.decode_record(record) for record in reply.records]
+        if reply.HasField("snapshot"):
+            snapshot = codec.decode_snapshot(reply.snapshot)
+            self._take_snapshot(snapshot, reply.snapshot.digest)
+        self._take_records(records)
+
+    def _take_records(self, records) -> int:
+        now = time.monotonic()
+        self._run(self._dissemination.receive_records(records, now))
+        return self.replica.version
+
+    def _take_snapshot(self, snapshot: Snapshot, digest: bytes) -> int:
+        now = time.monotonic()
+        self._run(self._dissemination.receive_snapshot(snapshot, digest, now))
+        return self.replica.version
 
     # The log
 
     async def catch_up(self) -> Refusal | None:
-        """Read the log to its end; return a refusal if it can't be read."""
-        while True:
-            after = get_log_key(self.replica.version)
-            rows = await self._kernel.get("table").scan(
-                LOG_PREFIX, after=after, limit=SCAN_LIMIT
-            )
-            if isinstance(rows, Refusal):
-                return rows
-            records = []
-            for row in rows:
-                record = await self.load_record(row.value)
-                if isinstance(record, Refusal):
-                    return record
-                records.append(record)
-            before = self.replica.version
-            self._run(self._dissemination.receive_records(records, time.monotonic()))
-            if len(rows) < SCAN_LIMIT or self.replica.version == before:
-                return None
-
-    async def load_record(self, data: bytes) -> VersionRecord | Refusal:
-        """Decode a row of the log, with its change read from the object store."""
-        try:
-            record = codec.parse_record(data)
-            if record.change is not None:
-                return record
-            body = await self._kernel.get("objects").read(
-                f"changes/{record.change_digest.hex()}"
-            )
-            if isinstance(body, Refusal):
-                return body
-            if body is None or hashlib.sha256(body).digest() != record.change_digest:
-                detail = f"change of version {record.version} is missing or corrupted"
-                return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
-            return replace(record, change=codec.parse_change(body))
-        except codec.CodecError as error:
-            return Refusal(ErrorKind.INVALID_CONFIGURATION, str(error))
+        """Read the log to its end; return a refusal if that fails.
+
+        One reading at a time: a second caller waits for the one under way.
+        """
+        if self._recovery is None or self._recovery.done():
+            self._recovery = self._spawn(self._read_to_end())
+        return await asyncio.shield(self._recovery)
+
+    async def _read_to_end(self) -> Refusal | None:
+        refusal = await self._drive(Recovery(self.replica.version).run())
+        now = time.monotonic()
+        if refusal is None:
+            self._run(self._dissemination.finish_table_read(now))
+        else:
+            self._run(self._dissemination.fail_table_read(now))
+        return refusal
+
+    async def read_records(
+        self, after: int, limit: int
+    ) -> list[VersionRecord] | Refusal:
+        """Return up to ``limit`` records after a version, with their changes."""
+        return await self._drive(read_records(after, limit))
+
+    async def read_stored_snapshot(self, version: int) -> Snapshot | Refusal:
+        """Return the newest stored snapshot that is not newer than ``version``."""
+        return await self._drive(read_stored_snapshot(version))
 
     async def accept(
         self,
@@ -208,97 +277,58 @@
         author: str,
         base_version: int,
     ) -> Accepted | Refusal:
-        """Accept the change from the newest version to ``resources``.
+        """Accept ``resources`` as the version that follows ``base_version``.
 
-        ``base_version`` is the version that the operator saw. A change accepted
-        after it by somebody else leads to ``VERSION_CONFLICT``. The same change
-        id may be asked for again after a lost answer.
+        A change accepted before it by somebody else leads to ``VERSION_CONFLICT``;
+        ``CHANGE_OUTCOME_UNKNOWN`` allows to ask again with the same change id and
+        base version.
         """
-        refusal = await self.catch_up()
-        if refusal is not None:
-            return refusal
-        known = self._find_change(change_id, base_version)
-        if known is not None:
-            return known
-        snapshot = self.replica.snapshot
-        if snapshot.version != base_version:
-            return self._describe_conflict(base_version + 1)
-        change = compute_change(snapshot, resources)
-        if change.is_empty:
-            return Accepted(snapshot.version, change_id, self.activated_at)
-        record = build_record(
-            snapshot,
-            change,
-            change_id=change_id,
-            author=author,
+        request = ChangeRequest(
+            tuple(resources),
+            change_id,
+            author,
+            base_version,
             accepted_at=time.time(),
+            deadline=time.monotonic() + ACCEPT_TIMEOUT,
         )
-        if isinstance(record, Refusal):
-            return record
-        return await self._insert(record)
-
-    async def _insert(self, record: VersionRecord) -> Accepted | Refusal:
-        stored = await self._offload_change(record)
-        if isinstance(stored, Refusal):
-            return stored
-        data = codec.encode_record(stored).SerializeToString()
-        inserted = await self._kernel.get("table").insert(
-            get_log_key(record.version), data
-        )
-        if isinstance(inserted, Refusal):
-            return await self._resolve_insert(record, inserted)
-        if not inserted:
-            return await self._resolve_insert(record, None)
-        return self._confirm(record)
-
-    async def _offload_change(self, record: VersionRecord) -> VersionRecord | Refusal:
-        body = codec.encode_change(record.change).SerializeToString()
-        if len(body) <= MAX_INLINE_CHANGE_BYTES:
-            return record
-        digest = hashlib.sha256(body).digest()
-        written = await self._kernel.get("objects").write(
-            f"changes/{digest.hex()}", body
-        )
-        if isinstance(written, Refusal):
-            return written
-        return replace(record, change=None, change_digest=digest)
-
-    async def _resolve_insert(
-        self, record: VersionRecord, refusal: Refusal | None
-    ) -> Accepted | Refusal:
-        row = await self._kernel.get("table").read(get_log_key(record.version))
-        if isinstance(row, Refusal):
-            return row
-        if row is None:
-            return refusal or Refusal(
-                ErrorKind.PLATFORM_UNAVAILABLE, "the row of the winner is not readable"
-            )
-        if codec.parse_record(row.value).change_id == record.change_id:
-            return self._confirm(record)
-        await self.catch_up()
-        return self._describe_conflict(record.version)
-
-    def _confirm(self, record: VersionRecord) -> Accepted:
+        outcome = await self._drive(Acceptance(request, random=self._random).run())
+        if isinstance(outcome, Refusal):
+            return outcome
         log_event(
             logger,
             Event.VERSION_ACCEPTED,
-            version=record.version,
-            change=record.change_id,
-            author=record.author,
+            version=outcome.version,
+            change=change_id,
+            author=author,
         )
-        self.receive_record(record)
-        return Accepted(record.version, record.change_id, record.accepted_at)
-
-    def _find_change(self, change_id: str, after: int) -> Accepted | None:
-        for record in self.replica.list_records_after(after) or []:
-            if record.change_id == change_id:
-                return Accepted(record.version, change_id, record.accepted_at)
-        return None
-
-    def _describe_conflict(self, version: int) -> Refusal:
-        records = self.replica.list_records_after(version - 1) or []
-        winner = records[0] if records else None
-        detail = f"version {version} was taken"
-        if winner is not None:
-            detail += f" by {winner.author!r} with change {winner.change_id}"
-        return Refusal(ErrorKind.VERSION_CONFLICT, detail)
+        self._spawn(self.catch_up())
+        return outcome
+
+    # Procedures
+
+    async def _drive(self, procedure: Procedure):
+        """Perform the operations of a procedure; return its result."""
+        try:
+            operation = next(procedure)
+            while True:
+                value = await self._perform(operation)
+                operation = procedure.send(Reply(value, time.monotonic()))
+        except StopIteration as end:
+            return end.value
+
+    async def _perform(self, operation: Operation):
+        if isinstance(operation, TakeRecords):
+            return self._take_records(operation.records)
+        if isinstance(operation, TakeSnapshot):
+            return self._take_snapshot(operation.snapshot, operation.digest)
+        if isinstance(operation, ReportDamaged):
+            now = time.monotonic()
+            self._run(
+                self._dissemination.report_rejected(
+                    operation.version, operation.refusal, now
+                )
+            )
+            return None
+        if isinstance(operation, CatchUp):
+            return await self.catch_up() or self.replica.snapshot
+        return await OPERATIONS[type(operation)](self._kernel, operation)
--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import json
 import logging
 from dataclasses import dataclass
 from urllib.parse import quote
 
 import treq
+from pydantic import Base64Bytes, BaseModel, ValidationError
 from twisted.internet import reactor
 from twisted.web.client import HTTPConnectionPool
 
@@ -38,6 +37,16 @@
     body: bytes
 
 
+class _PageRow(BaseModel):
+    key: str
+    value: Base64Bytes
+    tag: str
+
+
+class _Page(BaseModel):
+    rows: list[_PageRow]
+
+
 class _PlatformClient:
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
@@ -116,7 +125,9 @@
         )
         if isinstance(answer, Refusal):
             return answer
-        return answer.status in (200, 201)
+        if answer.status not in (200, 201, 412):
+            return _refuse_status("insert", answer)
+        return answer.status != 412
 
     async def update(self, key: str, value: bytes, tag: str) -> bool | Refusal:
         """Replace a row whose tag is ``tag``; return ``False`` if it has changed."""
@@ -128,9 +139,10 @@
             return answer
         return answer.status == 200
 
-    async def delete(self, key: str) -> bool | Refusal:
-        """Delete a row; return whether it existed."""
-        answer = await self._request("DELETE", _get_row_path(key))
+    async def delete(self, key: str, *, tag: str | None = None) -> bool | Refusal:
+        """Delete a row, if given only while its tag is ``tag``; tell whether it was."""
+        headers = None if tag is None else {"If-Match": tag}
+        answer = await self._request("DELETE", _get_row_path(key), headers=headers)
         if isinstance(answer, Refusal):
             return answer
         return answer.status in (200, 204)
@@ -143,10 +155,12 @@
         answer = await self._request("GET", path)
         if isinstance(answer, Refusal):
             return answer
-        rows = json.loads(answer.body)["rows"]
-        return [
-            Row(row["key"], base64.b64decode(row["value"]), row["tag"]) for row in rows
-        ]
+        try:
+            page = _Page.model_validate_json(answer.body)
+        except ValidationError:
+            detail = f"scan of {prefix!r} gave an answer that can't be read"
+            return Refusal(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+        return [Row(row.key, row.value, row.tag) for row in page.rows]
 
 
 class ObjectClient(_PlatformClient):
@@ -159,6 +173,8 @@
             return answer
         if answer.status == 404:
             return None
+        if answer.status != 200:
+            return _refuse_status("read", answer)
         return answer.body
 
     async def write(self, key: str, value: bytes) -> bool | Refusal:
@@ -167,7 +183,14 @@
         answer = await self._request("PUT", path, body=value)
         if isinstance(answer, Refusal):
             return answer
-        return answer.status in (200, 201)
+        if answer.status not in (200, 201):
+            return _refuse_status("write", answer)
+        return True
+
+
+def _refuse_status(action: str, answer: _Answer) -> Refusal:
+    detail = f"{action} answered with status {answer.status}"
+    return Refusal(ErrorKind.PLATFORM_UNAVAILABLE, detail)
 
 
 def _get_row_path(key: str) -> str:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
@@ -13,7 +12,6 @@
 from flamingohead.core.admission import Admission, Ticket, Turn
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
-from flamingohead.events import Event, log_event
 from flamingohead.services.dispatch import AnswerRelay, dispatch_call
 
 if TYPE_CHECKING:
@@ -22,7 +20,6 @@
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_server import ServerResponse
 
-logger = logging.getLogger(__name__)
 
 READY = UpstreamStatus.READY
 TICK_PERIOD = 0.02
@@ -35,7 +32,6 @@
     state: UpstreamState
     address: str
     admission: Admission
-    expires_at: float
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
 
 
@@ -58,34 +54,27 @@
 
     # Upstreams
 
-    def announce(self, state: UpstreamState, address: str, expires_at: float) -> None:
-        """Take an announcement of an upstream on this host."""
+    def announce(self, state: UpstreamState, address: str) -> None:
+        """Take the state of an upstream on this host."""
         known = self.upstreams.get(state.name)
-        if state.status is UpstreamStatus.GONE:
-            if known is not None:
-                self._remove(state.name)
-        elif known is None or known.address != address:
+        if known is None or known.address != address:
             if known is not None:
                 self._remove(state.name)
             ranks = self._routes.list_ranks(state.service) if self._routes else ()
             admission = Admission(slots=state.slots, ranks=ranks)
-            self.upstreams[state.name] = LocalUpstream(
-                state, address, admission, expires_at
-            )
+            self.upstreams[state.name] = LocalUpstream(state, address, admission)
         else:
             known.state = state
-            known.expires_at = expires_at
             turn = known.admission.set_limit(state.slots, time.monotonic())
             self._apply(known, turn)
-        if known is None or known.state != state or state.name not in self.upstreams:
-            log_event(
-                logger,
-                Event.UPSTREAM_CHANGED,
-                upstream=state.name,
-                status=state.status.name,
-            )
         self._publish()
 
+    def remove(self, name: str) -> None:
+        """Forget an upstream that is gone or lost."""
+        if name in self.upstreams:
+            self._remove(name)
+            self._publish()
+
     def set_drain(self, name: str, *, draining: bool) -> bool:
         """Start or end an operator's drain; return whether the upstream exists."""
         if name not in self.upstreams:
@@ -119,12 +108,8 @@
 
     def _tick(self) -> None:
         now = time.monotonic()
-        for name, upstream in list(self.upstreams.items()):
+        for upstream in list(self.upstreams.values()):
             self._apply(upstream, upstream.admission.advance(now))
-            if now >= upstream.expires_at:
-                self._remove(name)
-                log_event(logger, Event.UPSTREAM_CHANGED, upstream=name, status="LOST")
-                self._publish()
 
     # Calls
 
@@ -137,16 +122,21 @@
             return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
         self.in_flight += 1
         try:
-            if call.key is None or call.idempotent:
+            if call.claimed or not call.is_keyed:
                 return await self._run(upstream, call, AnswerRelay(response))
             return await self._kernel.get("keys").run_once(
                 call,
                 response,
-                lambda relay: self._run(upstream, call, relay),
+                lambda recording: self._run(upstream, call, AnswerRelay(recording)),
+                check=lambda: self._check(upstream, call),
             )
         finally:
             self.in_flight -= 1
 
+    def _check(self, upstream: LocalUpstream, call: Call) -> Refusal | None:
+        ticket = Ticket(call.rank, call.deadline, call.caller)
+        return upstream.admission.check(ticket, time.monotonic())
+
     async def _run(
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
