--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -46,6 +46,7 @@
     from flamingohead.services.scopes import ScopeService
     from flamingohead.services.slots import SlotService
     from flamingohead.services.status import StatusService
+    from flamingohead.services.summaries import SummaryService
 
     generator = random.Random()
     myself = Member(
@@ -63,6 +64,10 @@
     kernel.add("objects", ObjectClient(settings.objects_url))
     kernel.add("http_client", HttpClientService())
     kernel.add("gossip", GossipService(kernel, membership, settings.peer_address))
+    kernel.add(
+        "summaries",
+        SummaryService(kernel, settings.failure_domain, random=generator),
+    )
     kernel.add("peers", PeersService(kernel, settings.peer_address))
     limits = LedgerSettings(
         maximum_entries=settings.key_limit,
