--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.idempotency import StoredAnswer
 from flamingohead.services.http_messages import RELAY_PREFIX, OutgoingRequest
 
 if TYPE_CHECKING:
@@ -18,21 +17,17 @@
 
 NOT_EXECUTED_HEADER = b"request-executed"
 DEADLINE_HEADER = b"request-timeout-ms"
-MAX_KEPT_ANSWER_BYTES = 1024 * 1024
 
 
 class AnswerRelay:
     """Pass an answer on to the caller as it arrives.
 
     Holds back answers by which an upstream states that it did not execute, so
-    that the request can be tried elsewhere. Keeps a copy where one is asked for.
+    that the request can be tried elsewhere.
     """
 
-    def __init__(self, response: ServerResponse, *, keep: bool = False) -> None:
+    def __init__(self, response: ServerResponse) -> None:
         self._response = response
-        self._keep = keep
-        self._kept: list[bytes] = []
-        self._kept_size = 0
         self.status = 0
         self.headers: Headers = []
         self.not_executed = False
@@ -61,10 +56,6 @@
     def write(self, data: bytes) -> None:
         if self.not_executed:
             return
-        if self._keep:
-            self._kept_size += len(data)
-            if self._kept_size <= MAX_KEPT_ANSWER_BYTES:
-                self._kept.append(data)
         self._response.write(data)
 
     def finish(self) -> None:
@@ -72,12 +63,6 @@
         if not self.not_executed:
             self._response.finish()
 
-    def build_stored_answer(self) -> StoredAnswer | None:
-        """Return the answer kept, or ``None`` if it was too large."""
-        if self._kept_size > MAX_KEPT_ANSWER_BYTES:
-            return None
-        return StoredAnswer(self.status, tuple(self.headers), b"".join(self._kept))
-
 
 async def dispatch_call(
     client: HttpClientService, address: str, call: Call, relay: AnswerRelay
