--- a/flamingohead/tests/test_channels.py
+++ b/flamingohead/tests/test_channels.py
@@ -25,7 +25,8 @@
         await stream.recv_message()
         await stream.send_message(pb.StatusReply(host_id="b", version=3))
 
-    Join = Pull = FetchOutcome = FetchDomainStatus = SetDrain = FetchStatus
+    Join = Pull = FetchOutcome = HandOver = FetchStatus
+    FetchDomainStatus = SetDrain = FetchStatus
 
     def __getattr__(self, name):
         return self.FetchStatus
