Tell an operator whether a change made a version

A sheet that equals the version held is answered as accepted under that version, which another change made; the answer did not say so. Two operators that draw the same target of 180 meet this.

Ruled out: a version for an empty change (every morning's sheet would make one).

--- a/flamingohead/commands/changes.py
+++ b/flamingohead/commands/changes.py
@@ -181,7 +181,10 @@
         )
         return ExitCode.DONE
     version = answer.body["version"]
-    click.echo(f"accepted as version {version}")
+    if answer.body["changed"]:
+        click.echo(f"accepted as version {version}")
+    else:
+        click.echo(f"nothing to change: version {version} holds it already")
     if not options.wait:
         return ExitCode.DONE
     return await _wait_in_force(client, version, time.monotonic() + options.timeout)
--- a/flamingohead/core/acceptance.py
+++ b/flamingohead/core/acceptance.py
@@ -53,11 +53,16 @@
 
 @dataclass(frozen=True)
 class Accepted:
-    """Report the version under which a change was accepted."""
+    """Report the version under which a change was accepted.
+
+    ``changed`` is false where that version held the wanted content already, so that
+    no version was made for the change.
+    """
 
     version: int
     change_id: str
     accepted_at: float
+    changed: bool = True
 
 
 class _DeadlinePassedError(Exception):
@@ -214,7 +219,10 @@
         record = self._base_record
         accepted_at = record.accepted_at if record else self._request.accepted_at
         return Accepted(
-            self._request.base_version, self._request.change_id, accepted_at
+            self._request.base_version,
+            self._request.change_id,
+            accepted_at,
+            changed=False,
         )
 
     def _build_wanted_snapshot(self) -> Snapshot:
--- a/flamingohead/tests/test_commands.py
+++ b/flamingohead/tests/test_commands.py
@@ -81,6 +81,14 @@
         again = run_command(mesh, "apply", str(sheet), *options)
         assert first.stdout == again.stdout == f"accepted as version {newest + 1}\n"
 
+    def test_unchanged_sheet_makes_no_version(self, mesh):
+        before = json.loads(run_command(mesh, "status", "--json").stdout)["version"]
+        result = run_command(mesh, "revert", str(before), "--wait")
+        assert result.returncode == 0, result.stderr
+        assert f"nothing to change: version {before} holds it" in result.stdout
+        after = json.loads(run_command(mesh, "status", "--json").stdout)["version"]
+        assert after == before
+
 
 class TestStateCommands:
     def test_drain_is_seen_by_the_other_daemon_and_ends(self, mesh):
