Prove that a short cut, lost datagrams and an unknown prober do no harm

The model rejoins when a member holds nobody alive, as the bootstrap does; found by 4,000 examples: two hosts that restart at each other's address, all others dead.

--- a/properties/test_membership_swim.py
+++ b/properties/test_membership_swim.py
@@ -24,6 +24,7 @@
 HOSTS = ("a", "b", "c", "d")
 SYNC_PERIOD = 30.0
 SETTLE_SECONDS = 120.0
+CUT_SECONDS = 2.5
 SETTINGS = MembershipSettings()
 
 
@@ -90,7 +91,8 @@
     def synchronize(self):
         """Exchange states with a member, and with a host never heard of.
 
-        The bootstrap of a daemon does so too: it tries the rows of unknown hosts.
+        The bootstrap of a daemon does so too: it tries the rows of unknown hosts,
+        and those of any host when it holds nobody alive.
         """
         for node in list(self.network.nodes.values()):
             known = [m.peer_address for m in node.membership.list_alive()]
@@ -98,6 +100,8 @@
                 other = self.network.nodes.get(self.random.choice(known))
                 if other is not None:
                     self.network.join(node, other)
+            else:
+                self.join_anyone(node)
             heard = {m.host_id for m in node.membership.list_all()}
             unheard = [n for n in self.network.nodes.values() if n.host_id not in heard]
             if unheard:
@@ -287,6 +291,17 @@
         machine.restart(host="a", address="a", step_back=0)
         machine.teardown()
 
+    def test_hosts_that_restart_at_each_others_address_meet(self):
+        machine = MembershipMachine()
+        machine.start(seed=16383)
+        machine.kill(index=0)
+        machine.kill(index=2)
+        machine.restart(host="a", address="d", step_back=0)
+        machine.kill(index=2)
+        machine.restart(host="d", address="a", step_back=0)
+        machine.kill(index=1)
+        machine.teardown()
+
     def test_newcomers_that_met_only_each_other_meet_the_others(self):
         machine = MembershipMachine()
         machine.start(seed=0)
@@ -309,3 +324,57 @@
         machine.thaw(index=0)
         machine.stall(index=0, seconds=0.4)
         machine.teardown()
+
+
+class TestUnknownProber:
+    def test_prober_is_learned_by_the_member_that_it_probes(self):
+        network = FakeNetwork(Random(1))
+        first = network.start_node("a", incarnation=1)
+        second = network.start_node("b", incarnation=1)
+        first.membership.merge([second.membership.myself], network.now)
+        first.membership._list.queue.discard("a")
+        network.run(5.0)
+        assert list(second.membership.members) == ["a"]
+
+
+class TestShortCut:
+    def test_members_that_were_out_of_reach_for_a_moment_are_not_declared_dead(self):
+        dead = []
+
+        def observe(node, effect):
+            if isinstance(effect, MemberChanged):
+                if effect.member.status is MemberStatus.DEAD:
+                    dead.append(effect.member.host_id)
+
+        network = FakeNetwork(Random(3), observe=observe)
+        nodes = [network.start_node(f"h{n}", incarnation=1) for n in range(300)]
+        states = [node.membership.myself for node in nodes]
+        for node in nodes:
+            node.membership.take_state(states, network.now)
+        network.run(5.0)
+        for index in range(0, 300, 30):
+            nodes[index].group = 1
+            network.run(CUT_SECONDS)
+            nodes[index].group = 0
+            network.run(5.0)
+        assert dead == []
+
+
+class TestLoss:
+    def test_no_member_is_declared_dead_for_lost_datagrams(self):
+        dead = []
+
+        def observe(node, effect):
+            if isinstance(effect, MemberChanged):
+                if effect.member.status is MemberStatus.DEAD:
+                    dead.append(effect.member.host_id)
+
+        network = FakeNetwork(
+            Random(3), settings=NetworkSettings(loss=0.1), observe=observe
+        )
+        nodes = [network.start_node(f"h{n}", incarnation=1) for n in range(300)]
+        states = [node.membership.myself for node in nodes]
+        for node in nodes:
+            node.membership.take_state(states, network.now)
+        network.run(20.0)
+        assert dead == []
