--- a/flamingohead/tests/test_channels.py
+++ b/flamingohead/tests/test_channels.py
@@ -18,17 +18,15 @@
 CALL_TIMEOUT = 0.5
 
 
-class Peer(PeersBase):
-    """Answer status requests and nothing else."""
+async def answer_status(self, stream):
+    await stream.recv_message()
+    await stream.send_message(pb.StatusReply(host_id="b", version=3))
 
-    async def FetchStatus(self, stream):  # noqa: N802
-        await stream.recv_message()
-        await stream.send_message(pb.StatusReply(host_id="b", version=3))
 
-    Join = Pull = FetchOutcome = FetchDomainStatus = SetDrain = FetchStatus
-
-    def __getattr__(self, name):
-        return self.FetchStatus
+def build_peer():
+    """Return a peer that answers every method as if it were asked its status."""
+    methods = dict.fromkeys(PeersBase.__abstractmethods__, answer_status)
+    return type("Peer", (PeersBase,), methods)()
 
 
 class SilentProxy:
@@ -77,7 +75,7 @@
         kernel.add("metrics", MetricsService())
         peers = PeersService(kernel, choose_address())
         target, listen = choose_address(), choose_address()
-        server = Server([Peer()])
+        server = Server([build_peer()])
         await server.start(*target.split(":"))
         proxy = SilentProxy(target)
         host, port = listen.split(":")
