--- a/flamingohead/tests/test_hop.py
+++ b/flamingohead/tests/test_hop.py
@@ -124,6 +124,40 @@
         change_upstream(upstream, service_ms=5)
 
 
+class TestChanges:
+    def test_changes_under_load_cut_nothing(self, mesh):
+        sheet = SHEET.read_text()
+        control = mesh.daemons["makola-0"].addresses
+        addresses = [d.addresses.ingress for d in mesh.daemons.values()]
+        load = LoadGenerator(
+            addresses, [Stream("lookup", "GET", LOOKUP, 150, 1000)], seed=2
+        )
+
+        def change(number):
+            headers = {"Authorization": f"Bearer {TOKEN}"}
+            status = ask(control.control, "GET", "/v1/status", headers=headers)[1]
+            body = {
+                "change_id": f"under-load-{number}",
+                "author": "test",
+                "base_version": json.loads(status)["version"],
+                "sheet": sheet.replace(",1000,yes", f",{1001 + number},yes"),
+            }
+            content = json.dumps(body)
+            return ask(control.control, "POST", "/v1/changes", content, headers)
+
+        async def run():
+            running = asyncio.get_running_loop().create_task(load.run(3.0))
+            for number in range(4):
+                await asyncio.sleep(0.5)
+                status, answer = await asyncio.to_thread(change, number)
+                assert status == 200, answer
+            await running
+
+        install_reactor().run_until_complete(run())
+        result = load.results["lookup"]
+        assert dict(result.outcomes) == {"answered": result.sent}
+
+
 class TestPlannedStop:
     def test_stop_of_a_daemon_under_load_cuts_nothing(self, mesh):
         leaving = mesh.daemons["makola-2"]
