Overflow to another failure domain that has room, and name callers

Cause: where a failure domain had no upstream of a service left, or only full ones, its calls were refused although other failure domains had room. And no call carried the name of its caller, so that all callers shared one turn.

Ruled out: weighing remote against local upstreams for every call (local goes first); following the load of a summary from call to call (it is in steps and lags, so that hysteresis on own refusals decides when to look elsewhere).

Change: a call goes elsewhere when no local upstream can be tried, or when it was refused for load and a smoothed tenth of the local attempts was; that ends at a fiftieth. A summary must be fresh and at most three quarters loaded; failure domains are drawn by free slots; a host that fails is left alone for some 5 s, a domain that refuses for load for about 1 s. A call from another daemon runs on that host or nowhere, so that it overflows once. Callers name themselves by request-caller; without it they share one place.

--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -29,6 +29,7 @@
     from flamingohead.core.ledger import MEBIBYTE, LedgerSettings
     from flamingohead.core.members import Member
     from flamingohead.core.membership import Membership
+    from flamingohead.core.overflow import Overflow
     from flamingohead.core.versions import Replica
     from flamingohead.services.announcements import AnnouncementService
     from flamingohead.services.attempts import AttemptService
@@ -97,7 +98,10 @@
     )
     kernel.add("slots", SlotService(kernel))
     kernel.add("configuration", ConfigurationService(kernel, dissemination))
-    kernel.add("attempts", AttemptService(kernel, Balancer(random=generator)))
+    kernel.add(
+        "attempts",
+        AttemptService(kernel, Balancer(random=generator), Overflow(random=generator)),
+    )
     kernel.add(
         "calls",
         CallService(
--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from flamingohead.core.ejection import OVERLOAD_KINDS
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.retries import RetryBudget, may_repeat_on_same_upstream
 from flamingohead.events import Event, log_event
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from flamingohead.core.balancing import Balancer, Candidate, HealthChange
     from flamingohead.core.calls import Call
+    from flamingohead.core.overflow import Overflow
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_server import ServerResponse
 
@@ -26,9 +28,10 @@
 class AttemptService:
     """Try a call on one upstream after another until it has its answer."""
 
-    def __init__(self, kernel: Kernel, balancer: Balancer) -> None:
+    def __init__(self, kernel: Kernel, balancer: Balancer, overflow: Overflow) -> None:
         self._kernel = kernel
         self._balancer = balancer
+        self._overflow = overflow
         self._budgets: dict[tuple[str, str], RetryBudget] = {}
         self._host_id = ""
 
@@ -85,17 +88,39 @@
         self, call: Call, excluded: set, refusal: Refusal | None
     ) -> Candidate | None:
         now = time.monotonic()
-        chosen = self._balancer.choose(
-            call.service,
-            now,
-            excluded=frozenset(excluded),
-            idempotent=call.idempotent,
-        )
+        chosen = None
+        is_local_full = self._is_local_full(call, refusal)
+        if is_local_full:
+            chosen = self._choose_remote(call, excluded, now)
+        if chosen is None:
+            chosen = self._balancer.choose(
+                call.service,
+                now,
+                excluded=frozenset(excluded),
+                idempotent=call.idempotent,
+            )
+        if chosen is None and not is_local_full:
+            chosen = self._choose_remote(call, excluded, now)
         if chosen is None and refusal is not None:
             if may_repeat_on_same_upstream(refusal):
                 chosen = self._balancer.choose(call.service, now)
         return chosen
 
+    def _is_local_full(self, call: Call, refusal: Refusal | None) -> bool:
+        """Tell whether a call refused for load should leave the failure domain."""
+        if refusal is None or refusal.kind not in OVERLOAD_KINDS:
+            return False
+        return self._overflow.is_active(call.service)
+
+    def _choose_remote(self, call: Call, excluded: set, now: float) -> Candidate | None:
+        summaries = self._kernel.get("summaries").list_remote(call.service)
+        chosen = self._overflow.choose(
+            call.service, summaries, now, excluded=frozenset(excluded)
+        )
+        if chosen is not None:
+            self._kernel.get("metrics").count(f"overflow.{call.service}")
+        return chosen
+
     async def _attempt(
         self, candidate: Candidate, call: Call, response: ServerResponse
     ) -> Refusal | None:
@@ -109,7 +134,12 @@
                 refusal = await self._relay(candidate, call, response)
             return refusal
         finally:
-            change = self._balancer.finish(attempt, time.monotonic(), refusal)
+            now = time.monotonic()
+            change = self._balancer.finish(attempt, now, refusal)
+            if self._overflow.is_remote(candidate):
+                self._overflow.record_remote(candidate, refusal, now)
+            else:
+                self._overflow.record_local(call.service, refusal)
             if change is not None:
                 self._report(change, refusal)
 
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -21,6 +21,7 @@
     RELAY_UPSTREAM,
     TIMEOUT_HEADER,
     read_attempt,
+    read_caller,
     read_relayed_call,
 )
 from flamingohead.services.scopes import SCOPE_PATH
@@ -228,6 +229,7 @@
         deadline=now + timeout_ms / 1000,
         idempotent=route.idempotent,
         key=None if key is None else key.decode("latin-1"),
+        caller=read_caller(request),
         attempt=attempt,
         call_id="" if key is None else secrets.token_hex(8),
     )
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -33,7 +33,9 @@
 RELAY_CLAIMED = b"flamingohead-claimed"
 RELAY_HOME = b"flamingohead-home"
 RETRY_HEADER = b"flamingohead-retry-after-ms"
+CALLER_HEADER = b"request-caller"
 MAX_ATTEMPT_DIGITS = 9
+MAX_CALLER_BYTES = 64
 
 
 class RelaySink:
@@ -107,6 +109,12 @@
     return int(value)
 
 
+def read_caller(request: IncomingRequest) -> str:
+    """Return the name that a caller gave itself, or an empty one."""
+    value = request.get_header(CALLER_HEADER) or b""
+    return value[:MAX_CALLER_BYTES].decode("latin-1")
+
+
 def read_relayed_call(request: IncomingRequest, now: float) -> Call | Refusal:
     """Return the call that another daemon passed on."""
     timeout = request.get_header(TIMEOUT_HEADER) or b""
@@ -133,6 +141,7 @@
         deadline=now + int(timeout) / 1000,
         idempotent=request.get_header(RELAY_IDEMPOTENT) == b"yes",
         key=None if key is None else key.decode("latin-1"),
+        caller=read_caller(request),
         attempt=attempt,
         call_id=(request.get_header(RELAY_CALL) or b"").decode("latin-1"),
         claimed=request.get_header(RELAY_CLAIMED) == b"yes",
