--- a/properties/test_operators_fuzz.py
+++ b/properties/test_operators_fuzz.py
@@ -15,6 +15,7 @@
 from flamingohead.kernel import Kernel
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.operators import OperatorService
+from flamingohead.services.reactor import install_reactor
 
 TOKEN = "the-right-token"
 PATHS = (
@@ -83,7 +84,7 @@
     def send(self, method, path, *, token=None, body=b""):
         """Return the status and the decoded body of the answer."""
         headers = {} if token is None else {"Authorization": f"Bearer {token}"}
-        return asyncio.get_event_loop().run_until_complete(
+        return install_reactor().run_until_complete(
             self._exchange(method, path, headers, body)
         )
 
