--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -124,11 +124,6 @@
     )
 
 
-def normalize_resource(resource: Resource) -> Resource:
-    """Return a resource as it reads after a transfer, with the same digest."""
-    return decode_resource(encode_resource(resource))
-
-
 # Versions
 
 
@@ -291,10 +286,12 @@
         message.ping_request.target = body.target
     elif isinstance(body, Ack):
         message.ack.subject = body.subject
+        message.ack.unknown_sender = body.unknown_sender
     elif isinstance(body, Gossip):
         message.gossip.SetInParent()
     elif isinstance(body, SummaryRequest):
         message.summary_request.digests = body.digests
+        message.summary_request.wanted = body.wanted
     elif isinstance(body, SummaryReply):
         message.summary_reply.CopyFrom(encode_summary_reply(body))
     else:
@@ -324,13 +321,14 @@
     if kind == "ping_request":
         return PingRequest(message.ping_request.target)
     if kind == "ack":
-        return Ack(message.ack.subject)
+        return Ack(message.ack.subject, message.ack.unknown_sender)
     if kind == "news":
         return News(decode_record(message.news))
     if kind == "gossip":
         return Gossip()
     if kind == "summary_request":
-        return SummaryRequest(message.summary_request.digests)
+        request = message.summary_request
+        return SummaryRequest(request.digests, request.wanted)
     if kind == "summary_reply":
         return decode_summary_reply(message.summary_reply)
     raise CodecError("datagram of no known kind")
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -14,6 +14,8 @@
 KEY_ATTEMPT_HEADER = b"idempotency-attempt"
 TIMEOUT_HEADER = b"request-timeout-ms"
 REQUEST_ID_HEADER = b"request-id"
+# Between daemons: the answer repeats the value of its request.
+EXCHANGE_HEADER = b"flamingohead-exchange"
 
 HOP_HEADERS = frozenset(
     (
--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -5,36 +5,63 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import random
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TextIO
 
 ROOT = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
+RESERVATIONS = Path(tempfile.gettempdir()) / "flamingohead-ports"
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 30_000
 START_TIMEOUT = 20.0
 STOP_TIMEOUT = 15.0
 TOKEN = "loopback-token"
 
+_given_ports: set[int] = set()
+
+
+_reservations: list[TextIO] = []
+
 
 def choose_address() -> str:
-    """Return a loopback address whose port is free for TCP and UDP."""
+    """Return a loopback address that is free, and reserved until this process ends."""
     while True:
         port = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                try:
-                    tcp.bind((LOOPBACK, port))
-                    udp.bind((LOOPBACK, port))
-                except OSError:
-                    continue
-        return f"{LOOPBACK}:{port}"
+        if _reserve_port(port) and _is_port_free(port):
+            return f"{LOOPBACK}:{port}"
+
+
+def _reserve_port(port: int) -> bool:
+    """Lock a file for a port, since tests choose ports at the same time."""
+    RESERVATIONS.mkdir(exist_ok=True)
+    file = (RESERVATIONS / str(port)).open("a")
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        file.close()
+        return False
+    _reservations.append(file)
+    return True
+
+
+def _is_port_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind((LOOPBACK, port))
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
 
 
 def wait_for_port(address: str, timeout: float = START_TIMEOUT) -> None:
@@ -192,6 +219,14 @@
             wait_for_port(daemon.addresses.control)
         for upstream in self.upstreams.values():
             wait_for_port(upstream.address)
+        self.check_processes()
+
+    def check_processes(self) -> None:
+        """Raise ``RuntimeError`` if a process has ended, as on a taken port."""
+        handles = [*self.daemons.values(), *self.upstreams.values()]
+        for process in [handle.process for handle in handles]:
+            if process.popen.poll() is not None:
+                raise RuntimeError(f"{process.name} has ended: {process.log_path}")
 
     def stop(self) -> None:
         """End everything that was started."""
