Work out the capacity page from the result files

Cause: the page at the two-year size was missing; figures copied by hand drift.

Change: a registry of roles turns rows of the result files into figures with spread, limit, margin and mechanism; the page's tables are rendered from them and a test compares. What no file gives is listed as not worked out.

Ruled out: a cluster simulator for the whole size; slopes and message counts of the state machines carry the page.

--- /dev/null
+++ b/benchmarks/capacity_roles.py
@@ -0,0 +1,475 @@
+"""The figures of each role of a daemon, and of the platform, at the two-year size."""
+
+from __future__ import annotations
+
+from benchmarks.capacity import (
+    ADDED_LIMIT,
+    CALLS_PER_DAEMON,
+    CHANGES_PER_DAY,
+    CHANGES_PER_SECOND,
+    DAEMONS,
+    DAY_SECONDS,
+    DOMAINS,
+    HERD,
+    IN_FORCE_LIMIT,
+    SERVICES,
+    TABLE_READ_LIMIT,
+    TABLE_WRITE_LIMIT,
+    Figure,
+    Results,
+    register_role,
+    scale_row,
+)
+
+MICROSECONDS = 1e-6
+PERCENT = 100
+BYTES_PER_MB = 1e6
+BYTES_PER_KB = 1e3
+DOMAIN_SIZE = 613
+FULL_LOSS = 0.1
+SUMMARY_DATAGRAMS_PER_SECOND = 2
+KEPT_RECORDS = 256
+KEPT_ANSWERS = 10_000
+
+
+@register_role("accepting and spreading")
+def work_out_spreading(results: Results) -> list[Figure]:
+    """Return what a change costs a daemon, and when it is in force."""
+    costs = {"services": SERVICES}
+    spread = {"way": "gossip", "daemons": DAEMONS, "domains": DOMAINS}
+    spread["loss"] = FULL_LOSS
+    source = results.get_source("configuration_cost")
+    spread_source = results.get_source("spreading")
+    take = results.find("configuration_cost", "take a small record whole", **costs)
+    memory = results.find(
+        "configuration_cost", "memory of snapshot and routes", **costs
+    )
+    record = results.find("configuration_cost", "memory of a kept record", **costs)
+    figures = [
+        scale_row(
+            take,
+            CHANGES_PER_SECOND * MICROSECONDS * PERCENT,
+            role="accepting and spreading",
+            what=f"processor, {CHANGES_PER_DAY} changes in 8 hours",
+            unit="% of a core",
+            source=source,
+            sums="processor",
+            mechanism="digests, checks and routes by service",
+        ),
+        scale_row(
+            memory,
+            1 / BYTES_PER_MB,
+            role="accepting and spreading",
+            what="memory of the snapshot and its routes",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism="one immutable snapshot, swapped whole",
+        ),
+        scale_row(
+            record,
+            KEPT_RECORDS / BYTES_PER_MB,
+            role="accepting and spreading",
+            what=f"memory of {KEPT_RECORDS} kept records",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism="records for peers that pull, bounded in number and in resources",
+        ),
+    ]
+    quiet = results.find("spreading", "bytes for each daemon", event="none", **spread)
+    figures.append(
+        scale_row(
+            quiet,
+            CHANGES_PER_SECOND / BYTES_PER_KB,
+            role="accepting and spreading",
+            what=f"bytes, {CHANGES_PER_DAY} changes in 8 hours",
+            unit="KB/s",
+            source=spread_source,
+            sums="bytes",
+            mechanism="push to three peers, pull by the versions on other datagrams",
+        )
+    )
+    for event, what in (
+        ("none", "in force on all, 10 % of datagrams lost"),
+        ("killed", "in force on all, the pollers killed"),
+        ("herd", "in force on all, one failure domain just returned"),
+    ):
+        row = results.find("spreading", "in force on all", event=event, **spread)
+        figures.append(
+            scale_row(
+                row,
+                1,
+                role="accepting and spreading",
+                what=what,
+                unit="s",
+                source=spread_source,
+                limit=IN_FORCE_LIMIT,
+                mechanism="random polling, push and pull",
+            )
+        )
+    return figures
+
+
+@register_role("membership")
+def work_out_membership(results: Results) -> list[Figure]:
+    """Return what the membership of one failure domain costs a daemon."""
+    size = {"daemons": DOMAIN_SIZE}
+    source = results.get_source("membership_cost")
+    found_source = results.get_source("membership_detection")
+    tick = results.find("membership_cost", "CPU for a tick", **size)
+    small = results.find("membership_cost", "CPU for a small datagram", **size)
+    full = results.find("membership_cost", "CPU for a full datagram", **size)
+    memory = results.find("membership_cost", "memory for each member", **size)
+    quiet = {**size, "loss": 0.0}
+    lossy = {**size, "loss": FULL_LOSS}
+    rate = results.find("membership_detection", "steady datagrams sent", **quiet)
+    lossy_rate = results.find("membership_detection", "steady datagrams sent", **lossy)
+    ticks_per_second = 10
+    share = tick.value * ticks_per_second + 2 * rate.value * small.value
+    lossy_share = tick.value * ticks_per_second + 2 * lossy_rate.value * full.value
+    role = "membership"
+    mechanism = "SWIM: one probe a second, updates ride on datagrams"
+    figures = [
+        Figure(
+            role,
+            "processor, quiet (ticks, datagrams both ways)",
+            share * MICROSECONDS * PERCENT,
+            "% of a core",
+            source,
+            sums="processor",
+            mechanism=mechanism,
+        ),
+        Figure(
+            role,
+            "processor, 10 % of datagrams lost",
+            lossy_share * MICROSECONDS * PERCENT,
+            "% of a core",
+            source,
+            mechanism=mechanism,
+        ),
+        scale_row(
+            memory,
+            DOMAIN_SIZE / BYTES_PER_MB,
+            role=role,
+            what=f"memory of {DOMAIN_SIZE} members",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism=mechanism,
+        ),
+    ]
+    for loss, sums in ((0.0, "bytes"), (FULL_LOSS, "")):
+        row = results.find(
+            "membership_detection", "steady bytes sent", daemons=DOMAIN_SIZE, loss=loss
+        )
+        figures.append(
+            scale_row(
+                row,
+                2 / BYTES_PER_KB,
+                role=role,
+                what=f"bytes sent and received, {loss:.0%} lost",
+                unit="KB/s",
+                source=found_source,
+                sums=sums,
+                mechanism=mechanism,
+            )
+        )
+    for name in ("detection, median", "detection, 99 in 100"):
+        row = results.find("membership_detection", name, **lossy)
+        figures.append(
+            scale_row(
+                row,
+                1,
+                role=role,
+                what=f"{name}, 10 % lost",
+                unit="s",
+                source=found_source,
+                mechanism="suspicion, shortened by further accusers",
+            )
+        )
+    return figures
+
+
+@register_role("restarts and herds")
+def work_out_churn(results: Results) -> list[Figure]:
+    """Return what restarts cost, and a failure domain that comes back at once."""
+    source = results.get_source("membership_churn")
+    role = "restarts and herds"
+
+    def scale(name: str, factor: float, what: str, unit: str, **details) -> Figure:
+        row = results.find("membership_churn", name)
+        details.setdefault("source", source)
+        return scale_row(row, factor, role=role, what=what, unit=unit, **details)
+
+    return [
+        scale(
+            "bytes of restarts at the two-year rate",
+            1 / BYTES_PER_KB,
+            "bytes, 2,200 restarts a day",
+            "KB/s",
+            sums="bytes",
+            mechanism="a restart is one update on datagrams that are sent anyway",
+        ),
+        scale(
+            "herd, most datagram bytes sent",
+            1 / BYTES_PER_KB,
+            f"bytes sent by the busiest daemon, herd of {HERD}",
+            "KB/s",
+            limit=10,
+            mechanism="two datagrams a second for waiting updates, 1200 bytes each",
+        ),
+        scale(
+            "herd, until 99 of 100 are known to each",
+            1,
+            f"until 99 of 100 know each other, herd of {HERD}",
+            "s",
+            mechanism="the same; requests are served by those known before",
+        ),
+        scale(
+            "herd, most table reads",
+            1,
+            f"table reads, herd of {HERD}",
+            "1/s",
+            limit=TABLE_READ_LIMIT / 4,
+            mechanism="seeds first, jittered and capped waits",
+        ),
+        scale(
+            "herd, most table writes",
+            1,
+            f"table writes, herd of {HERD}",
+            "1/s",
+            limit=TABLE_WRITE_LIMIT,
+            mechanism="a host row only while the failure domain has few",
+        ),
+    ]
+
+
+@register_role("summaries between failure domains")
+def work_out_summaries(results: Results) -> list[Figure]:
+    """Return what a daemon spends to know the other failure domains."""
+    source = results.get_source("membership_summaries")
+    role = "summaries between failure domains"
+    steady = results.find("membership_summaries", "steady bytes")
+    memory = results.find("membership_summaries", "memory")
+    fill = results.find("membership_summaries", "time to fill")
+    wanted = results.find("membership_summaries", "time to a wanted service")
+    mechanism = "digests of 128 buckets, only those that differ are sent"
+    return [
+        scale_row(
+            steady,
+            1 / BYTES_PER_KB,
+            role=role,
+            what="bytes, steady",
+            unit="KB/s",
+            source=source,
+            sums="bytes",
+            mechanism=mechanism,
+        ),
+        scale_row(
+            memory,
+            2**20 / BYTES_PER_MB,
+            role=role,
+            what="memory, 14 failure domains of 550 services",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism=mechanism,
+        ),
+        scale_row(
+            wanted,
+            1,
+            role=role,
+            what="until a new daemon knows a service that it wants",
+            unit="s",
+            source=source,
+            mechanism="wanted buckets first",
+        ),
+        scale_row(
+            fill,
+            1,
+            role=role,
+            what="until a new daemon knows all of them",
+            unit="s",
+            source=source,
+            mechanism="one exchange a second",
+        ),
+    ]
+
+
+@register_role("the process itself")
+def work_out_process(results: Results) -> list[Figure]:
+    """Return what an idle daemon takes, libraries and announcements included."""
+    source = results.get_source("membership_processes")
+    rows = results.find_all("membership_processes", "CPU share of a core")
+    largest = max(rows, key=lambda row: row.parameters["daemons"])
+    size = largest.parameters["daemons"]
+    memory = results.find("membership_processes", "resident memory", daemons=size)
+    return [
+        scale_row(
+            largest,
+            1,
+            role="the process itself",
+            what=f"processor, idle, one of {size} (membership included)",
+            unit="% of a core",
+            source=source,
+            sums="processor",
+            mechanism="one loop; ticks, announcements, polls of the table",
+        ),
+        scale_row(
+            memory,
+            2**20 / BYTES_PER_MB,
+            role="the process itself",
+            what=f"resident memory, idle, one of {size}",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism="CPython and the libraries",
+        ),
+    ]
+
+
+@register_role("kept answers")
+def work_out_keys(results: Results) -> list[Figure]:
+    """Return what keyed requests cost a daemon and the table."""
+    source = results.get_source("keys")
+    memory = results.find("keys", "ledger_memory_per_key")
+    writes = results.find("keys", "table_writes_per_request", kind="claimed")
+    scoped = results.find("keys", "table_writes_per_request", kind="scoped")
+    return [
+        scale_row(
+            memory,
+            KEPT_ANSWERS / BYTES_PER_MB,
+            role="kept answers",
+            what=f"memory of {KEPT_ANSWERS} answers of 256 bytes",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism="bounded in bytes by --key-answer-mib",
+        ),
+        Figure(
+            "kept answers",
+            "claimed requests a second that the table carries, all daemons together",
+            TABLE_WRITE_LIMIT / writes.value,
+            "1/s",
+            source,
+            mechanism="a claim row for a key that a caller made itself",
+        ),
+        Figure(
+            "kept answers",
+            "table writes of a request with a scoped key",
+            scoped.value,
+            "writes",
+            source,
+            mechanism="the scope names the daemon that runs the key",
+        ),
+    ]
+
+
+@register_role("the hop")
+def work_out_hop(results: Results) -> list[Figure]:
+    """Return what a call costs beside control: latency and processor time."""
+    source = results.get_source("hop")
+    figures = []
+    for path, what in (("one_daemon", "one daemon"), ("two_daemons", "two daemons")):
+        for name, part in (("added_p50", "median"), ("added_p99", "99 in 100")):
+            row = results.find("hop", name, path=path, rate=45)
+            figures.append(
+                scale_row(
+                    row,
+                    1,
+                    role="the hop",
+                    what=f"added by {what}, {part}, 45 calls/s",
+                    unit="ms",
+                    source=source,
+                    limit=ADDED_LIMIT if part == "99 in 100" else None,
+                    mechanism="httptools under Twisted protocols, asyncio transports",
+                )
+            )
+    entry = results.find(
+        "hop", "processor_time", path="two_daemons", rate=45, daemon="entry"
+    )
+    owner = results.find(
+        "hop", "processor_time", path="two_daemons", rate=45, daemon="owner"
+    )
+    figures.append(
+        Figure(
+            "the hop",
+            f"processor, {CALLS_PER_DAEMON:.0f} calls/s entering and as many owned",
+            CALLS_PER_DAEMON * (entry.value + owner.value) * MICROSECONDS * PERCENT,
+            "% of a core",
+            source,
+            mechanism="not control: the request path",
+        )
+    )
+    return figures
+
+
+@register_role("the platform")
+def work_out_platform(results: Results) -> list[Figure]:
+    """Return what the mesh asks of the table."""
+    spread = {
+        "way": "gossip",
+        "daemons": DAEMONS,
+        "domains": DOMAINS,
+        "loss": FULL_LOSS,
+    }
+    source = results.get_source("spreading")
+    role = "the platform"
+    quiet = results.find("spreading", "highest table reads", event="none", **spread)
+    herd = results.find("spreading", "highest table reads", event="herd", **spread)
+    return [
+        scale_row(
+            quiet,
+            1,
+            role=role,
+            what="table reads, ordinary",
+            unit="1/s",
+            source=source,
+            limit=TABLE_READ_LIMIT / 4,
+            mechanism="four polls a second for each failure domain",
+        ),
+        scale_row(
+            herd,
+            1,
+            role=role,
+            what="table reads, one failure domain just returned",
+            unit="1/s",
+            source=source,
+            limit=TABLE_READ_LIMIT / 4,
+            mechanism="first reads spread over two seconds, peers first",
+        ),
+        Figure(
+            role,
+            "table writes for changes, the day's mean",
+            CHANGES_PER_DAY / DAY_SECONDS,
+            "1/s",
+            source,
+            limit=TABLE_WRITE_LIMIT,
+            mechanism="one conditional insert for each version",
+        ),
+    ]
+
+
+@register_role("retries")
+def work_out_retries(results: Results) -> list[Figure]:
+    """Return how far retries multiply load over nine levels."""
+    source = results.get_source("nested")
+    figures = []
+    for policy, limit in (("plain", None), ("budget and marks", 1.2)):
+        row = results.find(
+            "nested", "leaf calls for each call", policy=policy, levels=9, failing=1.0
+        )
+        figures.append(
+            scale_row(
+                row,
+                1,
+                role="retries",
+                what=f"calls of the last of nine levels for each call, {policy}",
+                unit="calls",
+                source=source,
+                limit=limit,
+                mechanism="budgets by cost, marks across levels",
+            )
+        )
+    return figures
--- /dev/null
+++ b/flamingohead/tests/test_capacity.py
@@ -0,0 +1,19 @@
+"""Tests that hold docs/CAPACITY.md to the result files."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+from flamingohead.testing.processes import ROOT
+
+
+class TestCapacityPage:
+    def test_tables_are_what_the_result_files_give(self):
+        result = subprocess.run(
+            [sys.executable, "-m", "benchmarks.capacity_page", "--check"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        assert result.returncode == 0, result.stderr or "the page differs"
