--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -115,6 +115,8 @@
             return answer
         if answer.status == 404:
             return None
+        if answer.status != 200:
+            return _refuse_status("read", answer)
         return Row(key, answer.body, answer.tag)
 
     async def insert(self, key: str, value: bytes) -> bool | Refusal:
--- a/properties/test_configuration_versions.py
+++ b/properties/test_configuration_versions.py
@@ -120,19 +120,27 @@
         data = codec.encode_snapshot(snapshot).SerializeToString()
         assert codec.parse_snapshot(data).digest == snapshot.digest
 
-    @given(steps=STEPS, after=st.integers(0, 12), kept=st.integers(1, 4))
-    def test_kept_records_lead_on_without_a_gap(self, steps, after, kept):
+    @given(
+        steps=STEPS,
+        after=st.integers(0, 12),
+        kept=st.integers(1, 4),
+        resources=st.sampled_from([4, 9, 100]),
+    )
+    def test_kept_records_lead_on_without_a_gap(self, steps, after, kept, resources):
         replica = Replica()
-        limit = versions.KEPT_RECORDS
-        versions.KEPT_RECORDS = kept
+        limits = versions.KEPT_RECORDS, versions.KEPT_RESOURCES
+        versions.KEPT_RECORDS, versions.KEPT_RESOURCES = kept, resources
         try:
             for record, _ in build_history(steps):
                 replica.take_record(record)
         finally:
-            versions.KEPT_RECORDS = limit
+            versions.KEPT_RECORDS, versions.KEPT_RESOURCES = limits
+        changes = [record.change for record in replica.records.values()]
+        assert len(changes) <= kept
+        assert sum(change.count_resources() for change in changes) <= resources
         records = replica.list_records_after(after)
         if records is None:
-            assert replica.version - after > kept
+            assert after + 1 not in replica.records
         else:
             assert [r.version for r in records] == list(
                 range(after + 1, replica.version + 1)
