Exchange states again while an exchange brings news, not while members grow

Cause: the growth of the list stopped the quick exchanges of a herd too early.

Change: JoinOutcome counts the states that were news; above 5, another exchange after about 15 s.

What is left is the exchange of states every 120 s that the last few wait for.

--- a/flamingohead/core/bootstrap.py
+++ b/flamingohead/core/bootstrap.py
@@ -20,7 +20,7 @@
 
     from flamingohead.core.members import Member
 
-GROWTH = 1.02
+MUCH_NEWS = 5
 
 
 @dataclass(frozen=True)
@@ -79,10 +79,12 @@
 class JoinOutcome:
     """Tell how a join ended.
 
-    A peer that put it off names when it admits one again, and other members.
+    ``learned`` counts the states that were news. A peer that put the join off names
+    when it admits one again, and other members.
     """
 
     joined: bool
+    learned: int = 0
     retry_at: float | None = None
     alternatives: tuple[str, ...] = ()
 
@@ -164,7 +166,6 @@
         self._state = _State()
         self._machine = _MACHINE(self._state)
         self._attempts = 0
-        self._members_at_exchange = 0
         self._busy_until = 0.0
         self._next_attempt_at: float | None = None
         self._next_row_check_at = 0.0
@@ -185,7 +186,7 @@
             spread = 0.0 if self._seeds else self._settings.spread
             self._next_attempt_at = now + self._random.uniform(0, spread)
         if members and self.phase is not Phase.JOINED:
-            self._note_joined(now)
+            self._note_joined(now, len(members))
         elif not members and self.phase is Phase.JOINED:
             self._machine.be_alone()
             self._next_attempt_at = now + self._compute_wait()
@@ -216,7 +217,7 @@
         outcomes = list(outcomes)
         self._busy_until = now
         if any(outcome.joined for outcome in outcomes):
-            self._note_joined(now)
+            self._note_joined(now, sum(outcome.learned for outcome in outcomes))
             return
         if self.phase is Phase.JOINED:
             return
@@ -247,8 +248,6 @@
         self._busy_until = now + self._settings.attempt_timeout
         self._next_attempt_at = now + self._compute_wait()
         if self.phase is Phase.JOINED:
-            wait = self._choose_exchange_wait(len(members))
-            self._next_attempt_at = now + self._random.uniform(0.5, 1.5) * wait
             chosen = self._random.choice(list(members.values()))
             return [JoinPeers((chosen.peer_address,))]
         if self._alternatives:
@@ -260,25 +259,17 @@
             return [JoinPeers(tuple(self._random.sample(self._seeds, count)))]
         return [ReadRows()]
 
-    def _choose_exchange_wait(self, count: int) -> float:
-        """Exchange states soon again while the number of members still grows."""
-        grows = count > GROWTH * self._members_at_exchange
-        self._members_at_exchange = count
-        if grows:
-            return self._settings.second_join_wait
-        return self._settings.synchronize_period
-
-    def _note_joined(self, now: float) -> None:
+    def _note_joined(self, now: float, learned: int) -> None:
         if self.phase is not Phase.JOINED:
             self._tried.clear()
             spread = self._settings.first_row_spread
             self._next_row_check_at = now + self._random.uniform(0, spread)
+        self._machine.join()
         self._attempts = 0
+        # While an exchange brings much news, others are likely to know more.
         wait = self._settings.synchronize_period
-        if self.phase is not Phase.JOINED:
-            # Others that start at the same time may have joined since.
+        if learned > MUCH_NEWS:
             wait = self._settings.second_join_wait
-        self._machine.join()
         self._next_attempt_at = now + self._random.uniform(0.5, 1.5) * wait
 
     def _compute_wait(self) -> float:
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -61,9 +61,11 @@
         """Take in members learned through a call."""
         self._run(self.membership.merge(members, time.monotonic()))
 
-    def take_state(self, members) -> None:
-        """Take in the state that a peer gave at a join."""
-        self._run(self.membership.take_state(members, time.monotonic()))
+    def take_state(self, members) -> int:
+        """Take in the state that a peer gave; return how much of it was news."""
+        effects = self.membership.take_state(members, time.monotonic())
+        self._run(effects)
+        return len(effects)
 
     async def poll_versions(self, deadline: float) -> dict[str, int]:
         """Ping every member and return the versions heard until ``deadline``.
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -99,13 +99,17 @@
         if reply.retry_after_ms:
             self._kernel.get("metrics").count("join.put_off")
             retry_at = now + reply.retry_after_ms / 1000
-            return JoinOutcome(False, retry_at, tuple(reply.alternatives))
-        gossip.take_state(codec.decode_member(member) for member in reply.members)
+            return JoinOutcome(
+                False, retry_at=retry_at, alternatives=tuple(reply.alternatives)
+            )
+        learned = gossip.take_state(
+            codec.decode_member(member) for member in reply.members
+        )
         for contact in reply.contacts:
             self._kernel.get("summaries").remote.add_contact(
                 contact.failure_domain, contact.peer_address, now
             )
-        return JoinOutcome(True)
+        return JoinOutcome(True, learned)
 
     # Incoming calls
 
--- a/flamingohead/testing/bootstraps.py
+++ b/flamingohead/testing/bootstraps.py
@@ -121,6 +121,7 @@
         if retry_at is not None:
             self.refused_joins += 1
             alternatives = other.membership.choose_alternatives()
-            return JoinOutcome(False, retry_at, alternatives)
+            return JoinOutcome(False, retry_at=retry_at, alternatives=alternatives)
         self.joins[int(now)] += 1
-        return JoinOutcome(self._network.join(node, other))
+        learned = self._network.join(node, other)
+        return JoinOutcome(learned is not None, learned or 0)
--- a/flamingohead/testing/network.py
+++ b/flamingohead/testing/network.py
@@ -110,17 +110,18 @@
             datagram = node.buffer.popleft()
             self._apply(node, node.membership.receive(datagram, self.now))
 
-    def join(self, node: FakeNode, other: FakeNode) -> bool:
-        """Exchange whole states by a call; return whether it got through."""
+    def join(self, node: FakeNode, other: FakeNode) -> int | None:
+        """Take a state by a call; return how much was news, if it got through."""
         if node.frozen or other.frozen or node.group != other.group:
-            return False
+            return None
         if self.nodes.get(other.address) is not other:
-            return False
+            return None
         members = other.membership.list_all()
         joiner = [node.membership.myself]
         self._apply(other, other.membership.merge(joiner, self.now))
-        self._apply(node, node.membership.take_state(members, self.now))
-        return True
+        effects = node.membership.take_state(members, self.now)
+        self._apply(node, effects)
+        return len(effects)
 
     def leave_node(self, node: FakeNode) -> None:
         """Let a node say that it leaves, and end it."""
--- a/properties/test_membership_swim.py
+++ b/properties/test_membership_swim.py
@@ -78,7 +78,7 @@
     def join_anyone(self, node):
         others = [n for n in self.network.nodes.values() if n is not node]
         self.random.shuffle(others)
-        return any(self.network.join(node, other) for other in others)
+        return any(self.network.join(node, o) is not None for o in others)
 
     def pass_time(self, seconds):
         until = self.network.now + seconds
