Bound the memory that bodies of requests hold on a daemon

Cause: each request may bring 8 MiB, which is held until its answer, and nothing bounded their sum: a few callers with large bodies could pass the daemon's 128 MB. Change: core/memory.py, one budget of 16 MiB for all connections of a daemon; what would pass it is refused with queue_full, not run, and gives everything back. Ruled out: streaming bodies on, since a retry elsewhere needs the whole; 48 MiB, since a daemon of today starts at about 72 MB resident and each body is copied once more. Proof: properties/test_memory.py. Shown failing first, guard taken out: the limit (1001 of 1000 held), release with the answer, with the connection, and of a request half read (1 left of 0). Taking out the release at a refusal is not found: the connection's end releases it too, only later. Not measured: resident memory under a flood of large bodies.

--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -11,6 +11,7 @@
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import UNMARKED, qualify_refusal
+from flamingohead.core.memory import ByteBudget
 from flamingohead.core.scopes import is_scoped_key
 from flamingohead.core.stopping import PlannedStop, StopEffect
 from flamingohead.events import Event, log_event
@@ -68,9 +69,10 @@
     async def start(self) -> None:
         handlers = (self._handle_ingress, self._handle_relay)
         count = self._kernel.get("metrics").count_refusal
+        budget = ByteBudget()
         for address, handler in zip(self._addresses, handlers, strict=True):
             host, port = split_address(address)
-            factory = HttpServerFactory(handler, count)
+            factory = HttpServerFactory(handler, count, budget)
             self._factories.append(factory)
             self._ports.append(await listen(factory, host, port))
 
--- a/flamingohead/services/http_parser.py
+++ b/flamingohead/services/http_parser.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingohead.core.memory import ByteBudget
+
 MAX_HEAD_BYTES = 32 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
 VERSIONS = ("1.0", "1.1")
@@ -36,6 +38,7 @@
         take_begin: Callable[[], None],
         take_head: Callable[[], None],
         take_request: Callable[[IncomingRequest], None],
+        budget: ByteBudget,
     ) -> None:
         self._take_begin = take_begin
         self._take_head = take_head
@@ -44,6 +47,7 @@
         self._request: IncomingRequest | None = None
         self._in_head = False
         self._head_bytes = 0
+        self._budget = budget
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._refusal: Refusal | None = None
@@ -70,6 +74,12 @@
             self._check_head_bytes()
         return self._refusal
 
+    def discard(self) -> None:
+        """Give up what was read of a request that will not become whole."""
+        self._budget.release(self._body_bytes)
+        self._body = []
+        self._body_bytes = 0
+
     def reject(self, kind: ErrorKind, detail: str) -> None:
         """Refuse from within a callback; raise to end the parsing."""
         self._refusal = Refusal(kind, detail)
@@ -106,9 +116,12 @@
         self._check_head()
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
+        if self._body_bytes + len(body) > MAX_BODY_BYTES:
             self._reject_body()
+        if not self._budget.reserve(len(body)):
+            detail = f"bodies of requests hold {self._budget.held} bytes"
+            self.reject(ErrorKind.QUEUE_FULL, detail)
+        self._body_bytes += len(body)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -117,6 +130,7 @@
         self._ended = not request.keep_alive
         request.body = b"".join(self._body)
         self._body = []
+        self._body_bytes = 0
         self._take_request(request)
 
     # Checks
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -69,6 +69,11 @@
         if handler is not None and self._protocol.is_write_paused:
             handler()
 
+    @property
+    def request_bytes(self) -> int:
+        """Return the size of the request's body."""
+        return len(self._request.body)
+
     @property
     def is_disconnected(self) -> bool:
         """Tell whether nothing more can be sent."""
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.memory import ByteBudget
 from flamingohead.services.http_messages import IncomingRequest
 from flamingohead.services.http_parser import MAX_BODY_BYTES, RequestReader
 from flamingohead.services.http_response import ServerResponse
@@ -38,6 +39,7 @@
             take_begin=self._take_begin,
             take_head=self._take_head,
             take_request=self._take_request,
+            budget=factory.budget,
         )
         self._pending: deque[IncomingRequest] = deque()
         self._pending_bytes = 0
@@ -71,9 +73,11 @@
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self._factory.connections.discard(self)
         self.is_closing = True
-        self._pending.clear()
+        self._drop_pending()
         self.resumeProducing()
         active, self._active = self._active, None
+        if active is not None:
+            self._factory.budget.release(active.request_bytes)
         if active is not None and active.on_disconnect is not None:
             active.on_disconnect()
 
@@ -113,14 +117,25 @@
 
     def _take_request(self, request: IncomingRequest) -> None:
         self._read_deadline = math.inf
+        self._pending_bytes += len(request.body)
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._release_pending(request)
             detail = f"over {MAX_PIPELINED_REQUESTS} requests waiting on a connection"
             self._reader.reject(ErrorKind.MALFORMED_REQUEST, detail)
         self._pending.append(request)
-        self._pending_bytes += len(request.body)
+
+    def _release_pending(self, request: IncomingRequest) -> None:
+        self._pending_bytes -= len(request.body)
+        self._factory.budget.release(len(request.body))
+
+    def _drop_pending(self) -> None:
+        self._reader.discard()
+        while self._pending:
+            self._release_pending(self._pending.popleft())
 
     def _reject(self, refusal: Refusal) -> None:
         self._read_deadline = math.inf
+        self._reader.discard()
         self._rejection = refusal
         self._factory.count_refusal(refusal)
 
@@ -153,6 +168,7 @@
         if response is not self._active:
             return
         self._active = None
+        self._factory.budget.release(response.request_bytes)
         if response.closes:
             self.close()
             return
@@ -189,6 +205,7 @@
         self,
         handler: Callable[[IncomingRequest, ServerResponse], None],
         count_refusal: Callable[[Refusal], None],
+        budget: ByteBudget | None = None,
     ) -> None:
         self._loop = install_reactor()
         self._sweep_handle = None
@@ -196,6 +213,7 @@
         self.count_refusal = count_refusal
         self.connections: set[HttpServerProtocol] = set()
         self.draining = False
+        self.budget = budget or ByteBudget()
         self.clock = time.monotonic
         self.call_soon = self._loop.call_soon
 
