--- a/flamingohead/tests/test_key_services.py
+++ b/flamingohead/tests/test_key_services.py
@@ -18,6 +18,15 @@
 QUEUE_FULL = Refusal(ErrorKind.QUEUE_FULL)
 
 
+def run_on_own_loop(coroutine):
+    """Run a coroutine; unlike asyncio.run, leave the reactor's loop in place."""
+    loop = asyncio.new_event_loop()
+    try:
+        loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
 class FakeTable:
     def __init__(self):
         self.rows = {}
@@ -134,7 +143,7 @@
             assert refusal is QUEUE_FULL
             assert (table.writes, fake_run.count, len(service.ledger)) == (0, 0, 0)
 
-        asyncio.run(run())
+        run_on_own_loop(run())
 
     def test_slow_table_bounds_claims_and_starts_nothing(self):
         async def run():
@@ -158,7 +167,7 @@
             assert await asyncio.gather(*waiting) == [None, None]
             assert fake_run.count == 2
 
-        asyncio.run(run())
+        run_on_own_loop(run())
 
     def test_answer_is_kept_for_a_caller_that_left(self):
         async def run():
@@ -179,7 +188,7 @@
             assert await service.run_once(call, response, fake_run) is None
             assert (response.body, fake_run.count) == (b"done", 1)
 
-        asyncio.run(run())
+        run_on_own_loop(run())
 
     def test_row_is_deleted_when_its_key_expires(self):
         async def run():
@@ -193,4 +202,4 @@
             assert len(service.ledger) == 0
             await service.stop()
 
-        asyncio.run(run())
+        run_on_own_loop(run())
