--- a/benchmarks/policy_baseline.py
+++ b/benchmarks/policy_baseline.py
@@ -9,7 +9,6 @@
 
 from flamingohead.core.admission import Admission, Ticket, Turn
 from flamingohead.core.balancing import Balancer
-from flamingohead.core.concurrency import ConcurrencyLimit
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.retries import MAX_ATTEMPTS, RetryBudget
 
@@ -135,18 +134,11 @@
 
     def record(self, index, ticket, now, refusal) -> None:
         """Learn from an answer of an upstream, where the policy learns limits."""
-        if not self.limits:
-            return
-        admission = self.admissions[index]
-        changed = self.limits[index].record(
-            ticket.rank,
-            now - ticket.admitted_at,
-            now,
-            shed=refusal is not None and refusal.kind is ErrorKind.UPSTREAM_SHED,
-            in_use=admission.in_use,
-        )
-        if changed:
-            admission.set_limit(self.limits[index].slots, now)
+        if self.limits:
+            limit = self.limits[index]
+            changed = limit.record(ticket, now, refusal, self.admissions[index].in_use)
+            if changed:
+                self.admissions[index].set_limit(limit.slots, now)
 
 
 @dataclass(frozen=True)
@@ -161,9 +153,6 @@
 
 POLICIES = {
     "flamingohead": PolicyParts(Balancer, Admission, lambda: RetryBudget(0.0)),
-    "learned limit": PolicyParts(
-        Balancer, Admission, lambda: RetryBudget(0.0), learns_limit=True
-    ),
     "baseline": PolicyParts(RoundRobinBalancer, FirstComeAdmission, PlainRetries),
     "round robin": PolicyParts(RoundRobinBalancer, Admission, lambda: RetryBudget(0.0)),
     "in flight": PolicyParts(InFlightBalancer, Admission, lambda: RetryBudget(0.0)),
@@ -187,10 +176,7 @@
             balancer.read_load = lambda host_id: _read_load(
                 upstreams[int(host_id)], admissions[int(host_id)]
             )
-    limits = [ConcurrencyLimit(u.announced, 0.0) for u in upstreams]
-    return Policy(
-        balancers, admissions, parts.budget, limits if parts.learns_limit else []
-    )
+    return Policy(balancers, admissions, parts.budget)
 
 
 def _read_load(upstream, admission) -> float:
