--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -373,7 +373,7 @@
     figures = []
     for path, what in (("one_daemon", "one daemon"), ("two_daemons", "two daemons")):
         for name, part in (("added_p50", "median"), ("added_p99", "99 in 100")):
-            row = results.find("hop", name, path=path, rate=45)
+            row = results.find("hop", name, path=path, rate=45, kind="lookup")
             figures.append(
                 scale_row(
                     row,
@@ -387,10 +387,20 @@
                 )
             )
     entry = results.find(
-        "hop", "processor_time", path="two_daemons", rate=45, daemon="entry"
+        "hop",
+        "processor_time",
+        path="two_daemons",
+        rate=45,
+        kind="lookup",
+        daemon="entry",
     )
     owner = results.find(
-        "hop", "processor_time", path="two_daemons", rate=45, daemon="owner"
+        "hop",
+        "processor_time",
+        path="two_daemons",
+        rate=45,
+        kind="lookup",
+        daemon="owner",
     )
     figures.append(
         Figure(
