Let a refusal reach a caller that is still sending

Cause: after a refusal the daemon closed the connection with bytes unread, which resets it: a caller in the middle of a large request lost the answer. Found while measuring memory under a flood of large bodies. Change: after a refusal of what can't be read, close for writing, drop what still comes, and close for good after 2 s or when the caller does. Proof: tests/test_hop.py::TestRefusals (32 MiB to a limit of 8 gets 413) and properties/test_http_fuzz.py; with the change taken out: broken pipe, connection reset.

--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -22,6 +22,7 @@
 READ_TIMEOUT = 15.0
 IDLE_TIMEOUT = 120.0
 CLOSE_TIMEOUT = 10.0
+LINGER_TIMEOUT = 2.0
 SWEEP_PERIOD = 0.25
 MAX_PIPELINED_REQUESTS = 32
 
@@ -45,6 +46,7 @@
         self._pending_bytes = 0
         self._active: ServerResponse | None = None
         self._rejection: Refusal | None = None
+        self._is_rejected = False
         self.is_closing = False
         self.is_write_paused = False
         self._read_deadline = math.inf
@@ -150,6 +152,7 @@
         elif self._rejection is not None:
             request = IncomingRequest("", b"", keep_alive=False)
             response = self._active = ServerResponse(self, request)
+            self._is_rejected = True
             response.refuse(self._rejection, self._factory.clock())
 
     # Responses
@@ -169,6 +172,9 @@
             return
         self._active = None
         self._factory.budget.release(response.request_bytes)
+        if self._is_rejected:
+            self.close_after_reading()
+            return
         if response.closes:
             self.close()
             return
@@ -184,6 +190,18 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
+    def close_after_reading(self) -> None:
+        """Close for writing, and drop what the caller still sends for a while.
+
+        To close at once would reset the connection under a caller that is still
+        sending, and the response would be lost.
+        """
+        self.is_closing = True
+        self._close_deadline = self._factory.clock() + LINGER_TIMEOUT
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
     def check_deadlines(self, now: float) -> None:
         """Close if the caller is too slow or has been idle for long."""
         if self.is_closing:
--- a/flamingohead/services/transport.py
+++ b/flamingohead/services/transport.py
@@ -59,6 +59,10 @@
     def loseConnection(self) -> None:  # noqa: N802
         self._transport.close()
 
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+
     def abortConnection(self) -> None:  # noqa: N802
         self._transport.abort()
 
--- a/flamingohead/testing/http.py
+++ b/flamingohead/testing/http.py
@@ -96,6 +96,11 @@
         for start in range(0, len(data), size):
             self.transport.deliver(data[start : start + size])
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the server sends no more on this connection."""
+        return self.transport.is_closed or self.transport.is_write_closed
+
     def turn_loop(self) -> None:
         """Run what the server put off to the next turn of its loop."""
         while self.later:
--- a/flamingohead/testing/transports.py
+++ b/flamingohead/testing/transports.py
@@ -22,6 +22,7 @@
         self.written = b""
         self.is_reading = True
         self.is_closed = False
+        self.is_write_closed = False
         self.is_lost = False
         self.unsent_bytes = 0
         protocol.makeConnection(self)
@@ -40,9 +41,12 @@
     # Transport
 
     def write(self, data: bytes) -> None:
-        if not self.is_closed:
+        if not self.is_closed and not self.is_write_closed:
             self.written += data
 
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self.is_write_closed = True
+
     def loseConnection(self) -> None:  # noqa: N802
         self.is_closed = True
 
--- a/flamingohead/tests/test_hop.py
+++ b/flamingohead/tests/test_hop.py
@@ -104,6 +104,13 @@
         assert largest < MEMORY_LIMIT_BYTES
 
 
+class TestRefusals:
+    def test_caller_that_is_still_sending_gets_the_refusal(self, mesh):
+        address = mesh.daemons["makola-0"].addresses.ingress
+        status, content = ask(address, "POST", "/archive/search", b"x" * 2**25)
+        assert status == 413, content
+
+
 class TestDisconnects:
     @pytest.mark.parametrize("entry", ["makola-0", "makola-1"])
     def test_upstream_sees_that_the_caller_left(self, mesh, entry):
