Split asking and handing over of outcomes from the key service

A process test freezes the home of a scoped key past the deadline: two attempts are told unknown, and after the thaw the key has one run.

--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -42,6 +42,7 @@
     from flamingohead.services.metrics import MetricsService
     from flamingohead.services.observation import ObservationService
     from flamingohead.services.operators import OperatorService
+    from flamingohead.services.outcomes import OutcomeService
     from flamingohead.services.peers import PeersService
     from flamingohead.services.platform import ObjectClient, TableClient
     from flamingohead.services.scopes import ScopeService
@@ -74,6 +75,7 @@
         maximum_entries=settings.key_limit,
         maximum_total_bytes=settings.key_answer_mib * MEBIBYTE,
     )
+    kernel.add("outcomes", OutcomeService(kernel, limits))
     kernel.add(
         "keys",
         KeyService(
--- a/flamingohead/services/keys.py
+++ b/flamingohead/services/keys.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import secrets
 import time
 from random import Random
@@ -30,10 +29,6 @@
     read_keyed_request,
 )
 from flamingohead.core.ledger import KeyLedger, LedgerEntry, LedgerSettings
-from flamingohead.core.scopes import rank_successors
-from flamingohead.events import Event, log_event
-from flamingohead.protocol import key_codec, peers_pb2 as pb
-from flamingohead.protocol.codec import CodecError
 from flamingohead.services.claim_rows import ClaimRows
 from flamingohead.services.key_runs import KeyRuns
 
@@ -47,14 +42,9 @@
     from flamingohead.services.http_response import ServerResponse
     from flamingohead.services.key_runs import Runner
 
-logger = logging.getLogger(__name__)
-
 EXPIRY_PERIOD = 1.0
 SWEEP_PERIOD = 10.0
-ASK_MARGIN = 0.5
 DELETE_CONCURRENCY = 4
-HAND_OVER_TIMEOUT = 2.0
-MAX_HAND_OVER_BYTES = 4 * 1024 * 1024
 
 
 class KeyService:
@@ -83,7 +73,6 @@
         self.ledger_id = secrets.token_hex(8)
         self.ledger = KeyLedger(limits)
         self.runs = KeyRuns(self.ledger)
-        self.adopted = KeyLedger(limits)
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -98,7 +87,7 @@
             task.cancel()
         left = await self.runs.drain(self._stop_timeout)
         self._kernel.get("metrics").count("key.stop.left", left)
-        await self.hand_over(self.ledger)
+        await self._kernel.get("outcomes").hand_over(self.ledger)
 
     # Calls
 
@@ -215,17 +204,7 @@
         claim = effect.claim
         if claim.ledger_id == self.ledger_id:
             return await self._wait_for_own(claim, deadline)
-        remaining = max(0.0, deadline - time.monotonic())
-        request = pb.OutcomeRequest(
-            service=claim.request.service,
-            key=claim.request.key,
-            nonce=claim.nonce,
-            wait_ms=round(remaining * 1000),
-        )
-        outcome = await self._ask(claim.peer_address, request)
-        if isinstance(outcome, Refusal) or outcome.state is KeyState.UNKNOWN:
-            return await self.ask_successors(claim.ledger_id, claim.host_id, request)
-        return outcome
+        return await self._kernel.get("outcomes").ask_owner(claim, deadline)
 
     async def _wait_for_own(self, claim: Claim, deadline: float) -> Outcome:
         request = claim.request
@@ -234,116 +213,13 @@
             return Outcome(KeyState.UNKNOWN)
         return await self.runs.wait(entry, deadline)
 
-    async def _ask(self, address: str, request: pb.OutcomeRequest) -> Outcome | Refusal:
-        reply = await self._kernel.get("peers").call(
-            address,
-            "FetchOutcome",
-            request,
-            timeout=request.wait_ms / 1000 + ASK_MARGIN,
-        )
-        if isinstance(reply, Refusal):
-            return reply
-        try:
-            return key_codec.decode_outcome(reply)
-        except CodecError as error:
-            return Refusal(ErrorKind.KEY_OUTCOME_UNKNOWN, str(error))
-
-    async def ask_successors(
-        self, ledger_id: str, host_id: str, request: pb.OutcomeRequest
-    ) -> Outcome:
-        """Ask the daemons to which a stopped one may have handed its outcomes."""
-        adopted = self._find_adopted(request)
-        if adopted is not None:
-            return adopted.outcome
-        members = self._kernel.get("gossip").membership.list_alive()
-        addresses = {
-            member.host_id: member.peer_address
-            for member in members
-            if member.host_id != host_id
-        }
-        final = pb.OutcomeRequest()
-        final.CopyFrom(request)
-        final.wait_ms = 0
-        for successor in rank_successors(ledger_id, addresses):
-            outcome = await self._ask(addresses[successor], final)
-            if isinstance(outcome, Outcome) and outcome.state is not KeyState.UNKNOWN:
-                return outcome
-        return Outcome(KeyState.UNKNOWN)
-
-    async def fetch_outcome(self, request: pb.OutcomeRequest) -> Outcome:
-        """Return what this daemon knows of a claim, once final or at a deadline."""
-        identity = (request.service, request.key)
-        entry = self.ledger.fetch(*identity, request.nonce)
-        if entry is not None:
-            deadline = time.monotonic() + request.wait_ms / 1000
-            return await self.runs.wait(entry, deadline)
-        entry = self._find_adopted(request)
-        return Outcome(KeyState.UNKNOWN) if entry is None else entry.outcome
-
-    def _find_adopted(self, request: pb.OutcomeRequest) -> LedgerEntry | None:
-        identity = (request.service, request.key)
-        if request.nonce:
-            return self.adopted.fetch(*identity, request.nonce)
-        entry = self.adopted.find(*identity)
-        if entry is None or entry.request.digest != request.digest:
-            return None
-        return entry
-
-    # Stops
-
-    async def hand_over(self, ledger: KeyLedger) -> None:
-        """Give the final outcomes of a ledger to its successors."""
-        membership = self._kernel.get("gossip").membership
-        addresses = {m.host_id: m.peer_address for m in membership.list_alive()}
-        request = self._build_hand_over(ledger)
-        if not request.outcomes or not addresses:
-            return
-        for successor in rank_successors(self.ledger_id, addresses):
-            reply = await self._kernel.get("peers").call(
-                addresses[successor], "HandOver", request, timeout=HAND_OVER_TIMEOUT
-            )
-            kept = 0 if isinstance(reply, Refusal) else reply.kept
-            log_event(
-                logger,
-                Event.OUTCOMES_HANDED_OVER,
-                peer=successor,
-                sent=len(request.outcomes),
-                kept=kept,
-            )
-
-    def _build_hand_over(self, ledger: KeyLedger) -> pb.HandOverRequest:
-        request = pb.HandOverRequest()
-        now = time.monotonic()
-        size = 0
-        for entry in ledger.list_final():
-            message = key_codec.encode_entry(entry, now)
-            size += message.ByteSize()
-            if size > MAX_HAND_OVER_BYTES:
-                self._kernel.get("metrics").count("key.hand_over.dropped")
-                continue
-            request.outcomes.append(message)
-        return request
-
-    def adopt(self, request: pb.HandOverRequest) -> int:
-        """Keep the outcomes of a daemon that stops; return how many fit."""
-        now = time.monotonic()
-        kept = 0
-        for message in request.outcomes:
-            try:
-                entry = key_codec.decode_entry(message, now)
-            except CodecError as error:
-                log_event(logger, Event.OUTCOME_MALFORMED, error=error)
-                continue
-            kept += self.adopted.adopt(entry)
-        return kept
-
     # Expiry
 
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_PERIOD)
             now = time.monotonic()
-            self.adopted.expire(now)
+            self._kernel.get("outcomes").adopted.expire(now)
             claims = [
                 self._claims.pop(entry.nonce, None) for entry in self.ledger.expire(now)
             ]
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -136,12 +136,12 @@
 
     async def FetchOutcome(self, stream) -> None:  # noqa: N802
         request = await stream.recv_message()
-        outcome = await self._kernel.get("keys").fetch_outcome(request)
+        outcome = await self._kernel.get("outcomes").fetch(request)
         await stream.send_message(key_codec.encode_outcome(outcome))
 
     async def HandOver(self, stream) -> None:  # noqa: N802
         request = await stream.recv_message()
-        kept = self._kernel.get("keys").adopt(request)
+        kept = self._kernel.get("outcomes").adopt(request)
         await stream.send_message(pb.HandOverReply(kept=kept))
 
     async def FetchStatus(self, stream) -> None:  # noqa: N802
--- a/flamingohead/services/scopes.py
+++ b/flamingohead/services/scopes.py
@@ -70,7 +70,7 @@
         self._task.cancel()
         left = await self.runs.drain(self._stop_timeout)
         self._kernel.get("metrics").count("key.stop.left", left)
-        await self._kernel.get("keys").hand_over(self.ledger)
+        await self._kernel.get("outcomes").hand_over(self.ledger)
 
     def send_scope(self, response: ServerResponse) -> None:
         """Answer a caller that asks for a scope."""
@@ -128,7 +128,7 @@
             request = pb.OutcomeRequest(
                 service=call.service, key=call.key, digest=digest
             )
-            outcome = await self._kernel.get("keys").ask_successors(
+            outcome = await self._kernel.get("outcomes").ask_successors(
                 scope.ledger_id, scope.host_id, request
             )
             if outcome.state is not KeyState.UNKNOWN:
--- a/flamingohead/tests/test_key_services.py
+++ b/flamingohead/tests/test_key_services.py
@@ -10,7 +10,7 @@
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
-from flamingohead.core.ledger import LedgerSettings
+from flamingohead.core.ledger import KeyLedger, LedgerSettings
 from flamingohead.core.members import Member
 from flamingohead.services.keys import KeyService
 from flamingohead.services.platform import Row
@@ -53,6 +53,10 @@
         return True
 
 
+async def ignore(*arguments):
+    pass
+
+
 class FakeResponse:
     def __init__(self):
         self.on_disconnect = self.on_pause = self.on_resume = None
@@ -99,6 +103,7 @@
     services = {
         "table": table,
         "gossip": SimpleNamespace(membership=membership),
+        "outcomes": SimpleNamespace(adopted=KeyLedger(), hand_over=ignore),
         "metrics": SimpleNamespace(
             count=lambda name, amount=1: counters.update({name: amount}),
             set_gauge=lambda name, value: None,
--- a/flamingohead/tests/test_keys_processes.py
+++ b/flamingohead/tests/test_keys_processes.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import signal
 import subprocess
 import sys
 import time
@@ -155,6 +156,17 @@
         assert len(keys.find_runs(scoped)) == 1
         assert keys.find_runs("outage-1") + keys.find_runs("outage-2") == []
 
+    def test_frozen_home_is_unknown_and_runs_once_when_thawed(self, keys):
+        key = keys.make_key("osu-3", "frozen")
+        home = keys.mesh.daemons["osu-3"].process.popen
+        home.send_signal(signal.SIGSTOP)
+        headers = {"Request-Timeout-Ms": "300"}
+        frozen = [keys.hand_over("osu-2", key, n, **headers) for n in (1, 2)]
+        home.send_signal(signal.SIGCONT)
+        assert {reply.ran for reply in frozen} == {"unknown"}
+        wait_until(lambda: keys.hand_over("osu-0", key, 3).status == 200)
+        assert len(keys.find_runs(key)) == 1
+
     def test_stopped_home_hands_its_answers_over(self, keys):
         key = keys.make_key("osu-3", "stopped")
         answered = keys.hand_over("osu-2", key)
