--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -11,6 +11,7 @@
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import UNMARKED, qualify_refusal
+from flamingohead.core.memory import ByteBudget
 from flamingohead.core.scopes import is_scoped_key
 from flamingohead.core.stopping import PlannedStop, StopEffect
 from flamingohead.events import Event, log_event
@@ -22,6 +23,7 @@
     RELAY_UPSTREAM,
     TIMEOUT_HEADER,
     read_attempt,
+    read_caller,
     read_relayed_call,
 )
 from flamingohead.services.scopes import SCOPE_PATH
@@ -68,9 +70,10 @@
     async def start(self) -> None:
         handlers = (self._handle_ingress, self._handle_relay)
         count = self._kernel.get("metrics").count_refusal
+        budget = ByteBudget()
         for address, handler in zip(self._addresses, handlers, strict=True):
             host, port = split_address(address)
-            factory = HttpServerFactory(handler, count)
+            factory = HttpServerFactory(handler, count, budget)
             self._factories.append(factory)
             self._ports.append(await listen(factory, host, port))
 
@@ -243,6 +246,7 @@
         deadline=now + timeout_ms / 1000,
         idempotent=route.idempotent,
         key=None if key is None else key.decode("latin-1"),
+        caller=read_caller(request),
         attempt=attempt,
         call_id="" if key is None else secrets.token_hex(8),
     )
