Give out no scope while a daemon leaves

Cause: a daemon that drains still answered the request for a scope; keys made from it would have lost their home within seconds. It now refuses as draining, not run. Test: flamingohead/tests/test_key_services.py::TestScopeService.

--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -133,7 +133,8 @@
     ) -> None:
         routes = self._kernel.get("configuration").routes
         if request.method == "GET" and request.target == SCOPE_PATH:
-            self._kernel.get("scopes").send_scope(response)
+            refusal = self._kernel.get("scopes").send_scope(response)
+            self._conclude(response, refusal)
             return
         resolved = routes.match(request.method, request.target.decode("latin-1"))
         if isinstance(resolved, Refusal):
--- a/flamingohead/services/scopes.py
+++ b/flamingohead/services/scopes.py
@@ -21,6 +21,7 @@
     read_keyed_request,
 )
 from flamingohead.core.ledger import KeyLedger, LedgerEntry, LedgerSettings
+from flamingohead.core.members import MemberStatus
 from flamingohead.core.scopes import Scope, meet_scoped, read_scope
 from flamingohead.protocol import peers_pb2 as pb
 from flamingohead.services.http_messages import OutgoingRequest
@@ -72,8 +73,10 @@
         self._kernel.get("metrics").count("key.stop.left", left)
         await self._kernel.get("outcomes").hand_over(self.ledger)
 
-    def send_scope(self, response: ServerResponse) -> None:
-        """Answer a caller that asks for a scope."""
+    def send_scope(self, response: ServerResponse) -> Refusal | None:
+        """Answer a caller that asks for a scope, unless this daemon is leaving."""
+        if self._kernel.get("gossip").membership.myself.status is MemberStatus.LEFT:
+            return Refusal(ErrorKind.DRAINING, "this daemon stops; ask another one")
         body = {
             "scope": self.build_scope().encode(self._secret),
             "expires_in_ms": round(self._lifetime * 1000),
@@ -81,6 +84,7 @@
         headers = [(b"content-type", b"application/json")]
         headers.append((b"cache-control", b"no-store"))
         response.send(200, headers, json.dumps(body).encode())
+        return None
 
     def build_scope(self) -> Scope:
         """Return a new scope of this daemon."""
--- a/flamingohead/tests/test_key_services.py
+++ b/flamingohead/tests/test_key_services.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import time
 from collections import Counter
 from types import SimpleNamespace
 
+import pytest
+
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.ledger import KeyLedger, LedgerSettings
-from flamingohead.core.members import Member
+from flamingohead.core.members import Member, MemberStatus
 from flamingohead.services.keys import KeyService
 from flamingohead.services.platform import Row
+from flamingohead.services.scopes import ScopeService
 
 QUEUE_FULL = Refusal(ErrorKind.QUEUE_FULL)
 
@@ -136,6 +140,31 @@
     )
 
 
+class TestScopeService:
+    @pytest.mark.parametrize("status", [MemberStatus.ALIVE, MemberStatus.LEFT])
+    def test_leaving_daemon_gives_out_no_scope(self, status):
+        member = Member("osu-1", "osu", "127.0.0.1:1", "127.0.0.1:2", 1, status)
+        services = {
+            "gossip": SimpleNamespace(membership=SimpleNamespace(myself=member)),
+            "keys": SimpleNamespace(ledger_id="1f"),
+        }
+        service = ScopeService(
+            SimpleNamespace(get=services.__getitem__),
+            lifetime=60.0,
+            secret="secret",
+            stop_timeout=1.0,
+            limits=LedgerSettings(),
+        )
+        response = FakeResponse()
+        refusal = service.send_scope(response)
+        if status is MemberStatus.ALIVE:
+            assert refusal is None
+            assert json.loads(response.body)["scope"].startswith("fhs1~osu-1~")
+        else:
+            assert refusal.kind is ErrorKind.DRAINING
+            assert not response.started
+
+
 class TestKeyService:
     def test_flood_refused_by_admission_writes_no_claim(self):
         async def run():
