--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -10,7 +10,7 @@
 
 import click
 
-from benchmarks import capacity_roles  # noqa: F401
+from benchmarks import capacity_control, capacity_requests  # noqa: F401
 from benchmarks.capacity import (
     Figure,
     Results,
--- /dev/null
+++ b/benchmarks/capacity_requests.py
@@ -0,0 +1,180 @@
+"""The figures of requests and of the platform at the two-year size."""
+
+from __future__ import annotations
+
+from benchmarks.capacity import (
+    ADDED_LIMIT,
+    CALLS_PER_DAEMON,
+    CHANGES_PER_DAY,
+    DAEMONS,
+    DAY_SECONDS,
+    DOMAINS,
+    TABLE_READ_LIMIT,
+    TABLE_WRITE_LIMIT,
+    Figure,
+    Results,
+    register_role,
+    scale_row,
+)
+
+MICROSECONDS = 1e-6
+PERCENT = 100
+BYTES_PER_MB = 1e6
+FULL_LOSS = 0.1
+KEPT_ANSWERS = 10_000
+
+
+@register_role("kept answers")
+def work_out_keys(results: Results) -> list[Figure]:
+    """Return what keyed requests cost a daemon and the table."""
+    source = results.get_source("keys")
+    memory = results.find("keys", "ledger_memory_per_key")
+    writes = results.find("keys", "table_writes_per_request", kind="claimed")
+    scoped = results.find("keys", "table_writes_per_request", kind="scoped")
+    return [
+        scale_row(
+            memory,
+            KEPT_ANSWERS / BYTES_PER_MB,
+            role="kept answers",
+            what=f"memory of {KEPT_ANSWERS} answers of 256 bytes",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism="bounded in bytes by --key-answer-mib",
+        ),
+        Figure(
+            "kept answers",
+            "claimed requests a second that the table carries, all daemons together",
+            TABLE_WRITE_LIMIT / writes.value,
+            "1/s",
+            source,
+            mechanism="a claim row for a key that a caller made itself",
+        ),
+        Figure(
+            "kept answers",
+            "table writes of a request with a scoped key",
+            scoped.value,
+            "writes",
+            source,
+            mechanism="the scope names the daemon that runs the key",
+        ),
+    ]
+
+
+@register_role("the hop")
+def work_out_hop(results: Results) -> list[Figure]:
+    """Return what a call costs beside control: latency and processor time."""
+    source = results.get_source("hop")
+    figures = []
+    for path, what in (("one_daemon", "one daemon"), ("two_daemons", "two daemons")):
+        for name, part in (("added_p50", "median"), ("added_p99", "99 in 100")):
+            row = results.find("hop", name, path=path, rate=45, kind="lookup")
+            figures.append(
+                scale_row(
+                    row,
+                    1,
+                    role="the hop",
+                    what=f"added by {what}, {part}, 45 calls/s",
+                    unit="ms",
+                    source=source,
+                    limit=ADDED_LIMIT if part == "99 in 100" else None,
+                    mechanism="httptools under Twisted protocols, asyncio transports",
+                )
+            )
+    entry = results.find(
+        "hop",
+        "processor_time",
+        path="two_daemons",
+        rate=45,
+        kind="lookup",
+        daemon="entry",
+    )
+    owner = results.find(
+        "hop",
+        "processor_time",
+        path="two_daemons",
+        rate=45,
+        kind="lookup",
+        daemon="owner",
+    )
+    figures.append(
+        Figure(
+            "the hop",
+            f"processor, {CALLS_PER_DAEMON:.0f} calls/s entering and as many owned",
+            CALLS_PER_DAEMON * (entry.value + owner.value) * MICROSECONDS * PERCENT,
+            "% of a core",
+            source,
+            mechanism="not control: the request path",
+        )
+    )
+    return figures
+
+
+@register_role("the platform")
+def work_out_platform(results: Results) -> list[Figure]:
+    """Return what the mesh asks of the table."""
+    spread = {
+        "way": "gossip",
+        "daemons": DAEMONS,
+        "domains": DOMAINS,
+        "loss": FULL_LOSS,
+    }
+    source = results.get_source("spreading")
+    role = "the platform"
+    quiet = results.find("spreading", "highest table reads", event="none", **spread)
+    herd = results.find("spreading", "highest table reads", event="herd", **spread)
+    return [
+        scale_row(
+            quiet,
+            1,
+            role=role,
+            what="table reads, ordinary",
+            unit="1/s",
+            source=source,
+            limit=TABLE_READ_LIMIT / 4,
+            mechanism="four polls a second for each failure domain",
+        ),
+        scale_row(
+            herd,
+            1,
+            role=role,
+            what="table reads, one failure domain just returned",
+            unit="1/s",
+            source=source,
+            limit=TABLE_READ_LIMIT / 4,
+            mechanism="first reads spread over two seconds, peers first",
+        ),
+        Figure(
+            role,
+            "table writes for changes, the day's mean",
+            CHANGES_PER_DAY / DAY_SECONDS,
+            "1/s",
+            source,
+            limit=TABLE_WRITE_LIMIT,
+            mechanism="one conditional insert for each version",
+        ),
+    ]
+
+
+@register_role("retries")
+def work_out_retries(results: Results) -> list[Figure]:
+    """Return how far retries multiply load over nine levels."""
+    source = results.get_source("nested")
+    figures = []
+    for policy, limit in (("plain", None), ("budget and marks", 1.2)):
+        row = results.find(
+            "nested", "leaf calls for each call", policy=policy, levels=9, failing=1.0
+        )
+        figures.append(
+            scale_row(
+                row,
+                1,
+                role="retries",
+                what=f"calls of the last of nine levels for each call, {policy}",
+                unit="calls",
+                source=source,
+                limit=limit,
+                mechanism="budgets by cost, marks across levels",
+            )
+        )
+    return figures
