Serve both stand-ins of the platform by one set of routes

Cause: the table and the object store each repeated the routes for faults, usage, reads and writes. Change: one base serves a collection; a subclass reads, writes and lists.

--- a/flamingohead/standins/platform.py
+++ b/flamingohead/standins/platform.py
@@ -26,20 +26,23 @@
     tag: str
 
 
-def _spawn(coroutine) -> Deferred:
-    return Deferred.fromFuture(asyncio.get_running_loop().create_task(coroutine))
+class _PlatformStandin:
+    """Serve keyed values of one collection, with faults and a count of their use."""
 
+    app = Klein()
+    collection = ""
 
-class _PlatformStandin:
     def __init__(self) -> None:
         self.faults = FaultInjector()
 
     def listen(self, address: str) -> None:
+        """Listen on ``IP:PORT``."""
         host, port = split_address(address)
         site = Site(self.app.resource())
         site.noisy = False
         reactor.listenTCP(port, site, interface=host)
 
+    @app.route("/faults", methods=["PUT"])
     def _put_faults(self, request):
         try:
             settings = FaultSettings.model_validate_json(request.content.read())
@@ -49,9 +52,39 @@
         self.faults.settings = settings
         return b"{}"
 
+    @app.route("/usage", methods=["GET"])
     def _get_usage(self, request):
         return json.dumps(self.faults.describe()).encode()
 
+    @app.route("/<collection>/<path:key>", methods=["GET", "PUT", "DELETE"])
+    def _handle(self, request, collection: str, key: str):
+        if collection != self.collection:
+            request.setResponseCode(404)
+            return b"not found"
+        if request.method == b"GET":
+            return self._start(request, lambda: self._read(request, key), write=False)
+        if request.method == b"DELETE":
+            return self._start(request, lambda: self._remove(request, key), write=True)
+        value = request.content.read()
+        return self._start(
+            request, lambda: self._write(request, key, value), write=True
+        )
+
+    @app.route("/<collection>", methods=["GET"])
+    def _handle_scan(self, request, collection: str):
+        if collection != self.collection:
+            request.setResponseCode(404)
+            return b"not found"
+        return self._start(request, lambda: self._list(request), write=False)
+
+    def _list(self, request) -> bytes:
+        request.setResponseCode(404)
+        return b"this collection can't be listed"
+
+    def _start(self, request, operation, *, write: bool) -> Deferred:
+        coroutine = self._guard(request, operation, write=write)
+        return Deferred.fromFuture(asyncio.get_running_loop().create_task(coroutine))
+
     async def _guard(self, request, operation, *, write: bool) -> bytes:
         if not await self.faults.admit(write=write):
             request.setResponseCode(503)
@@ -67,7 +100,7 @@
 class TableStandin(_PlatformStandin):
     """Keep rows in memory; insert and update them under conditions."""
 
-    app = Klein()
+    collection = "rows"
 
     def __init__(self) -> None:
         super().__init__()
@@ -75,37 +108,6 @@
         self._keys: list[str] = []
         self._tags = 0
 
-    @app.route("/faults", methods=["PUT"])
-    def _faults(self, request):
-        return self._put_faults(request)
-
-    @app.route("/usage", methods=["GET"])
-    def _usage(self, request):
-        return self._get_usage(request)
-
-    @app.route("/rows/<path:key>", methods=["GET"])
-    def _get(self, request, key: str):
-        return _spawn(
-            self._guard(request, lambda: self._read(request, key), write=False)
-        )
-
-    @app.route("/rows/<path:key>", methods=["PUT"])
-    def _put(self, request, key: str):
-        value = request.content.read()
-        return _spawn(
-            self._guard(request, lambda: self._write(request, key, value), write=True)
-        )
-
-    @app.route("/rows/<path:key>", methods=["DELETE"])
-    def _delete(self, request, key: str):
-        return _spawn(
-            self._guard(request, lambda: self._remove(request, key), write=True)
-        )
-
-    @app.route("/rows", methods=["GET"])
-    def _scan(self, request):
-        return _spawn(self._guard(request, lambda: self._list(request), write=False))
-
     def _read(self, request, key: str) -> bytes:
         row = self._rows.get(key)
         if row is None:
@@ -165,44 +167,19 @@
 class ObjectStandin(_PlatformStandin):
     """Keep objects in memory."""
 
-    app = Klein()
+    collection = "objects"
 
     def __init__(self) -> None:
         super().__init__()
         self._objects: dict[str, bytes] = {}
 
-    @app.route("/faults", methods=["PUT"])
-    def _faults(self, request):
-        return self._put_faults(request)
-
-    @app.route("/usage", methods=["GET"])
-    def _usage(self, request):
-        return self._get_usage(request)
-
-    @app.route("/objects/<path:key>", methods=["GET"])
-    def _get(self, request, key: str):
-        return _spawn(
-            self._guard(request, lambda: self._read(request, key), write=False)
-        )
-
-    @app.route("/objects/<path:key>", methods=["PUT"])
-    def _put(self, request, key: str):
-        value = request.content.read()
-        return _spawn(self._guard(request, lambda: self._write(key, value), write=True))
-
-    @app.route("/objects/<path:key>", methods=["DELETE"])
-    def _delete(self, request, key: str):
-        return _spawn(
-            self._guard(request, lambda: self._remove(request, key), write=True)
-        )
-
     def _read(self, request, key: str) -> bytes:
         if key not in self._objects:
             request.setResponseCode(404)
             return b""
         return self._objects[key]
 
-    def _write(self, key: str, value: bytes) -> bytes:
+    def _write(self, request, key: str, value: bytes) -> bytes:
         self._objects[key] = value
         return b""
 
