--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.memory import ByteBudget
 from flamingohead.services.http_messages import IncomingRequest
 from flamingohead.services.http_parser import MAX_BODY_BYTES, RequestReader
 from flamingohead.services.http_response import ServerResponse
@@ -21,6 +22,7 @@
 READ_TIMEOUT = 15.0
 IDLE_TIMEOUT = 120.0
 CLOSE_TIMEOUT = 10.0
+LINGER_TIMEOUT = 2.0
 SWEEP_PERIOD = 0.25
 MAX_PIPELINED_REQUESTS = 32
 
@@ -38,11 +40,13 @@
             take_begin=self._take_begin,
             take_head=self._take_head,
             take_request=self._take_request,
+            budget=factory.budget,
         )
         self._pending: deque[IncomingRequest] = deque()
         self._pending_bytes = 0
         self._active: ServerResponse | None = None
         self._rejection: Refusal | None = None
+        self._is_rejected = False
         self.is_closing = False
         self.is_write_paused = False
         self._read_deadline = math.inf
@@ -71,9 +75,11 @@
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self._factory.connections.discard(self)
         self.is_closing = True
-        self._pending.clear()
+        self._drop_pending()
         self.resumeProducing()
         active, self._active = self._active, None
+        if active is not None:
+            self._factory.budget.release(active.request_bytes)
         if active is not None and active.on_disconnect is not None:
             active.on_disconnect()
 
@@ -113,14 +119,25 @@
 
     def _take_request(self, request: IncomingRequest) -> None:
         self._read_deadline = math.inf
+        self._pending_bytes += len(request.body)
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
+            self._release_pending(request)
             detail = f"over {MAX_PIPELINED_REQUESTS} requests waiting on a connection"
             self._reader.reject(ErrorKind.MALFORMED_REQUEST, detail)
         self._pending.append(request)
-        self._pending_bytes += len(request.body)
+
+    def _release_pending(self, request: IncomingRequest) -> None:
+        self._pending_bytes -= len(request.body)
+        self._factory.budget.release(len(request.body))
+
+    def _drop_pending(self) -> None:
+        self._reader.discard()
+        while self._pending:
+            self._release_pending(self._pending.popleft())
 
     def _reject(self, refusal: Refusal) -> None:
         self._read_deadline = math.inf
+        self._reader.discard()
         self._rejection = refusal
         self._factory.count_refusal(refusal)
 
@@ -135,6 +152,7 @@
         elif self._rejection is not None:
             request = IncomingRequest("", b"", keep_alive=False)
             response = self._active = ServerResponse(self, request)
+            self._is_rejected = True
             response.refuse(self._rejection, self._factory.clock())
 
     # Responses
@@ -153,6 +171,10 @@
         if response is not self._active:
             return
         self._active = None
+        self._factory.budget.release(response.request_bytes)
+        if self._is_rejected:
+            self.close_after_reading()
+            return
         if response.closes:
             self.close()
             return
@@ -168,6 +190,18 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
+    def close_after_reading(self) -> None:
+        """Close for writing, and drop what the caller still sends for a while.
+
+        To close at once would reset the connection under a caller that is still
+        sending, and the response would be lost.
+        """
+        self.is_closing = True
+        self._close_deadline = self._factory.clock() + LINGER_TIMEOUT
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
     def check_deadlines(self, now: float) -> None:
         """Close if the caller is too slow or has been idle for long."""
         if self.is_closing:
@@ -189,6 +223,7 @@
         self,
         handler: Callable[[IncomingRequest, ServerResponse], None],
         count_refusal: Callable[[Refusal], None],
+        budget: ByteBudget | None = None,
     ) -> None:
         self._loop = install_reactor()
         self._sweep_handle = None
@@ -196,6 +231,7 @@
         self.count_refusal = count_refusal
         self.connections: set[HttpServerProtocol] = set()
         self.draining = False
+        self.budget = budget or ByteBudget()
         self.clock = time.monotonic
         self.call_soon = self._loop.call_soon
 
--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -219,6 +219,14 @@
             wait_for_port(daemon.addresses.control)
         for upstream in self.upstreams.values():
             wait_for_port(upstream.address)
+        self.check_processes()
+
+    def check_processes(self) -> None:
+        """Raise ``RuntimeError`` if a process has ended, as on a taken port."""
+        handles = [*self.daemons.values(), *self.upstreams.values()]
+        for process in [handle.process for handle in handles]:
+            if process.popen.poll() is not None:
+                raise RuntimeError(f"{process.name} has ended: {process.log_path}")
 
     def stop(self) -> None:
         """End everything that was started."""
