Say that the state of the mesh is not complete while the table is away

Cause: failure domains are listed from the table's host rows.

Change: the answer carries whether it is complete; without the table the failure domains known from summaries are asked; the commands print what can't be listed and exit with 5. Tests that set faults share one method of LocalMesh.

Ruled out: refusing the whole answer (the part that is known is wanted most then).

Failing first: with the old listing, the new test gives a KeyError 'complete' in the command, exit code 1; passes after. 301 tests pass.

--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -9,8 +9,6 @@
 import http.client
 import json
 import random
-import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -28,7 +26,7 @@
 from flamingohead.core.idempotency import KeyedRequest, StoredAnswer
 from flamingohead.core.ledger import KeyLedger, LedgerSettings
 from flamingohead.protocol.key_codec import encode_entry
-from flamingohead.testing.processes import TOKEN, LocalMesh
+from flamingohead.testing.processes import LocalMesh, run_command
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -163,15 +161,7 @@
     for number in range(2):
         mesh.start_upstream(f"ledger-{number}", SERVICE, f"osu-{number}")
     mesh.wait_until_listening()
-    control = mesh.daemons["osu-0"].addresses.control
-    subprocess.run(
-        [sys.executable, "-m", "flamingohead", "apply", str(SHEET), "--wait"]
-        + ["--control-address", control, "--control-token", TOKEN],
-        cwd=ROOT,
-        check=True,
-        capture_output=True,
-        timeout=60,
-    )
+    run_command(mesh, "apply", str(SHEET), "--wait").check_returncode()
 
 
 def _wait_until_served(load: KeyLoad, mesh: LocalMesh) -> None:
@@ -184,8 +174,7 @@
 
 
 def _measure_latency(load: KeyLoad, mesh: LocalMesh, delay_ms: int) -> list[Row]:
-    faults = json.dumps({"delay_ms": delay_ms})
-    _call_standin(mesh.table_address, "PUT", "/faults", faults)
+    mesh.set_platform_faults(mesh.table_address, delay_ms=delay_ms)
     results = {kind: KindResult() for kind in KINDS}
     for _ in range(CYCLES):
         for kind in KINDS:
--- a/flamingohead/commands/changes.py
+++ b/flamingohead/commands/changes.py
@@ -24,6 +24,23 @@
     from flamingohead.control import ControlClient
 
 WAIT_PERIOD = 0.2
+INCOMPLETE = "failure domains can't be listed while the table is away"
+
+
+@dataclass(frozen=True)
+class Convergence:
+    """Name the daemons that are behind, of how many that were asked.
+
+    ``complete`` is false if there may be failure domains that were not asked.
+    """
+
+    behind: tuple[str, ...]
+    total: int
+    complete: bool
+
+    @property
+    def is_reached(self) -> bool:
+        return self.complete and not self.behind
 
 
 @dataclass(frozen=True)
@@ -201,29 +218,32 @@
 
 async def _wait_in_force(client: ControlClient, version: int, deadline: float) -> int:
     started_at = time.monotonic()
-    behind: list[str] = []
+    found = Convergence((), 0, False)
     while time.monotonic() < deadline:
         answer = await client.get("/convergence")
         if answer.is_ok:
-            behind, total = count_behind(answer.body, version)
-            if not behind:
+            found = read_convergence(answer.body, version)
+            if found.is_reached:
                 seconds = time.monotonic() - started_at
+                total = found.total
                 click.echo(f"in force on {total} of {total} after {seconds:.2f} s")
                 return ExitCode.DONE
         await asyncio.sleep(WAIT_PERIOD)
-    click.echo("not in force on: " + ", ".join(behind), err=True)
+    click.echo("not in force on: " + ", ".join(found.behind), err=True)
+    if not found.complete:
+        click.echo(INCOMPLETE, err=True)
     return ExitCode.NOT_IN_FORCE
 
 
-def count_behind(convergence: dict, version: int) -> tuple[list[str], int]:
-    """Return the daemons that hold less than ``version``, and the total asked."""
-    behind = []
+def read_convergence(body: dict, version: int) -> Convergence:
+    """Return which daemons hold less than ``version``."""
+    behind: list[str] = []
     total = 0
-    for domain in convergence["domains"]:
+    for domain in body["domains"]:
         total += len(domain["members"]) + len(domain["unreachable"])
         behind += [h for h, held in domain["members"].items() if held < version]
         behind += [f"{domain['failure_domain']}/{h}" for h in domain["unreachable"]]
-    return behind, total
+    return Convergence(tuple(behind), total, body["complete"])
 
 
 COMMANDS = (apply, check, revert)
--- a/flamingohead/commands/state.py
+++ b/flamingohead/commands/state.py
@@ -8,7 +8,7 @@
 
 import click
 
-from flamingohead.commands.changes import count_behind
+from flamingohead.commands.changes import INCOMPLETE, Convergence, read_convergence
 from flamingohead.commands.exits import ExitCode
 from flamingohead.commands.sessions import (
     add_control_options,
@@ -37,19 +37,20 @@
         if not convergence.is_ok:
             return report_refusal(convergence)
         version = _find_newest(own.body, convergence.body)
-        behind, total = count_behind(convergence.body, version)
+        found = read_convergence(convergence.body, version)
         if as_json:
             body = {
                 "version": version,
-                "daemons": total,
-                "behind": behind,
+                "daemons": found.total,
+                "behind": found.behind,
+                "complete": found.complete,
                 "daemon": own.body,
                 "domains": convergence.body["domains"],
             }
             click.echo(json.dumps(body, indent=1))
         else:
-            _print_status(own.body, version, behind, total)
-        return ExitCode.NOT_IN_FORCE if behind else ExitCode.DONE
+            _print_status(own.body, version, found)
+        return ExitCode.DONE if found.is_reached else ExitCode.NOT_IN_FORCE
 
     run_session(control_address, control_token, operate)
 
@@ -61,11 +62,13 @@
     return max(held)
 
 
-def _print_status(own: dict, version: int, behind: list[str], total: int) -> None:
-    held = total - len(behind)
-    click.echo(f"version {version} in force on {held} of {total} daemons")
-    if behind:
-        click.echo("behind: " + ", ".join(behind))
+def _print_status(own: dict, version: int, found: Convergence) -> None:
+    held = found.total - len(found.behind)
+    click.echo(f"version {version} in force on {held} of {found.total} daemons")
+    if found.behind:
+        click.echo("behind: " + ", ".join(found.behind))
+    if not found.complete:
+        click.echo(INCOMPLETE)
     for rejected in own.get("rejected", []):
         click.echo(f"not taken: version {rejected['version']}: {rejected['reason']}")
     for observed in own["observed"]:
--- a/flamingohead/services/status.py
+++ b/flamingohead/services/status.py
@@ -57,15 +57,23 @@
         return {"counters": dict(metrics.counters), "gauges": dict(metrics.gauges)}
 
     async def describe_convergence(self) -> dict:
-        """Return the version held by each daemon of each failure domain."""
+        """Return the version held by each daemon of each failure domain.
+
+        The answer is complete only if the table told which failure domains exist.
+        """
         own = await self._kernel.get("peers").collect_domain_status()
+        listed = await self._list_domains()
+        known = self._list_contacts() if listed is None else listed
         others = [
             self._ask_domain(domain, addresses)
-            for domain, addresses in (await self._list_domains()).items()
+            for domain, addresses in known.items()
             if domain != own.failure_domain
         ]
         domains = [own, *await asyncio.gather(*others)]
-        return {"domains": [_describe_domain(domain) for domain in domains]}
+        return {
+            "domains": [_describe_domain(domain) for domain in domains],
+            "complete": listed is not None,
+        }
 
     async def set_drain(self, upstream: str, draining: bool) -> dict | Refusal:
         """Start or end a drain on whichever host has the upstream."""
@@ -116,17 +124,22 @@
             description["waiting"] = len(local.waiters)
         return description
 
-    async def _list_domains(self) -> dict[str, list[str]]:
+    async def _list_domains(self) -> dict[str, list[str]] | None:
         rows = await self._kernel.get("table").scan(HOST_PREFIX, limit=HOST_SCAN_LIMIT)
-        domains: dict[str, list[str]] = {}
         if isinstance(rows, Refusal):
-            return domains
+            return None
+        domains: dict[str, list[str]] = {}
         for row in rows:
             domain = row.key.split("/")[1]
             address = json.loads(row.value)["peer_address"]
             domains.setdefault(domain, []).append(address)
         return domains
 
+    def _list_contacts(self) -> dict[str, list[str]]:
+        remote = self._kernel.get("summaries").remote
+        names = remote.list_domains()
+        return {name: remote.list_contacts(name) for name in names}
+
     async def _ask_domain(
         self, domain: str, addresses: list[str]
     ) -> pb.DomainStatusReply:
--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import fcntl
+import http.client
+import json
 import os
 import random
 import socket
@@ -158,6 +160,15 @@
         wait_for_port(self.table_address)
         wait_for_port(self.objects_address)
 
+    def set_platform_faults(self, address: str, **faults: object) -> None:
+        """Set the faults of the table or the object store; none given ends them."""
+        connection = http.client.HTTPConnection(address, timeout=10)
+        connection.request("PUT", "/faults", body=json.dumps(faults))
+        status = connection.getresponse().status
+        connection.close()
+        if status != 200:
+            raise ValueError(f"faults {faults} were refused with {status}")
+
     def start_daemon(
         self,
         host_id: str,
--- a/flamingohead/tests/test_commands.py
+++ b/flamingohead/tests/test_commands.py
@@ -111,6 +111,19 @@
         assert "127.0.0.1:9" in result.stderr
 
 
+class TestTableOutage:
+    def test_status_is_not_complete_while_the_table_is_away(self, mesh):
+        assert run_command(mesh, "status").returncode == 0
+        mesh.set_platform_faults(mesh.table_address, outage=True)
+        try:
+            result = run_command(mesh, "status")
+        finally:
+            mesh.set_platform_faults(mesh.table_address)
+        assert result.returncode == 5
+        assert "can't be listed" in result.stdout
+        assert run_command(mesh, "status").returncode == 0
+
+
 class TestBoundedBody:
     def test_oversized_body_is_refused_before_it_is_read(self, mesh):
         address = mesh.daemons["tema-0"].addresses.control
--- a/flamingohead/tests/test_configuration.py
+++ b/flamingohead/tests/test_configuration.py
@@ -24,14 +24,6 @@
 PATIENCE = 30.0
 
 
-def set_faults(address, **faults):
-    connection = http.client.HTTPConnection(address, timeout=10)
-    connection.request("PUT", "/faults", body=json.dumps(faults))
-    status = connection.getresponse().status
-    connection.close()
-    assert status == 200
-
-
 def read_usage(address):
     connection = http.client.HTTPConnection(address, timeout=10)
     connection.request("GET", "/usage")
@@ -72,14 +64,14 @@
 
 class TestConfigurationAcrossProcesses:
     def test_answer_lost_after_the_write_is_resolved(self, mesh):
-        set_faults(mesh.table_address, lose_answers=1)
+        mesh.set_platform_faults(mesh.table_address, lose_answers=1)
         result = run_command(mesh, "apply", str(SHEET), "--wait")
         assert result.returncode == 0, result.stderr
         assert "accepted as version 1" in result.stdout
 
     def test_daemon_that_starts_in_an_outage_takes_what_its_peers_hold(self, mesh):
-        set_faults(mesh.table_address, outage=True)
-        set_faults(mesh.objects_address, outage=True)
+        mesh.set_platform_faults(mesh.table_address, outage=True)
+        mesh.set_platform_faults(mesh.objects_address, outage=True)
         seeds = mesh.daemons["osu-0"].addresses.peer
         fresh = mesh.start_daemon("osu-2", "osu", seeds=seeds)
         mesh.wait_until_listening()
@@ -110,8 +102,8 @@
         result = run_command(mesh, "apply", sheet, *options)
         assert result.returncode == 4, result.stdout
         assert "asked-twice" in result.stderr
-        set_faults(mesh.table_address)
-        set_faults(mesh.objects_address)
+        mesh.set_platform_faults(mesh.table_address)
+        mesh.set_platform_faults(mesh.objects_address)
         again = [run_command(mesh, "apply", sheet, *options) for _ in range(2)]
         for result in again:
             assert "accepted as version 2" in result.stdout, result.stderr
@@ -121,7 +113,7 @@
         sheet.write_text(SHEET.read_text().replace("2000", "2001"))
         options = ["--change-id", "killed-between", "--base", "2"]
         first, second = mesh.daemons["osu-1"], mesh.daemons["osu-0"]
-        set_faults(mesh.table_address, delay_ms=200, lose_answers=1)
+        mesh.set_platform_faults(mesh.table_address, delay_ms=200, lose_answers=1)
         with ThreadPoolExecutor(1) as pool:
             control = first.addresses.control
             asking = pool.submit(
@@ -133,7 +125,7 @@
                     break
             first.process.kill()
             assert asking.result().returncode in (0, 4)
-        set_faults(mesh.table_address)
+        mesh.set_platform_faults(mesh.table_address)
         control = second.addresses.control
         for _ in range(2):
             result = run_command(mesh, "apply", str(sheet), *options, control=control)
--- a/flamingohead/tests/test_keys_processes.py
+++ b/flamingohead/tests/test_keys_processes.py
@@ -82,8 +82,7 @@
             send(upstream.address, "PUT", "/standin/settings", body=body)
 
     def set_outage(self, outage):
-        body = json.dumps({"outage": outage})
-        send(self.mesh.table_address, "PUT", "/faults", body=body)
+        self.mesh.set_platform_faults(self.mesh.table_address, outage=outage)
 
 
 @pytest.fixture(scope="module")
--- a/properties/test_operators_fuzz.py
+++ b/properties/test_operators_fuzz.py
@@ -60,7 +60,7 @@
         return []
 
     async def describe_convergence(self):
-        return {"domains": []}
+        return {"domains": [], "complete": True}
 
     def describe_daemon(self):
         return {"version": 0}
