Test the order of attempts in the ledger on its own

Cause: with the order of attempts taken out, the machine of scoped keys was red in one run and green in another over other sources; what hypothesis explores without a random seed changes with the sources. The new test is red without the order (KEY_SUPERSEDED not given) and green with it.

--- a/flamingohead/tests/test_keys.py
+++ b/flamingohead/tests/test_keys.py
@@ -67,6 +67,14 @@
         assert refusal.kind is ErrorKind.KEY_LIMIT_REACHED
         assert refusal.ran is Ran.NO
 
+    def test_earlier_attempt_does_not_follow_a_refused_one(self):
+        ledger = KeyLedger()
+        ledger.open(make_request(attempt=2, call_id="second"), "nonce", 100.0)
+        ledger.refuse("nonce")
+        refusal = ledger.meet(make_request(attempt=1, call_id="first"))
+        assert refusal.kind is ErrorKind.KEY_SUPERSEDED
+        assert ledger.meet(make_request(attempt=3, call_id="third")) is None
+
     def test_other_content_under_a_key_is_refused(self):
         ledger = KeyLedger()
         ledger.open(make_request(digest="a"), "nonce", 100.0)
