--- a/flamingohead/tests/test_keys.py
+++ b/flamingohead/tests/test_keys.py
@@ -103,6 +103,19 @@
                 keys.step(attempt, Delivery.ANSWERED, Execution.ANSWERED)
         assert [run.sequence for run in keys.journal] == [2]
 
+    def test_overtaken_attempt_does_not_run_after_not_run_was_told(self):
+        keys = FakeKeys()
+        for host_id in ("host-1", "host-2"):
+            keys.add_host(host_id)
+        for sequence, host in ((2, keys.hosts[0]), (1, keys.hosts[1])):
+            request = keys.make_request("visit-1", "a", sequence)
+            attempt = keys.send(host, request, sequence)
+            execution = Execution.SHED if sequence == 2 else Execution.ANSWERED
+            for _ in range(9):
+                keys.step(attempt, Delivery.ANSWERED, execution)
+            assert qualify_refusal(attempt.result, sequence).ran is Ran.NO
+        assert keys.journal == []
+
 
 class TestQualifyRefusal:
     @pytest.mark.parametrize(
