Replace silent connections to the platform, and stay on one thread

Cause: a connection to the table that has gone silent failed its request after 2 s, and each of the other seven kept open did the same in turn. The resolver of names ran on threads even for IP numbers (3 threads in a daemon). An answer of the platform had no limit, though a constant named one.

Change: after a failed request the kept connections are dropped; IP numbers are connected to directly; a body over the limit ends the request.

Ruled out: application pings to the platform (they would add to its reads).

Conclusion: silent connections are found and replaced towards the platform as well as between daemons.

--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -9,8 +9,13 @@
 
 import treq
 from pydantic import Base64Bytes, BaseModel, ValidationError
+from treq.client import HTTPClient
 from twisted.internet import reactor
-from twisted.web.client import HTTPConnectionPool
+from twisted.internet.abstract import isIPAddress
+from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
+from twisted.web.client import URI, Agent, HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.events import Event, log_event
@@ -18,6 +23,8 @@
 logger = logging.getLogger(__name__)
 
 REQUEST_TIMEOUT = 2.0
+CONNECT_TIMEOUT = 1.0
+MAX_CONNECTIONS = 8
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -47,14 +54,27 @@
     rows: list[_PageRow]
 
 
+@implementer(IAgentEndpointFactory)
+class _EndpointFactory:
+    """Connect to IP numbers without the resolver, which would need a thread."""
+
+    def endpointForURI(self, uri: URI):  # noqa: N802
+        host = uri.host.decode("ascii")
+        kind = TCP4ClientEndpoint if isIPAddress(host) else HostnameEndpoint
+        return kind(reactor, host, uri.port, timeout=CONNECT_TIMEOUT)
+
+
 class _PlatformClient:
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
         self._pool: HTTPConnectionPool | None = None
+        self._client: HTTPClient | None = None
 
     async def start(self) -> None:
         self._pool = HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = 8
+        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
+        agent = Agent.usingEndpointFactory(reactor, _EndpointFactory(), self._pool)
+        self._client = HTTPClient(agent)
 
     async def stop(self) -> None:
         if self._pool is not None:
@@ -69,16 +89,15 @@
         *,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
-        timeout: float = REQUEST_TIMEOUT,
     ) -> _Answer | Refusal:
         loop = asyncio.get_running_loop()
         url = self._base_url + path
         try:
-            deferred = treq.request(
-                method, url, data=body, headers=headers, pool=self._pool
-            )
-            return await asyncio.wait_for(self._read(deferred, loop), timeout)
+            deferred = self._client.request(method, url, data=body, headers=headers)
+            return await asyncio.wait_for(self._read(deferred, loop), REQUEST_TIMEOUT)
         except Exception as error:
+            # The other connections may have gone silent as well.
+            self._pool.closeCachedConnections()
             log_event(
                 logger,
                 Event.PLATFORM_FAILED,
@@ -92,7 +111,7 @@
 
     async def _read(self, deferred, loop) -> _Answer | Refusal:
         response = await deferred.asFuture(loop)
-        body = await response.content().asFuture(loop)
+        body = await self._read_body(response, loop)
         if response.code >= 500 or response.code == 429:
             return Refusal(
                 ErrorKind.PLATFORM_UNAVAILABLE, f"platform answered {response.code}"
@@ -100,6 +119,17 @@
         tags = response.headers.getRawHeaders("etag") or [""]
         return _Answer(response.code, tags[0], body)
 
+    async def _read_body(self, response, loop) -> bytes:
+        body = bytearray()
+
+        def collect(data: bytes) -> None:
+            body.extend(data)
+            if len(body) > MAX_ANSWER_BYTES:
+                raise ValueError(f"answer over {MAX_ANSWER_BYTES} bytes")
+
+        await treq.collect(response, collect).asFuture(loop)
+        return bytes(body)
+
 
 class TableClient(_PlatformClient):
     """Read and write rows of the table service.
--- a/flamingohead/tests/test_channels.py
+++ b/flamingohead/tests/test_channels.py
@@ -13,6 +13,7 @@
 from flamingohead.services.channels import IDLE_SECONDS, ChannelPool
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.peers import PeersService
+from flamingohead.testing.connections import SilentProxy
 from flamingohead.testing.processes import choose_address
 
 CALL_TIMEOUT = 0.5
@@ -29,32 +30,6 @@
     return type("Peer", (PeersBase,), methods)()
 
 
-class SilentProxy:
-    """Pass bytes on; connections made before ``silence`` pass none after it."""
-
-    def __init__(self, target):
-        self.target = target
-        self.connections = []
-        self.generation = 0
-
-    async def accept(self, reader, writer):
-        host, port = self.target.split(":")
-        upstream_reader, upstream_writer = await asyncio.open_connection(host, port)
-        generation = self.generation
-        self.connections.append(writer)
-        pumps = [(reader, upstream_writer), (upstream_reader, writer)]
-        await asyncio.gather(*(self.pump(*pump, generation) for pump in pumps))
-
-    async def pump(self, reader, writer, generation):
-        while data := await reader.read(65536):
-            if generation == self.generation:
-                writer.write(data)
-        writer.close()
-
-    def silence(self):
-        self.generation += 1
-
-
 class FakeChannel:
     """Note that it was closed."""
 
--- a/flamingohead/tests/test_path.py
+++ b/flamingohead/tests/test_path.py
@@ -6,6 +6,7 @@
 import json
 import time
 
+import psutil
 import pytest
 
 from flamingohead.testing.processes import ROOT, LocalMesh, run_command
@@ -84,3 +85,9 @@
         assert [answer[0] for answer in answers] == [200] * 4
         assert len({answer[2] for answer in answers}) == 1
         assert read_runs(mesh).count("hand-over-1") == 1
+
+    def test_daemon_runs_on_one_thread(self, mesh):
+        for daemon in mesh.daemons.values():
+            process = psutil.Process(daemon.process.popen.pid)
+            assert process.num_threads() == 1
+            assert process.children() == []
