--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -13,7 +13,6 @@
 from twisted.internet import reactor
 from twisted.internet.abstract import isIPAddress
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
-from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.web.client import URI, Agent, HTTPConnectionPool
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
@@ -55,22 +54,6 @@
     rows: list[_PageRow]
 
 
-@implementer(IStreamClientEndpoint)
-class _PromptEndpoint:
-    """Connect without Nagle's algorithm, which holds a body back after its head."""
-
-    def __init__(self, endpoint) -> None:
-        self._endpoint = endpoint
-
-    def connect(self, factory):
-        return self._endpoint.connect(factory).addCallback(_set_no_delay)
-
-
-def _set_no_delay(protocol):
-    protocol.transport.setTcpNoDelay(True)
-    return protocol
-
-
 @implementer(IAgentEndpointFactory)
 class _EndpointFactory:
     """Connect to IP numbers without the resolver, which would need a thread."""
@@ -78,7 +61,7 @@
     def endpointForURI(self, uri: URI):  # noqa: N802
         host = uri.host.decode("ascii")
         kind = TCP4ClientEndpoint if isIPAddress(host) else HostnameEndpoint
-        return _PromptEndpoint(kind(reactor, host, uri.port, timeout=CONNECT_TIMEOUT))
+        return kind(reactor, host, uri.port, timeout=CONNECT_TIMEOUT)
 
 
 class _PlatformClient:
