Keep the objects of the start out of full garbage collections

Cause: some hand-overs took 37 to 79 ms. A full collection of a daemon's heap (78,000 objects after the start) takes 31 to 34 ms, and the requests to the table leave cycles behind that bring such collections about.

Change: gc.collect() and gc.freeze() once the kernel has started; a full collection right after takes under 0.01 ms.

--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import random
 import signal
@@ -140,6 +141,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     await kernel.start()
+    # A full collection over the modules and classes of the start would take tens of
+    # milliseconds, in which no call is served.
+    gc.collect()
+    gc.freeze()
     log_event(
         logger,
         Event.DAEMON_STARTED,
