--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from benchmarks.capacity import (
+    BYTES_LIMIT,
     CHANGES_PER_DAY,
     CHANGES_PER_SECOND,
     DAEMONS,
     DOMAINS,
     HERD,
     IN_FORCE_LIMIT,
+    PROCESSOR_LIMIT,
     SERVICES,
     TABLE_READ_LIMIT,
     TABLE_WRITE_LIMIT,
@@ -17,6 +19,7 @@
     register_role,
     scale_row,
 )
+from flamingohead.core.pulls import SNAPSHOT_RATE
 
 MICROSECONDS = 1e-6
 PERCENT = 100
@@ -240,6 +243,51 @@
     ]
 
 
+@register_role("snapshots for fresh daemons")
+def work_out_snapshots(results: Results) -> list[Figure]:
+    """Return what whole snapshots cost while a failure domain comes back."""
+    source = results.get_source("configuration_cost")
+    size = results.find(
+        "configuration_cost", "bytes of a whole snapshot", services=SERVICES
+    )
+    encode = results.find(
+        "configuration_cost", "encode a whole snapshot", services=SERVICES
+    )
+    role = "snapshots for fresh daemons"
+    mechanism = f"at most {SNAPSHOT_RATE:g} a second from each daemon, then a refusal"
+    return [
+        scale_row(
+            size,
+            1 / BYTES_PER_KB,
+            role=role,
+            what="one snapshot, taken once by a fresh daemon",
+            unit="KB",
+            source=source,
+            mechanism="peers first, then the object store",
+        ),
+        scale_row(
+            size,
+            SNAPSHOT_RATE / BYTES_PER_KB,
+            role=role,
+            what="bytes of a daemon that serves them, for the seconds of a herd",
+            unit="KB/s",
+            source=source,
+            limit=BYTES_LIMIT,
+            mechanism=mechanism,
+        ),
+        scale_row(
+            encode,
+            SNAPSHOT_RATE * MICROSECONDS * PERCENT,
+            role=role,
+            what="processor of a daemon that serves them, for the seconds of a herd",
+            unit="% of a core",
+            source=source,
+            limit=PROCESSOR_LIMIT,
+            mechanism=mechanism,
+        ),
+    ]
+
+
 @register_role("summaries between failure domains")
 def work_out_summaries(results: Results) -> list[Figure]:
     """Return what a daemon spends to know the other failure domains."""
--- a/benchmarks/capacity_requests.py
+++ b/benchmarks/capacity_requests.py
@@ -110,6 +110,48 @@
     return figures
 
 
+@register_role("admission and balancing")
+def work_out_policy(results: Results) -> list[Figure]:
+    """Return what the decisions on a call cost, a part of the hop's processor time."""
+    source = results.get_source("policy_cost")
+    size = {"members": 613}
+    choose = results.find("policy_cost", "choose and finish", **size)
+    memory = results.find("policy_cost", "memory of a member", **size)
+    offer = results.find("policy_cost", "offer and release", waiting=100)
+    role = "admission and balancing"
+    per_call = CALLS_PER_DAEMON * MICROSECONDS * PERCENT
+    return [
+        scale_row(
+            choose,
+            per_call,
+            role=role,
+            what="processor, choice of an upstream (within the hop's)",
+            unit="% of a core",
+            source=source,
+            mechanism="two choices among 613 members, ejection on outcomes",
+        ),
+        scale_row(
+            offer,
+            per_call,
+            role=role,
+            what="processor, admission with 100 waiting (within the hop's)",
+            unit="% of a core",
+            source=source,
+            mechanism="ranks with shares, callers in turn",
+        ),
+        scale_row(
+            memory,
+            size["members"] / BYTES_PER_MB,
+            role=role,
+            what="memory of 613 candidates",
+            unit="MB",
+            source=source,
+            sums="memory",
+            mechanism="what is learned of each upstream",
+        ),
+    ]
+
+
 @register_role("the platform")
 def work_out_platform(results: Results) -> list[Figure]:
     """Return what the mesh asks of the table."""
