--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -282,7 +282,7 @@
             what="processor time of a fresh daemon that takes one, in one piece",
             unit="ms",
             source=source,
-            mechanism="once in a life; encoded once for each version where it is served",
+            mechanism="once in a life; encoded once for each version",
         ),
     ]
 
