Show the load of every upstream in status

Cause: the table showed slots in use for the asked host only; the load that upstreams publish was left out. Change: a load column.

--- a/flamingohead/commands/state.py
+++ b/flamingohead/commands/state.py
@@ -79,7 +79,7 @@
     click.echo(f"asked: {own['host_id']} in {own['failure_domain']}")
     click.echo(
         f"{'host':<20} {'state':<8} {'upstream':<28} {'service':<18} "
-        f"{'state':<9} {'slots':>5} {'in use':>6} {'waiting':>7}"
+        f"{'state':<9} {'slots':>5} {'load':>5} {'in use':>6} {'waiting':>7}"
     )
     for member in own["members"]:
         upstreams = member["upstreams"] or [None]
@@ -95,7 +95,8 @@
     waiting = upstream.get("waiting", "")
     return (
         f"{text} {upstream['name']:<28} {upstream['service']:<18} "
-        f"{upstream['status']:<9} {upstream['slots']:>5} {in_use:>6} {waiting:>7}"
+        f"{upstream['status']:<9} {upstream['slots']:>5} {upstream['load']:>5.0%} "
+        f"{in_use:>6} {waiting:>7}"
     )
 
 
--- a/flamingohead/services/status.py
+++ b/flamingohead/services/status.py
@@ -116,6 +116,7 @@
             "service": upstream.service,
             "status": upstream.status.name.lower(),
             "slots": upstream.slots,
+            "load": upstream.load,
         }
         local = self._kernel.get("slots").upstreams.get(upstream.name)
         myself = self._kernel.get("gossip").membership.myself
--- a/flamingohead/tests/test_commands.py
+++ b/flamingohead/tests/test_commands.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import re
 import time
 
 import pytest
@@ -94,7 +95,7 @@
     def test_drain_is_seen_by_the_other_daemon_and_ends(self, mesh):
         name = "ledger-tema-1"
         ready = wait_for_output(mesh, name, "status")
-        assert name in ready.stdout
+        assert re.search(rf"{name} +stall-ledger +ready +20 +0%", ready.stdout)
         assert run_command(mesh, "drain", name).returncode == 0
         assert "draining" in wait_for_output(mesh, "draining", "status").stdout
         assert run_command(mesh, "undrain", name).returncode == 0
