--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -23,6 +23,7 @@
 
 READY = UpstreamStatus.READY
 TICK_PERIOD = 0.02
+REPORT_PERIOD = 1.0
 
 
 @dataclass
@@ -43,14 +44,17 @@
         self.upstreams: dict[str, LocalUpstream] = {}
         self._routes: RouteTable | None = None
         self._ticks = LoopingCall(self._tick)
+        self._reports = LoopingCall(self._report_queues)
         self._drained: set[str] = set()
         self.in_flight = 0
 
     async def start(self) -> None:
         self._ticks.start(TICK_PERIOD, now=False)
+        self._reports.start(REPORT_PERIOD, now=False)
 
     async def stop(self) -> None:
         self._ticks.stop()
+        self._reports.stop()
 
     # Upstreams
 
@@ -111,6 +115,23 @@
         for upstream in list(self.upstreams.values()):
             self._apply(upstream, upstream.admission.advance(now))
 
+    def _report_queues(self) -> None:
+        """Set the gauges of requests waiting and running, by service and rank."""
+        if self._routes is None:
+            return
+        metrics = self._kernel.get("metrics")
+        for service in {u.state.service for u in self.upstreams.values()}:
+            admissions = [
+                upstream.admission
+                for upstream in self.upstreams.values()
+                if upstream.state.service == service
+            ]
+            for rank in self._routes.list_ranks(service):
+                waiting = sum(a.count_waiting(rank.name) for a in admissions)
+                running = sum(a.count_in_use(rank.name) for a in admissions)
+                metrics.set_gauge(f"queue.{service}.{rank.name}", waiting)
+                metrics.set_gauge(f"running.{service}.{rank.name}", running)
+
     # Calls
 
     async def execute(
