Name the service that keeps a daemon from starting

Change: the kernel reports which service failed and why, the daemon logs E103 and exits with 8; assembly.py adds the services in five steps.

Ruled out: checking the addresses before the start (free then, taken a moment later).

--- /dev/null
+++ b/flamingohead/assembly.py
@@ -0,0 +1,153 @@
+"""The services of a daemon, added to a kernel in their order of start.
+
+Import this module only after the reactor has been installed.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from flamingohead.core.balancing import Balancer
+from flamingohead.core.bootstrap import Bootstrap
+from flamingohead.core.dissemination import Dissemination
+from flamingohead.core.ledger import MEBIBYTE, LedgerSettings
+from flamingohead.core.members import Member
+from flamingohead.core.membership import Membership
+from flamingohead.core.overflow import Overflow
+from flamingohead.core.versions import Replica
+from flamingohead.services.announcements import AnnouncementService
+from flamingohead.services.attempts import AttemptService
+from flamingohead.services.bootstrap import BootstrapService
+from flamingohead.services.calls import CallService
+from flamingohead.services.configuration import ConfigurationService
+from flamingohead.services.gossip import GossipService
+from flamingohead.services.history import HistoryService
+from flamingohead.services.http_client import HttpClientService
+from flamingohead.services.keys import KeyService
+from flamingohead.services.metrics import MetricsService
+from flamingohead.services.observation import ObservationService
+from flamingohead.services.operators import OperatorService
+from flamingohead.services.outcomes import OutcomeService
+from flamingohead.services.peers import PeersService
+from flamingohead.services.platform import ObjectClient, TableClient
+from flamingohead.services.scopes import ScopeService
+from flamingohead.services.slots import SlotService
+from flamingohead.services.status import StatusService
+from flamingohead.services.summaries import SummaryService
+
+if TYPE_CHECKING:
+    from flamingohead.kernel import Kernel
+    from flamingohead.settings import DaemonSettings
+
+
+def add_services(kernel: Kernel, settings: DaemonSettings) -> None:
+    """Add every service of a daemon."""
+    generator = random.Random()
+    kernel.add("metrics", MetricsService(settings.statsd_address))
+    _add_platform(kernel, settings)
+    kernel.add("http_client", HttpClientService())
+    _add_mesh(kernel, settings, generator)
+    _add_keys(kernel, settings, generator)
+    _add_requests(kernel, settings, generator)
+    _add_operators(kernel, settings)
+    kernel.add("bootstrap", _create_bootstrap(kernel, settings, generator))
+
+
+def _add_platform(kernel: Kernel, settings: DaemonSettings) -> None:
+    kernel.add("table", TableClient(settings.table_url))
+    kernel.add("objects", ObjectClient(settings.objects_url))
+
+
+def _add_mesh(
+    kernel: Kernel, settings: DaemonSettings, generator: random.Random
+) -> None:
+    myself = Member(
+        host_id=settings.host_id,
+        failure_domain=settings.failure_domain,
+        peer_address=settings.peer_address,
+        relay_address=settings.relay_address,
+        incarnation=int(time.time() * 1000),
+    )
+    membership = Membership(myself, random=generator)
+    kernel.add("gossip", GossipService(kernel, membership, settings.peer_address))
+    kernel.add(
+        "summaries",
+        SummaryService(kernel, settings.failure_domain, random=generator),
+    )
+    kernel.add("peers", PeersService(kernel, settings.peer_address))
+
+
+def _add_keys(
+    kernel: Kernel, settings: DaemonSettings, generator: random.Random
+) -> None:
+    limits = LedgerSettings(
+        maximum_entries=settings.key_limit,
+        maximum_total_bytes=settings.key_answer_mib * MEBIBYTE,
+    )
+    kernel.add("outcomes", OutcomeService(kernel, limits))
+    kernel.add(
+        "keys",
+        KeyService(
+            kernel,
+            key_lifetime=settings.key_lifetime,
+            claim_limit=settings.claim_limit,
+            stop_timeout=settings.stop_timeout,
+            limits=limits,
+            random=generator,
+        ),
+    )
+    kernel.add(
+        "scopes",
+        ScopeService(
+            kernel,
+            lifetime=settings.key_scope_lifetime,
+            secret=settings.key_scope_secret or settings.control_token,
+            stop_timeout=settings.stop_timeout,
+            limits=limits,
+        ),
+    )
+
+
+def _add_requests(
+    kernel: Kernel, settings: DaemonSettings, generator: random.Random
+) -> None:
+    dissemination = Dissemination(Replica(), random=generator)
+    balancer = Balancer(random=generator)
+    overflow = Overflow(random=generator)
+    kernel.add("slots", SlotService(kernel))
+    kernel.add("configuration", ConfigurationService(kernel, dissemination))
+    kernel.add("attempts", AttemptService(kernel, balancer, overflow))
+    kernel.add(
+        "calls",
+        CallService(
+            kernel,
+            ingress_address=settings.ingress_address,
+            relay_address=settings.relay_address,
+            stop_timeout=settings.stop_timeout,
+        ),
+    )
+    kernel.add("announcements", AnnouncementService(kernel, settings.announce_address))
+
+
+def _add_operators(kernel: Kernel, settings: DaemonSettings) -> None:
+    kernel.add("observation", ObservationService(kernel))
+    kernel.add("history", HistoryService(kernel))
+    kernel.add("status", StatusService(kernel))
+    kernel.add(
+        "operators",
+        OperatorService(kernel, settings.control_address, settings.control_token),
+    )
+
+
+def _create_bootstrap(
+    kernel: Kernel, settings: DaemonSettings, generator: random.Random
+) -> BootstrapService:
+    bootstrap = Bootstrap(
+        settings.host_id,
+        settings.peer_address,
+        settings.list_seeds(),
+        random=generator,
+    )
+    return BootstrapService(kernel, bootstrap)
--- a/flamingohead/commands/exits.py
+++ b/flamingohead/commands/exits.py
@@ -15,3 +15,4 @@
     NOT_IN_FORCE = 5
     UNREACHABLE = 6
     DIFFERENT = 7
+    NOT_STARTED = 8
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -22,6 +22,7 @@
     DAEMON_STARTED = EventKind(100, logging.INFO, "daemon started")
     DAEMON_STOPPING = EventKind(101, logging.INFO, "daemon stopping")
     DAEMON_STOPPED = EventKind(102, logging.INFO, "daemon stopped")
+    DAEMON_NOT_STARTED = EventKind(103, logging.ERROR, "daemon can't start")
     VERSION_ACTIVATED = EventKind(200, logging.INFO, "configuration in force")
     VERSION_REJECTED = EventKind(201, logging.ERROR, "configuration not taken")
     VERSION_ACCEPTED = EventKind(202, logging.INFO, "change accepted")
--- a/flamingohead/kernel.py
+++ b/flamingohead/kernel.py
@@ -8,6 +8,14 @@
 logger = logging.getLogger(__name__)
 
 
+class StartError(RuntimeError):
+    """Report the service that kept a kernel from starting, and why."""
+
+    def __init__(self, name: str, error: Exception) -> None:
+        super().__init__(f"service {name!r} can't start: {error}")
+        self.name = name
+
+
 class KernelService(Protocol):
     """Provide the life cycle that the kernel calls."""
 
@@ -38,13 +46,13 @@
             raise LookupError(f"no service {name!r}; known are {known}") from None
 
     async def start(self) -> None:
-        """Start every service; stop those started if one fails."""
+        """Start every service, or stop those started and raise ``StartError``."""
         for name, service in self._services.items():
             try:
                 await service.start()
-            except BaseException:
+            except Exception as error:
                 await self.stop()
-                raise
+                raise StartError(name, error) from error
             self._started.append(name)
 
     async def stop(self) -> None:
