Bring random faults about in either example deployment

Cause: the experiment with random faults knew Kente Mirror's sheet only.

Change: a deployment holds sheet, failure domains, services of hosts and load.

--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -33,20 +33,65 @@
     from flamingohead.control import ControlAnswer
     from flamingohead.testing.processes import DaemonHandle, UpstreamHandle
 
-SHEET = Path(__file__).resolve().parents[1] / "examples" / "kente-mirror.csv"
-DOMAINS = ("makola", "osu")
+EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
 DAEMONS_PER_DOMAIN = 3
-SERVICES = ("stall-ledger", "stall-ledger", "pattern-archive")
-STREAMS = [
-    Stream("lookup", "GET", "/ledger/lookup", 40, 60, 10),
-    Stream("hand-over", "POST", "/ledger/hand-over", 20, 250, 10, True, 0, 4),
-    Stream("bundle", "GET", "/archive/bundle", 10, 2000, 5),
-]
 SETTLE_TIMEOUT = 30.0
 WATCH_PERIOD = 0.25
 MAX_FREEZE = 4.0
 
 
+@dataclass(frozen=True)
+class Deployment:
+    """Describe a mesh to try: sheet, failure domains, services of hosts, load.
+
+    ``changed`` is the text of the sheet that operators change, with ``{}`` for the
+    target in milliseconds; the sheet holds it with ``target_ms``.
+    """
+
+    sheet: str
+    domains: tuple[str, ...]
+    services: tuple[str, ...]
+    streams: tuple[Stream, ...]
+    changed: str
+    target_ms: int
+
+    def write_sheet(self, target_ms: int) -> str:
+        """Return the sheet with another target for its most urgent rank."""
+        text = (EXAMPLES / self.sheet).read_text()
+        before = self.changed.format(self.target_ms)
+        if before not in text:
+            raise ValueError(f"{self.sheet} does not hold {before!r}")
+        return text.replace(before, self.changed.format(target_ms))
+
+
+DEPLOYMENTS = {
+    "kente-mirror": Deployment(
+        "kente-mirror.csv",
+        ("makola", "osu"),
+        ("stall-ledger", "stall-ledger", "pattern-archive"),
+        (
+            Stream("lookup", "GET", "/ledger/lookup", 40, 60, 10),
+            Stream("hand-over", "POST", "/ledger/hand-over", 20, 250, 10, True, 0, 4),
+            Stream("bundle", "GET", "/archive/bundle", 10, 2000, 5),
+        ),
+        "0,{},10,0.4",
+        60,
+    ),
+    "randuiala": Deployment(
+        "randuiala.csv",
+        ("rc-a", "rc-b"),
+        ("booking", "booking", "catalogue"),
+        (
+            Stream("slot-list", "GET", "/booking/slots", 40, 80, 8),
+            Stream("confirmation", "POST", "/booking/confirm", 20, 300, 10, True, 0, 4),
+            Stream("bundle", "GET", "/catalogue/bundle", 10, 2000, 5),
+        ),
+        "0,{},8,0.4",
+        80,
+    ),
+}
+
+
 @dataclass(frozen=True)
 class AcceptedChange:
     """Remember a change that an operator was told was accepted.
@@ -61,11 +106,14 @@
 class FaultRun:
     """Run load, operators and faults against a mesh, and judge the outcome."""
 
-    def __init__(self, mesh: LocalMesh, *, seed: int, seconds: float) -> None:
+    def __init__(
+        self, mesh: LocalMesh, deployment: Deployment, *, seed: int, seconds: float
+    ) -> None:
         self.mesh = mesh
+        self.deployment = deployment
         self.random = random.Random(seed)
         self.seconds = seconds
-        self.load = LoadGenerator([], STREAMS, seed=seed)
+        self.load = LoadGenerator([], list(deployment.streams), seed=seed)
         self.failures: list[str] = []
         self.accepted: list[AcceptedChange] = []
         self._stopping = False
@@ -75,7 +123,7 @@
         """Run the whole experiment; return the exit code."""
         self._start_mesh()
         await self._settle(0)
-        await self._apply("makola-0", "first")
+        await self._apply(next(iter(self.mesh.daemons)), "first")
         await self._settle(1)
         self.load.addresses += [
             daemon.addresses.ingress for daemon in self.mesh.daemons.values()
@@ -98,11 +146,11 @@
 
     def _start_mesh(self) -> None:
         self.mesh.start_platform()
-        for domain in DOMAINS:
+        for domain in self.deployment.domains:
             for number in range(DAEMONS_PER_DOMAIN):
                 self.mesh.start_daemon(f"{domain}-{number}", domain)
         for host_id in self.mesh.daemons:
-            service = SERVICES[int(host_id[-1])]
+            service = self.deployment.services[int(host_id[-1])]
             self.mesh.start_upstream(f"{service}-{host_id}", service, host_id)
         self.mesh.wait_until_listening()
 
@@ -161,12 +209,11 @@
         if status is None:
             return
         target_ms = self.random.randrange(20, 200)
-        sheet = SHEET.read_text().replace("0,60,10,0.4", f"0,{target_ms},10,0.4")
         body = {
             "change_id": f"change-{change_id}",
             "author": change_id,
             "base_version": status.body["version"],
-            "sheet": sheet,
+            "sheet": self.deployment.write_sheet(target_ms),
         }
         address = self.mesh.daemons[host_id].addresses.control
         try:
@@ -229,7 +276,8 @@
             print("FAILED:", failure)
 
     async def _check_accepted(self) -> None:
-        history = await self.ask("makola-0", "/versions?limit=1000")
+        first = next(iter(self.mesh.daemons))
+        history = await self.ask(first, "/versions?limit=1000")
         if history is None or not history.is_ok:
             self.failures.append("the history can't be read")
             return
@@ -325,11 +373,14 @@
 @click.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--seconds", default=30.0, show_default=True)
-def main(seed: int, seconds: float) -> None:
+@click.option(
+    "--deployment", type=click.Choice(sorted(DEPLOYMENTS)), default="kente-mirror"
+)
+def main(seed: int, seconds: float, deployment: str) -> None:
     """Run one experiment and exit with its verdict."""
     with tempfile.TemporaryDirectory() as directory:
         with LocalMesh(Path(directory)) as mesh:
-            run = FaultRun(mesh, seed=seed, seconds=seconds)
+            run = FaultRun(mesh, DEPLOYMENTS[deployment], seed=seed, seconds=seconds)
             code = run_until_stopped(run.run)
     sys.exit(code)
 
