Describe the mesh to operators in typed values

Cause: the status service passed bare maps to the endpoint. Change: data classes up to the border, where they become JSON; the observed services likewise. Ruled out: pydantic models for answers (nothing to check there).

--- a/flamingohead/commands/state.py
+++ b/flamingohead/commands/state.py
@@ -91,8 +91,8 @@
     text = f"{member['host_id']:<20} {member['status']:<8}"
     if upstream is None:
         return text
-    in_use = upstream.get("in_use", "")
-    waiting = upstream.get("waiting", "")
+    in_use = _format_count(upstream["in_use"])
+    waiting = _format_count(upstream["waiting"])
     return (
         f"{text} {upstream['name']:<28} {upstream['service']:<18} "
         f"{upstream['status']:<9} {upstream['slots']:>5} {upstream['load']:>5.0%} "
@@ -100,6 +100,10 @@
     )
 
 
+def _format_count(count: int | None) -> str:
+    return "" if count is None else str(count)
+
+
 @click.command()
 @click.argument("upstream")
 @add_control_options
--- a/flamingohead/services/observation.py
+++ b/flamingohead/services/observation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from twisted.internet.task import LoopingCall
@@ -20,6 +21,14 @@
 MAX_SERVICES = 2000
 
 
+@dataclass(frozen=True)
+class ObservedService:
+    """Hold the differences of a service that was compared, as text."""
+
+    service: str
+    differences: tuple[str, ...]
+
+
 class ObservationService:
     """Compare what the old scripts made with what this daemon holds."""
 
@@ -43,10 +52,10 @@
         self._compare(state)
         return list(self._differences[state.service])
 
-    def describe(self) -> list[dict]:
+    def describe(self) -> list[ObservedService]:
         """Return the differences of each service that was compared."""
         return [
-            {"service": service, "differences": [str(d) for d in differences]}
+            ObservedService(service, tuple(str(d) for d in differences))
             for service, differences in sorted(self._differences.items())
         ]
 
--- a/flamingohead/services/operators.py
+++ b/flamingohead/services/operators.py
@@ -7,7 +7,7 @@
 import json
 import logging
 import time
-from dataclasses import asdict
+from dataclasses import asdict, is_dataclass
 from typing import TYPE_CHECKING, Annotated, TypeVar
 
 from klein import Klein
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from flamingohead.core.resources import Resource
     from flamingohead.kernel import Kernel
+    from flamingohead.services.status import DaemonStatus, DrainResult, MetricValues
 
 logger = logging.getLogger(__name__)
 
@@ -181,10 +182,10 @@
             given.encode("utf-8", "replace"), expected.encode("utf-8")
         )
 
-    async def _describe_status(self) -> dict:
+    async def _describe_status(self) -> DaemonStatus:
         return self._kernel.get("status").describe_daemon()
 
-    async def _describe_metrics(self) -> dict:
+    async def _describe_metrics(self) -> MetricValues:
         return self._kernel.get("status").describe_metrics()
 
     async def _list_versions(self, request) -> dict | Refusal:
@@ -287,7 +288,7 @@
         differences = self._kernel.get("observation").take_state(state)
         return {"differences": [str(difference) for difference in differences]}
 
-    async def _set_drain(self, request) -> dict | Refusal:
+    async def _set_drain(self, request) -> DrainResult | Refusal:
         drain = _read_model(request, DrainRequest)
         if isinstance(drain, Refusal):
             return drain
@@ -322,7 +323,7 @@
     return int(text)
 
 
-def _write(request, result: dict | Refusal) -> bytes:
+def _write(request, result: object) -> bytes:
     if isinstance(result, Refusal):
         request.setResponseCode(result.answer.status)
         retry_after_ms = result.compute_retry_after_ms(time.monotonic())
@@ -332,4 +333,6 @@
             "ran": result.ran.value,
             "retry_after_ms": retry_after_ms,
         }
+    elif is_dataclass(result):
+        result = asdict(result)
     return json.dumps(result).encode()
--- a/flamingohead/services/status.py
+++ b/flamingohead/services/status.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
@@ -13,12 +14,96 @@
 if TYPE_CHECKING:
     from flamingohead.core.members import Member, UpstreamState
     from flamingohead.kernel import Kernel
+    from flamingohead.services.observation import ObservedService
 
 DOMAIN_STATUS_TIMEOUT = 3.0
 HOSTS_ASKED = 3
 HOST_SCAN_LIMIT = 1000
 
 
+@dataclass(frozen=True)
+class UpstreamView:
+    """Describe an upstream; slots in use are known on its own host only."""
+
+    name: str
+    service: str
+    status: str
+    slots: int
+    load: float
+    in_use: int | None = None
+    waiting: int | None = None
+
+
+@dataclass(frozen=True)
+class MemberView:
+    """Describe a member of the failure domain and its upstreams."""
+
+    host_id: str
+    status: str
+    upstreams: tuple[UpstreamView, ...]
+
+
+@dataclass(frozen=True)
+class RejectedVersion:
+    """Name a version that the daemon could not take, and why."""
+
+    version: int
+    reason: str
+    times: int
+
+
+@dataclass(frozen=True)
+class DaemonStatus:
+    """Describe a daemon; ``activated_at`` in seconds since the epoch."""
+
+    host_id: str
+    failure_domain: str
+    version: int
+    digest: str
+    activated_at: float
+    ready: bool
+    rejected: tuple[RejectedVersion, ...]
+    observed: tuple[ObservedService, ...]
+    members: tuple[MemberView, ...]
+
+
+@dataclass(frozen=True)
+class MetricValues:
+    """Hold the counters and gauges of a daemon by name."""
+
+    counters: dict[str, int]
+    gauges: dict[str, float]
+
+
+@dataclass(frozen=True)
+class DomainConvergence:
+    """Hold the version held by each daemon of a failure domain."""
+
+    failure_domain: str
+    members: dict[str, int]
+    unreachable: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class MeshConvergence:
+    """Hold the versions of every failure domain that is known.
+
+    ``complete`` only if the table told which failure domains exist.
+    """
+
+    domains: tuple[DomainConvergence, ...]
+    complete: bool
+
+
+@dataclass(frozen=True)
+class DrainResult:
+    """Report the host on which a drain was started or ended."""
+
+    host_id: str
+    upstream: str
+    draining: bool
+
+
 class StatusService:
     """Collect what this daemon and the others know of themselves."""
 
@@ -31,36 +116,33 @@
     async def stop(self) -> None:
         pass
 
-    def describe_daemon(self) -> dict:
+    def describe_daemon(self) -> DaemonStatus:
         """Return the state of this daemon and its view of the failure domain."""
         membership = self._kernel.get("gossip").membership
         configuration = self._kernel.get("configuration")
-        members = membership.list_all()
-        return {
-            "host_id": membership.myself.host_id,
-            "failure_domain": membership.myself.failure_domain,
-            "version": configuration.replica.version,
-            "digest": configuration.replica.snapshot.digest.hex(),
-            "activated_at": configuration.activated_at,
-            "ready": configuration.is_ready,
-            "rejected": [
-                {"version": r.version, "reason": r.refusal.detail, "times": r.times}
-                for r in configuration.list_rejections()
-            ],
-            "observed": self._kernel.get("observation").describe(),
-            "members": [self._describe_member(member) for member in members],
-        }
-
-    def describe_metrics(self) -> dict:
+        rejections = configuration.list_rejections()
+        return DaemonStatus(
+            host_id=membership.myself.host_id,
+            failure_domain=membership.myself.failure_domain,
+            version=configuration.replica.version,
+            digest=configuration.replica.snapshot.digest.hex(),
+            activated_at=configuration.activated_at,
+            ready=configuration.is_ready,
+            rejected=tuple(
+                RejectedVersion(r.version, r.refusal.detail, r.times)
+                for r in rejections
+            ),
+            observed=tuple(self._kernel.get("observation").describe()),
+            members=tuple(self._describe_member(m) for m in membership.list_all()),
+        )
+
+    def describe_metrics(self) -> MetricValues:
         """Return the counters and gauges of this daemon."""
         metrics = self._kernel.get("metrics")
-        return {"counters": dict(metrics.counters), "gauges": dict(metrics.gauges)}
-
-    async def describe_convergence(self) -> dict:
-        """Return the version held by each daemon of each failure domain.
+        return MetricValues(dict(metrics.counters), dict(metrics.gauges))
 
-        The answer is complete only if the table told which failure domains exist.
-        """
+    async def describe_convergence(self) -> MeshConvergence:
+        """Ask every failure domain which version its daemons hold."""
         own = await self._kernel.get("peers").collect_domain_status()
         listed = await self._list_domains()
         known = self._list_contacts() if listed is None else listed
@@ -69,13 +151,11 @@
             for domain, addresses in known.items()
             if domain != own.failure_domain
         ]
-        domains = [own, *await asyncio.gather(*others)]
-        return {
-            "domains": [_describe_domain(domain) for domain in domains],
-            "complete": listed is not None,
-        }
+        replies = [own, *await asyncio.gather(*others)]
+        domains = tuple(_describe_domain(reply) for reply in replies)
+        return MeshConvergence(domains, complete=listed is not None)
 
-    async def set_drain(self, upstream: str, draining: bool) -> dict | Refusal:
+    async def set_drain(self, upstream: str, draining: bool) -> DrainResult | Refusal:
         """Start or end a drain on whichever host has the upstream."""
         membership = self._kernel.get("gossip").membership
         for member in membership.list_all():
@@ -86,7 +166,7 @@
 
     async def _set_drain_on(
         self, member: Member, upstream: str, draining: bool
-    ) -> dict | Refusal:
+    ) -> DrainResult | Refusal:
         if member.host_id == self._kernel.get("gossip").membership.myself.host_id:
             found = self._kernel.get("slots").set_drain(upstream, draining=draining)
         else:
@@ -101,29 +181,28 @@
             return Refusal(
                 ErrorKind.NOT_FOUND, f"{member.host_id} no longer has {upstream!r}"
             )
-        return {"host_id": member.host_id, "upstream": upstream, "draining": draining}
-
-    def _describe_member(self, member: Member) -> dict:
-        return {
-            "host_id": member.host_id,
-            "status": member.status.name.lower(),
-            "upstreams": [self._describe_upstream(member, u) for u in member.upstreams],
-        }
-
-    def _describe_upstream(self, member: Member, upstream: UpstreamState) -> dict:
-        description = {
-            "name": upstream.name,
-            "service": upstream.service,
-            "status": upstream.status.name.lower(),
-            "slots": upstream.slots,
-            "load": upstream.load,
-        }
+        return DrainResult(member.host_id, upstream, draining)
+
+    def _describe_member(self, member: Member) -> MemberView:
+        upstreams = tuple(self._describe_upstream(member, u) for u in member.upstreams)
+        return MemberView(member.host_id, member.status.name.lower(), upstreams)
+
+    def _describe_upstream(
+        self, member: Member, upstream: UpstreamState
+    ) -> UpstreamView:
+        view = UpstreamView(
+            name=upstream.name,
+            service=upstream.service,
+            status=upstream.status.name.lower(),
+            slots=upstream.slots,
+            load=upstream.load,
+        )
         local = self._kernel.get("slots").upstreams.get(upstream.name)
         myself = self._kernel.get("gossip").membership.myself
-        if local is not None and member.host_id == myself.host_id:
-            description["in_use"] = local.admission.in_use
-            description["waiting"] = len(local.waiters)
-        return description
+        if local is None or member.host_id != myself.host_id:
+            return view
+        in_use = local.admission.in_use
+        return replace(view, in_use=in_use, waiting=len(local.waiters))
 
     async def _list_domains(self) -> dict[str, list[str]] | None:
         rows = await self._kernel.get("table").scan(HOST_PREFIX, limit=HOST_SCAN_LIMIT)
@@ -156,9 +235,9 @@
         return pb.DomainStatusReply(failure_domain=domain, unreachable=["*"])
 
 
-def _describe_domain(domain: pb.DomainStatusReply) -> dict:
-    return {
-        "failure_domain": domain.failure_domain,
-        "members": {member.host_id: member.version for member in domain.members},
-        "unreachable": list(domain.unreachable),
-    }
+def _describe_domain(reply: pb.DomainStatusReply) -> DomainConvergence:
+    return DomainConvergence(
+        reply.failure_domain,
+        {member.host_id: member.version for member in reply.members},
+        tuple(reply.unreachable),
+    )
