Let a failure domain without the table take what another holds

Cause: a daemon whose table is out of reach and whose seeds are in another failure domain joined them and learned nothing: members of other failure domains were passed over, and neither side kept the other as a contact, so that no version ever arrived.

Change: a join makes each side a contact of the other where their failure domains differ; versions then travel on the summaries, and records by a pull.

Conclusion: what a cut-off failure domain can reach is enough to catch up.

--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -102,13 +102,14 @@
             return JoinOutcome(
                 False, retry_at=retry_at, alternatives=tuple(reply.alternatives)
             )
-        learned = gossip.take_state(
-            codec.decode_member(member) for member in reply.members
-        )
+        members = [codec.decode_member(member) for member in reply.members]
+        learned = gossip.take_state(members)
+        remote = self._kernel.get("summaries").remote
+        for member in members[-CONTACTS_TOLD:]:
+            # A seed may be of another failure domain; its own are passed over here.
+            remote.add_contact(member.failure_domain, member.peer_address, now)
         for contact in reply.contacts:
-            self._kernel.get("summaries").remote.add_contact(
-                contact.failure_domain, contact.peer_address, now
-            )
+            remote.add_contact(contact.failure_domain, contact.peer_address, now)
         return JoinOutcome(True, learned)
 
     # Incoming calls
@@ -124,10 +125,12 @@
             reply = pb.JoinReply(retry_after_ms=wait_ms, alternatives=others)
             await stream.send_message(reply)
             return
-        gossip.merge([codec.decode_member(request.member)])
+        joiner = codec.decode_member(request.member)
+        gossip.merge([joiner])
         members = gossip.membership.list_all()
         reply = pb.JoinReply(members=[codec.encode_member(m) for m in members])
         remote = self._kernel.get("summaries").remote
+        remote.add_contact(joiner.failure_domain, joiner.peer_address, now)
         for domain in remote.list_domains():
             for address in remote.list_contacts(domain)[-CONTACTS_TOLD:]:
                 reply.contacts.add(failure_domain=domain, peer_address=address)
--- a/flamingohead/tests/test_configuration.py
+++ b/flamingohead/tests/test_configuration.py
@@ -18,7 +18,13 @@
 from flamingohead.core.versions import Replica, build_record
 from flamingohead.services.configuration import ConfigurationService
 from flamingohead.testing.fakes import create_service
-from flamingohead.testing.processes import ROOT, TOKEN, LocalMesh, run_command
+from flamingohead.testing.processes import (
+    ROOT,
+    TOKEN,
+    LocalMesh,
+    choose_address,
+    run_command,
+)
 
 SHEET = ROOT / "examples" / "kente-mirror.csv"
 PATIENCE = 30.0
@@ -79,6 +85,18 @@
         assert status["ready"]
         assert status["version"] == 1
 
+    def test_domain_without_the_table_takes_what_another_domain_holds(self, mesh):
+        seeds = mesh.daemons["osu-0"].addresses.peer
+        away = f"http://{choose_address()}"
+        lone = mesh.start_daemon(
+            "makola-0", "makola", seeds=seeds, table_url=away, objects_url=away
+        )
+        mesh.wait_until_listening()
+        status = wait_until(lone, lambda status: status["ready"])
+        assert status["ready"]
+        assert status["version"] == 1
+        assert [member["host_id"] for member in status["members"]] == ["makola-0"]
+
     def test_alone_in_an_outage_a_daemon_does_not_serve(self, mesh):
         alone = mesh.start_daemon("tema-0", "tema")
         mesh.wait_until_listening()
