Eject upstreams that answer with server errors

Cause: the status of an answer never reached the balancer, so that an upstream that answered every request with 500 kept its whole part of the load; a malformed answer had no score either.

Ruled out: a share of errors over a window (one route's bad requests would eject an upstream that serves all others).

Change: a 5xx answer counts a fifth of an ejection, and a good one starts anew; a malformed answer counts as a cut does.

At most half of a pool is ejected, as for every other reason.

--- a/flamingohead/core/balancing.py
+++ b/flamingohead/core/balancing.py
@@ -9,8 +9,10 @@
     EJECTION_SCORE,
     MAX_EJECTED_FRACTION,
     OVERLOAD_KINDS,
+    SERVER_ERROR_SCORE,
     compute_failure_score,
     create_health,
+    is_server_error,
 )
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.warmup import RAMP_SECONDS, compute_ramped_share
@@ -188,17 +190,23 @@
         return Attempt(upstream, rank, now, is_trial)
 
     def finish(
-        self, attempt: Attempt, now: float, refusal: Refusal | None
+        self,
+        attempt: Attempt,
+        now: float,
+        refusal: Refusal | None,
+        *,
+        status: int = 0,
     ) -> HealthChange | None:
         """Take the outcome of a request; ``None`` means that it was answered.
 
-        Returns what became of the upstream, if that changed.
+        ``status`` is that of the answer. Returns what became of the upstream, if
+        that changed.
         """
         upstream = attempt.upstream
         upstream.in_flight -= 1
         was_open = upstream.health.is_open()
         if refusal is None:
-            self._record_answer(attempt, now)
+            self._record_answer(attempt, now, status)
         elif refusal.kind in OVERLOAD_KINDS:
             self._record_overload(attempt, refusal, now)
         else:
@@ -257,8 +265,11 @@
 
     # Outcomes
 
-    def _record_answer(self, attempt: Attempt, now: float) -> None:
+    def _record_answer(self, attempt: Attempt, now: float, status: int) -> None:
         upstream = attempt.upstream
+        if is_server_error(status):
+            self._record_score(attempt, SERVER_ERROR_SCORE, now)
+            return
         self._record_time(attempt, now - attempt.started_at)
         if attempt.is_trial:
             self._readmit(upstream, now)
@@ -283,11 +294,14 @@
             self._readmit(upstream, now)
 
     def _record_failure(self, attempt: Attempt, refusal: Refusal, now: float) -> None:
-        upstream = attempt.upstream
-        name = upstream.candidate.service, attempt.rank
+        name = attempt.upstream.candidate.service, attempt.rank
         held = now - attempt.started_at
         usual = self._usual_times.get(name, 0.0)
         score = compute_failure_score(refusal, held=held, usual=usual)
+        self._record_score(attempt, score, now)
+
+    def _record_score(self, attempt: Attempt, score: float, now: float) -> None:
+        upstream = attempt.upstream
         if attempt.is_trial:
             if score:
                 upstream.health.fail_trial(now)
--- a/flamingohead/core/ejection.py
+++ b/flamingohead/core/ejection.py
@@ -29,9 +29,14 @@
     ErrorKind.DRAINING: 1.0,
     ErrorKind.HOST_CUT: 0.5,
     ErrorKind.UPSTREAM_CUT: 0.34,
+    ErrorKind.UPSTREAM_MALFORMED: 0.34,
     ErrorKind.UPSTREAM_TIMEOUT: 0.34,
 }
 
+# An answer that is a server error may be due to its request: five in a row count.
+SERVER_ERROR_SCORE = 0.2
+FIRST_SERVER_ERROR = 500
+
 # Refusals that come from a live host: evidence of load, not of a fault.
 OVERLOAD_KINDS = frozenset(
     {
@@ -55,6 +60,11 @@
     return FAILURE_SCORES.get(refusal.kind, 0.0)
 
 
+def is_server_error(status: int) -> bool:
+    """Tell whether the status of an answer speaks of a fault of its upstream."""
+    return status >= FIRST_SERVER_ERROR
+
+
 class Health(Protocol):
     """Track whether an upstream may be chosen."""
 
--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -135,7 +135,9 @@
             return refusal
         finally:
             now = time.monotonic()
-            change = self._balancer.finish(attempt, now, refusal)
+            change = self._balancer.finish(
+                attempt, now, refusal, status=response.status
+            )
             if self._overflow.is_remote(candidate):
                 self._overflow.record_remote(candidate, refusal, now)
             else:
@@ -145,7 +147,8 @@
 
     def _report(self, change: HealthChange, refusal: Refusal | None) -> None:
         event = Event.UPSTREAM_EJECTED if change.ejected else Event.UPSTREAM_READMITTED
-        reason = "answered" if refusal is None else refusal.kind.value
+        answered = "server_error" if change.ejected else "answered"
+        reason = answered if refusal is None else refusal.kind.value
         log_event(
             logger,
             event,
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -52,6 +52,7 @@
         self._chunked = False
         self._head: bytes | None = None
         self.started = False
+        self.status = 0
         self.finished = False
         self.closes = False
         self.on_disconnect: Callable[[], None] | None = None
@@ -88,6 +89,7 @@
             self.abort()
             return
         self.started = True
+        self.status = status
         self._chunked = sends_chunks
         self.closes = not self._request.keep_alive or self._protocol.is_draining
         parts = [STATUS_LINES.get(status) or _build_status_line(status)]
--- a/flamingohead/services/key_runs.py
+++ b/flamingohead/services/key_runs.py
@@ -46,6 +46,10 @@
     def started(self) -> bool:
         return self._response.started
 
+    @property
+    def status(self) -> int:
+        return self._status
+
     @property
     def finished(self) -> bool:
         return self._response.finished
--- a/flamingohead/tests/test_attempts.py
+++ b/flamingohead/tests/test_attempts.py
@@ -29,6 +29,7 @@
 
 class FakeResponse:
     started = False
+    status = 0
 
 
 class RecordedAttempts(AttemptService):
--- a/flamingohead/tests/test_dead_host.py
+++ b/flamingohead/tests/test_dead_host.py
@@ -66,3 +66,18 @@
         mesh.upstreams["ledger-makola-2"].process.kill()
         statuses = [call(ingress)[0] for _ in range(CALLS)]
         assert statuses == [200] * CALLS
+
+
+class TestFailingUpstream:
+    def test_upstream_that_answers_errors_gets_few_calls(self, mesh):
+        ingress = mesh.daemons["makola-0"].addresses.ingress
+        wait_for_upstreams(ingress, set(mesh.upstreams))
+        failing = mesh.upstreams["ledger-makola-1"]
+        connection = http.client.HTTPConnection(failing.address, timeout=10)
+        connection.request("PUT", "/standin/settings", body='{"failing": true}')
+        assert connection.getresponse().status == 200
+        connection.close()
+        statuses = [call(ingress)[0] for _ in range(CALLS)]
+        # Five to eject it; trials are at least half a second apart.
+        assert statuses.count(500) <= 5 + 8
+        assert statuses.count(200) == CALLS - statuses.count(500)
--- a/properties/test_balancing_ejection.py
+++ b/properties/test_balancing_ejection.py
@@ -216,3 +216,41 @@
         fair = 1 / (count + 1)
         assert parts[0] <= 0.5 * fair
         assert parts[1] >= 0.5 * fair
+
+
+class TestServerErrors:
+    @given(seed=st.integers(0, 1000), count=st.integers(2, 10))
+    @settings(max_examples=15)
+    def test_upstream_that_answers_only_errors_costs_few_requests(self, seed, count):
+        balancer = build_balancer(count, seed)
+        errors = 0
+        for number in range(3000):
+            now = 20.0 + number / 50
+            candidate = balancer.choose(SERVICE, now)
+            attempt = balancer.start(candidate, RANK, now)
+            failing = candidate.host_id == "host-0"
+            errors += failing
+            status = 500 if failing else 200
+            balancer.finish(attempt, now + 0.005, None, status=status)
+        # Five to eject, then trials after 0.5, 1, 2, 4, 8 and 15 s at the soonest.
+        assert errors <= 5 + 8
+
+    def test_errors_between_good_answers_never_eject(self):
+        balancer = build_balancer(4)
+        for number in range(400):
+            now = 20.0 + number / 50
+            candidate = balancer.choose(SERVICE, now)
+            attempt = balancer.start(candidate, RANK, now)
+            status = 500 if number % 2 else 200
+            balancer.finish(attempt, now + 0.005, None, status=status)
+            attempt = balancer.start(candidate, RANK, now)
+            balancer.finish(attempt, now + 0.005, None, status=200)
+        assert balancer.count_ejected(SERVICE) == 0
+
+    def test_client_errors_never_eject(self):
+        balancer = build_balancer(4)
+        for number in range(400):
+            now = 20.0 + number / 50
+            attempt = balancer.start(balancer.choose(SERVICE, now), RANK, now)
+            balancer.finish(attempt, now + 0.005, None, status=404)
+        assert balancer.count_ejected(SERVICE) == 0
