--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -339,6 +339,24 @@
     ]
 
 
+@register_role("announcements")
+def work_out_announcements(results: Results) -> list[Figure]:
+    """Return what one upstream that announces itself costs its daemon."""
+    slope = results.find("announcement_cost", "processor for each upstream")
+    return [
+        scale_row(
+            slope,
+            1,
+            role="announcements",
+            what="processor, one upstream, two announcements a second",
+            unit="% of a core",
+            source=results.get_source("announcement_cost"),
+            sums="processor",
+            mechanism="HTTP on the host's own address, spread only on a change",
+        )
+    ]
+
+
 @register_role("the process itself")
 def work_out_process(results: Results) -> list[Figure]:
     """Return what an idle daemon takes, libraries and announcements included."""
--- a/benchmarks/capacity_requests.py
+++ b/benchmarks/capacity_requests.py
@@ -9,6 +9,7 @@
     DAEMONS,
     DAY_SECONDS,
     DOMAINS,
+    SERVICES,
     TABLE_READ_LIMIT,
     TABLE_WRITE_LIMIT,
     Figure,
@@ -16,6 +17,7 @@
     register_role,
     scale_row,
 )
+from flamingohead.core.acceptance import SNAPSHOT_PERIOD
 
 MICROSECONDS = 1e-6
 PERCENT = 100
@@ -152,6 +154,47 @@
     ]
 
 
+@register_role("operators and metrics")
+def work_out_operators(results: Results) -> list[Figure]:
+    """Return what a status answer and the counters of calls cost a daemon."""
+    source = results.get_source("operator_cost")
+    size = {"members": 613}
+    answer = results.find("operator_cost", "status answer", **size)
+    sent = results.find("operator_cost", "bytes of a status answer", **size)
+    counter = results.find("operator_cost", "counter sent by statsd")
+    role = "operators and metrics"
+    return [
+        scale_row(
+            answer,
+            MICROSECONDS * 1000,
+            role=role,
+            what="processor time of one status answer, 613 members",
+            unit="ms",
+            source=source,
+            mechanism="asked by operators alone",
+        ),
+        scale_row(
+            sent,
+            1 / 1000,
+            role=role,
+            what="one status answer, 613 members",
+            unit="KB",
+            source=source,
+            mechanism="asked by operators alone",
+        ),
+        scale_row(
+            counter,
+            CALLS_PER_DAEMON * MICROSECONDS * PERCENT,
+            role=role,
+            what="processor, one counter for each call",
+            unit="% of a core",
+            source=source,
+            sums="processor",
+            mechanism="statsd over UDP",
+        ),
+    ]
+
+
 @register_role("the platform")
 def work_out_platform(results: Results) -> list[Figure]:
     """Return what the mesh asks of the table."""
@@ -163,6 +206,9 @@
     }
     source = results.get_source("spreading")
     role = "the platform"
+    snapshot = results.find(
+        "configuration_cost", "bytes of a whole snapshot", services=SERVICES
+    )
     quiet = results.find("spreading", "highest table reads", event="none", **spread)
     herd = results.find("spreading", "highest table reads", event="herd", **spread)
     return [
@@ -186,6 +232,15 @@
             limit=TABLE_READ_LIMIT / 4,
             mechanism="first reads spread over two seconds, peers first",
         ),
+        scale_row(
+            snapshot,
+            CHANGES_PER_DAY / SNAPSHOT_PERIOD / BYTES_PER_MB,
+            role=role,
+            what="bytes of whole snapshots in the object store",
+            unit="MB a day",
+            source=results.get_source("configuration_cost"),
+            mechanism=f"one snapshot every {SNAPSHOT_PERIOD} versions",
+        ),
         Figure(
             role,
             "table writes for changes, the day's mean",
