Test the comparison with the old scripts as an operator runs it

Cause: the compare command had unit tests of its decisions only. Change: one test against a daemon in a process of its own.

--- a/flamingohead/tests/test_commands.py
+++ b/flamingohead/tests/test_commands.py
@@ -101,6 +101,19 @@
         assert run_command(mesh, "undrain", name).returncode == 0
         assert run_command(mesh, "drain", "unknown").returncode == 3
 
+    def test_comparison_with_the_old_scripts_names_each_difference(
+        self, mesh, tmp_path
+    ):
+        path = tmp_path / "old.json"
+        path.write_text(json.dumps({"routes": [], "upstreams": ["ledger-gone"]}))
+        result = run_command(mesh, "compare", "stall-ledger", str(path))
+        assert result.returncode == 7, result.stderr
+        assert "upstream ledger-gone: here absent, old scripts ready" in result.stdout
+        assert "route GET /ledger/lookup" in result.stdout
+        assert "observed: stall-ledger" in run_command(mesh, "status").stdout
+        path.write_text("{")
+        assert run_command(mesh, "compare", "stall-ledger", str(path)).returncode == 2
+
     def test_wrong_token_is_refused(self, mesh):
         result = run_command(mesh, "status", token="not-the-token")
         assert result.returncode == 3
