Take out what nothing uses, and give candidates a module of their own

Ruled out: taking out SlotService.in_flight; no service reads it, but a property of cancellation asserts on it, and it keeps its assertion.

Change: the dead code is gone, the exit code is taken from its table, and the upstreams that requests may go to stand in core/candidates.py. No behaviour, bound or test changed.

--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -89,12 +89,6 @@
     return path
 
 
-def read_results(name: str) -> list[Row]:
-    """Return the rows of a result file; raise ``FileNotFoundError``."""
-    content = json.loads((RESULTS / f"{name}.json").read_text())
-    return [Row(**row) for row in content["rows"]]
-
-
 def print_rows(rows: list[Row]) -> None:
     """Print rows as a table."""
     for row in rows:
--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -223,10 +223,6 @@
             admitted.append(ticket)
         return Turn(tuple(admitted), tuple(expired))
 
-    def estimate_wait(self, rank: str, caller: str = "") -> float:
-        """Return the expected wait of a new ticket, in seconds."""
-        return self._estimate_wait(self._find_queue(rank), caller)
-
     # Queues
 
     def _find_queue(self, name: str) -> _RankQueue:
--- a/flamingohead/core/balancing.py
+++ b/flamingohead/core/balancing.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
 from flamingohead.core.ejection import (
     EJECTION_SCORE,
     MAX_EJECTED_FRACTION,
@@ -14,7 +15,6 @@
     create_health,
     is_server_error,
 )
-from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.warmup import RAMP_SECONDS, compute_ramped_share
 
 if TYPE_CHECKING:
@@ -32,23 +32,6 @@
 TRIAL_GRACE_SECONDS = 5.0
 SAMPLE_TRIES = 4
 
-UpstreamKey = tuple[str, str]
-
-
-@dataclass(frozen=True)
-class Candidate:
-    """Locate an upstream: its host, the host's relay address and its slots."""
-
-    host_id: str
-    relay_address: str
-    upstream: str
-    service: str
-    slots: int
-
-    @property
-    def key(self) -> UpstreamKey:
-        return self.host_id, self.upstream
-
 
 @dataclass(eq=False)
 class _Upstream:
@@ -337,7 +320,7 @@
     def _update_host(
         self, known: _Host | None, member: Member, touched: set[str], now: float
     ) -> _Host:
-        candidates = _list_candidates(member)
+        candidates = list_candidates(member)
         before = known.candidates if known is not None else ()
         if candidates != before:
             gone = [c for c in before if c.key not in {n.key for n in candidates}]
@@ -387,19 +370,3 @@
         for upstream in closed[:excess]:
             upstream.health.readmit()
         pool.refresh()
-
-
-def _list_candidates(member: Member) -> tuple[Candidate, ...]:
-    if not member.is_usable:
-        return ()
-    return tuple(
-        Candidate(
-            member.host_id,
-            member.relay_address,
-            upstream.name,
-            upstream.service,
-            upstream.slots,
-        )
-        for upstream in member.upstreams
-        if upstream.status is UpstreamStatus.READY
-    )
--- /dev/null
+++ b/flamingohead/core/candidates.py
@@ -0,0 +1,45 @@
+"""The upstreams of members that requests may be sent to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from flamingohead.core.members import UpstreamStatus
+
+if TYPE_CHECKING:
+    from flamingohead.core.members import Member
+
+UpstreamKey = tuple[str, str]
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """Locate an upstream: its host, the host's relay address and its slots."""
+
+    host_id: str
+    relay_address: str
+    upstream: str
+    service: str
+    slots: int
+
+    @property
+    def key(self) -> UpstreamKey:
+        return self.host_id, self.upstream
+
+
+def list_candidates(member: Member) -> tuple[Candidate, ...]:
+    """Return the ready upstreams of a member; none if it is not usable."""
+    if not member.is_usable:
+        return ()
+    return tuple(
+        Candidate(
+            member.host_id,
+            member.relay_address,
+            upstream.name,
+            upstream.service,
+            upstream.slots,
+        )
+        for upstream in member.upstreams
+        if upstream.status is UpstreamStatus.READY
+    )
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -136,11 +136,3 @@
         if self.retry_at is None:
             return self.answer.retry_after_ms
         return max(0, round((self.retry_at - now) * 1000))
-
-
-class RefusedError(Exception):
-    """Raise a refusal through code that has no return value to put it in."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(f"{refusal.kind.value}: {refusal.detail}")
-        self.refusal = refusal
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -118,9 +118,6 @@
     def count_members(self) -> int:
         return 1 + len(self.members)
 
-    def count_waiting_updates(self) -> int:
-        return len(self._list.queue)
-
     def list_all(self) -> list[Member]:
         """Return this member, the usable ones and those known to be gone."""
         return [self.myself, *self.members.values(), *self._list.tombstones]
--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -8,18 +8,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from automat import TypeMachineBuilder
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import LOAD_STEP, UpstreamState, UpstreamStatus
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
 MAX_UPSTREAMS = 4
 
 
@@ -261,8 +258,3 @@
     UpstreamStatus.DRAINING: "drain",
     UpstreamStatus.GONE: "leave",
 }
-
-
-def drain_states(states: Iterable[UpstreamState]) -> list[UpstreamState]:
-    """Return states as a leaving daemon announces them: none takes new work."""
-    return [replace(state, status=UpstreamStatus.DRAINING) for state in states]
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -8,6 +8,7 @@
 import signal
 from typing import TYPE_CHECKING
 
+from flamingohead.commands.exits import ExitCode
 from flamingohead.events import Event, log_event
 from flamingohead.kernel import Kernel, StartError
 from flamingohead.logs import configure_logging
@@ -18,7 +19,7 @@
 
 logger = logging.getLogger(__name__)
 
-EXIT_NOT_STARTED = 8
+EXIT_NOT_STARTED = int(ExitCode.NOT_STARTED)
 
 
 def build_kernel(settings: DaemonSettings) -> Kernel:
--- a/flamingohead/testing/fakes.py
+++ b/flamingohead/testing/fakes.py
@@ -33,7 +33,6 @@
     from flamingohead.core.versions import VersionRecord
 
 WRITES = (InsertRecord, StoreChange, StoreSnapshot, IndexSnapshot)
-LOCAL = (TakeRecords, TakeSnapshot, ReportDamaged)
 
 
 def create_service(name: str, *, timeout_ms: int = 1000) -> list[Resource]:
