--- a/flamingohead/assembly.py
+++ b/flamingohead/assembly.py
@@ -36,6 +36,7 @@
 from flamingohead.services.slots import SlotService
 from flamingohead.services.status import StatusService
 from flamingohead.services.summaries import SummaryService
+from flamingohead.services.upstreams import UpstreamService
 
 if TYPE_CHECKING:
     from flamingohead.kernel import Kernel
@@ -128,6 +129,7 @@
             stop_timeout=settings.stop_timeout,
         ),
     )
+    kernel.add("upstreams", UpstreamService(kernel))
     kernel.add("announcements", AnnouncementService(kernel, settings.announce_address))
 
 
--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -156,8 +156,13 @@
         self._arrange()
         return self.advance(now)
 
-    def offer(self, ticket: Ticket, now: float) -> bool | Refusal:
-        """Return ``True`` if admitted, ``False`` if queued, or a refusal."""
+    def offer(
+        self, ticket: Ticket, now: float, *, may_wait: bool = True
+    ) -> bool | Refusal:
+        """Return ``True`` if admitted, ``False`` if queued, or a refusal.
+
+        A ticket that may not wait is refused unless a slot is free for it.
+        """
         queue = self._find_queue(ticket.rank)
         if now >= ticket.deadline:
             ticket.state = TicketState.ENDED
@@ -167,7 +172,10 @@
         if self.in_use < self.limit and not self._waiting:
             self._admit(queue, ticket, now)
             return True
-        refusal = self._check_queue(queue, ticket, now)
+        if may_wait:
+            refusal = self._check_queue(queue, ticket, now)
+        else:
+            refusal = Refusal(ErrorKind.QUEUE_FULL, "no slot is free")
         if refusal is not None:
             ticket.state = TicketState.ENDED
             return refusal
--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 
+from flamingohead.core.resources import DEFAULT_MAX_ATTEMPTS
+
+REQUEST_ID_HEADER = b"request-id"
+
 
 @dataclass(frozen=True)
 class Call:
@@ -13,7 +17,8 @@
     idempotency key, if it sent one, and ``attempt`` its number of the attempt, 0 if
     it gave none. ``call_id`` names the call across daemons. A call is ``claimed``
     where another daemon has made sure that its key runs once. ``caller`` names who
-    sent it.
+    sent it. A call that must not wait is refused unless a slot is free. ``host`` is
+    the host that the caller asked, and ``request_id`` the caller's own id.
     """
 
     service: str
@@ -29,6 +34,18 @@
     attempt: int = 0
     call_id: str = ""
     claimed: bool = False
+    may_wait: bool = True
+    bulky: bool = False
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    host: bytes = b""
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that the caller gave the request, or an empty one."""
+        for name, value in self.headers:
+            if name == REQUEST_ID_HEADER:
+                return value.decode("latin-1")
+        return ""
 
     @property
     def is_keyed(self) -> bool:
--- a/flamingohead/core/candidates.py
+++ b/flamingohead/core/candidates.py
@@ -22,6 +22,7 @@
     upstream: str
     service: str
     slots: int
+    failure_domain: str = ""
 
     @property
     def key(self) -> UpstreamKey:
@@ -39,6 +40,7 @@
             upstream.name,
             upstream.service,
             upstream.slots,
+            member.failure_domain,
         )
         for upstream in member.upstreams
         if upstream.status is UpstreamStatus.READY
--- a/flamingohead/core/datagrams.py
+++ b/flamingohead/core/datagrams.py
@@ -62,7 +62,7 @@
         datagram = Datagram(
             sender=myself.host_id,
             sender_address=myself.peer_address,
-            failure_domain=myself.failure_domain,
+            failure_domain=myself.gossip_group,
             sequence=sequence,
             version=self.version,
             digest=self.digest,
--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -23,7 +23,12 @@
 
 @dataclass(frozen=True)
 class DisseminationSettings:
-    """Set rates in 1/s, periods in seconds and the number of peers pushed to."""
+    """Set rates in 1/s, periods in seconds and the number of peers pushed to.
+
+    Without ``polls_table`` the configuration comes from a source that tells of each
+    change by itself; while that source answers, a peer that is ahead is asked only
+    after ``pull_delay``.
+    """
 
     domain_poll_rate: float = 4.0
     minimum_poll_period: float = 0.25
@@ -31,6 +36,8 @@
     unready_poll_period: float = 5.0
     pull_timeout: float = 2.0
     push_fanout: int = 3
+    polls_table: bool = True
+    pull_delay: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -113,6 +120,8 @@
         self._next_sample_at = 0.0
         self._next_pull_at = 0.0
         self._members = 1
+        self._is_source_current = False
+        self._behind_since: float | None = None
 
     def tick(self, now: float, *, members: int) -> list[DisseminationEffect]:
         """Poll the table when due; ``members`` counts the failure domain."""
@@ -133,11 +142,20 @@
             effects += self._update_readiness(now)
         if version <= self.replica.version:
             return effects
+        if self._waits_for_source(now):
+            return effects
         if now < self._next_pull_at or self.rejections.postpones(version, now):
             return effects
         self._next_pull_at = now + self._settings.pull_timeout
         return [*effects, PullFromPeer(address, self.replica.version)]
 
+    def _waits_for_source(self, now: float) -> bool:
+        """Tell whether the source is likely to bring the newer version by itself."""
+        if self._behind_since is None:
+            self._behind_since = now
+        waits_until = self._behind_since + self._settings.pull_delay
+        return self._is_source_current and now < waits_until
+
     def receive_records(
         self, records: Iterable[VersionRecord], now: float
     ) -> list[DisseminationEffect]:
@@ -189,17 +207,21 @@
     def finish_table_read(self, now: float) -> list[DisseminationEffect]:
         """Note that the end of the log is held."""
         was_ready = self.readiness.is_ready
+        self._is_source_current = True
         self.readiness.finish_table_read()
         return self._report_ready(was_ready)
 
     def fail_table_read(self, now: float) -> list[DisseminationEffect]:
         """Note that the table could not be read."""
+        self._is_source_current = False
         if self.readiness.is_ready:
             return []
         self.readiness.fail_table_read(now)
         return self._update_readiness(now)
 
     def _poll_table(self, now: float) -> list[DisseminationEffect]:
+        if not self._settings.polls_table:
+            return []
         if self._next_poll_at is None:
             spread = self._settings.first_poll_spread
             self._next_poll_at = now + self._random.uniform(0, spread)
@@ -235,5 +257,6 @@
         return [BecomeReady()]
 
     def _activate(self, now: float) -> list[DisseminationEffect]:
+        self._behind_since = None
         self.rejections.clear_up_to(self.replica.version)
         return [ActivateSnapshot(self.replica.snapshot), *self._update_readiness(now)]
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -33,6 +33,7 @@
     UPSTREAM_CUT = "upstream_cut"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     UPSTREAM_MALFORMED = "upstream_malformed"
+    UPSTREAM_FAILED = "upstream_failed"
     HOST_UNREACHABLE = "host_unreachable"
     HOST_CUT = "host_cut"
     DRAINING = "draining"
@@ -84,6 +85,7 @@
     ErrorKind.UPSTREAM_CUT: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.UPSTREAM_TIMEOUT: ErrorAnswer(504, Ran.UNKNOWN, 500),
     ErrorKind.UPSTREAM_MALFORMED: ErrorAnswer(502, Ran.UNKNOWN, 500),
+    ErrorKind.UPSTREAM_FAILED: ErrorAnswer(502, Ran.YES, 500),
     ErrorKind.HOST_UNREACHABLE: ErrorAnswer(503, Ran.NO, 500),
     ErrorKind.HOST_CUT: ErrorAnswer(502, Ran.UNKNOWN, 500),
     ErrorKind.DRAINING: ErrorAnswer(503, Ran.NO, 100),
--- a/flamingohead/core/memberlist.py
+++ b/flamingohead/core/memberlist.py
@@ -83,7 +83,7 @@
         if member.host_id == self.myself.host_id:
             self._refute(member)
             return []
-        if member.failure_domain != self.myself.failure_domain:
+        if member.gossip_group != self.myself.gossip_group:
             return []
         held = self.get_held(member.host_id)
         if held is None:
--- a/flamingohead/core/members.py
+++ b/flamingohead/core/members.py
@@ -45,7 +45,8 @@
 class Member:
     """Describe a daemon as its failure domain knows it.
 
-    ``accuser`` names the member that suspects this one or declared it dead.
+    ``accuser`` names the member that suspects this one or declared it dead. Members of
+    the same ``group`` know each other singly; without one it is the failure domain.
     """
 
     host_id: str
@@ -56,6 +57,11 @@
     status: MemberStatus = MemberStatus.ALIVE
     upstreams: tuple[UpstreamState, ...] = ()
     accuser: str = ""
+    group: str = ""
+
+    @property
+    def gossip_group(self) -> str:
+        return self.group or self.failure_domain
 
     @property
     def is_usable(self) -> bool:
--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -66,6 +66,7 @@
         member.peer_address,
         member.relay_address,
         member.accuser,
+        member.group,
     )
     for upstream in member.upstreams:
         size += _FIELD_BYTES + _UPSTREAM_NUMBERS_BYTES
@@ -75,7 +76,7 @@
 
 def estimate_envelope_size(myself: Member) -> int:
     """Return an upper bound of the bytes that every datagram of a member has."""
-    texts = (myself.host_id, myself.peer_address, myself.failure_domain)
+    texts = (myself.host_id, myself.peer_address, myself.gossip_group)
     return _FIXED_BYTES + _estimate_text(*texts)
 
 
--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -12,6 +12,9 @@
     from collections.abc import Iterable, Mapping
 
 EMPTY_DIGEST = b""
+ANY_METHOD = ("*",)
+# Attempts of a request where the configuration sets no bound of its own.
+DEFAULT_MAX_ATTEMPTS = 3
 
 
 class ResourceKey(NamedTuple):
@@ -22,6 +25,9 @@
     name: str
 
 
+CLIENT_LIMITS_KEY = ResourceKey("client_limits", "", "")
+
+
 @dataclass(frozen=True)
 class Service:
     """Describe a service; ``mode`` is ``observe`` or ``enforce``."""
@@ -72,9 +78,23 @@
         return ResourceKey("rank", self.service, self.name)
 
 
+@dataclass(frozen=True)
+class WeightedPool:
+    """Name a pool and its part of the requests of a split route."""
+
+    pool: str
+    weight: int
+
+
 @dataclass(frozen=True)
 class Route:
-    """Map a path prefix and methods to a pool and a rank."""
+    """Map a path prefix and methods to a pool and a rank.
+
+    A route with a ``host`` serves the requests for that host alone, of every method
+    if ``methods`` is ``ANY_METHOD``. With a ``split``, requests are divided between
+    its pools by weight, and ``pool`` is the first of them. ``bulky`` marks large
+    answers, ``max_attempts`` bounds the upstreams that one request is sent to.
+    """
 
     name: str
     service: str
@@ -84,27 +104,60 @@
     rank: str
     timeout_ms: int
     idempotent: bool
+    host: str = ""
+    split: tuple[WeightedPool, ...] = ()
+    bulky: bool = False
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "methods", tuple(self.methods))
+        object.__setattr__(self, "split", tuple(self.split))
+
+    def list_pools(self) -> tuple[str, ...]:
+        """Return the names of the pools that requests may go to."""
+        return tuple(part.pool for part in self.split) or (self.pool,)
 
     @property
     def key(self) -> ResourceKey:
         return ResourceKey("route", self.service, self.name)
 
 
-Resource = Service | Pool | Rank | Route
+@dataclass(frozen=True)
+class ClientLimits:
+    """Bound what callers may send and how long they may take; one a configuration.
+
+    Sizes are in bytes, times in milliseconds.
+    """
+
+    head_bytes: int
+    body_bytes: int
+    head_timeout_ms: int
+    idle_timeout_ms: int
+
+    @property
+    def key(self) -> ResourceKey:
+        return CLIENT_LIMITS_KEY
+
+
+Resource = Service | Pool | Rank | Route | ClientLimits
 
 
 def _hash_resources(resources: Iterable[Resource]) -> bytes:
     rows = [
-        [type(resource).__name__, *vars(resource).values()]
+        [type(resource).__name__, *_list_values(resource)]
         for resource in sorted(resources, key=_get_key)
     ]
     text = json.dumps(rows, separators=(",", ":"))
     return hashlib.sha256(text.encode()).digest()
 
 
+def _list_values(resource: Resource) -> list:
+    if isinstance(resource, Route):
+        parts = [[part.pool, part.weight] for part in resource.split]
+        return list({**vars(resource), "split": parts}.values())
+    return list(vars(resource).values())
+
+
 def _get_key(resource: Resource) -> ResourceKey:
     return resource.key
 
--- a/flamingohead/core/retries.py
+++ b/flamingohead/core/retries.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from enum import Enum
 
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
@@ -132,3 +133,65 @@
 def may_repeat_on_same_upstream(refusal: Refusal) -> bool:
     """Tell whether a retry on the same upstream may succeed."""
     return RETRY_CLASSES.get(refusal.kind) is RetryClass.REPEAT
+
+
+@dataclass(frozen=True)
+class SharedBudgetSettings:
+    """Set what all daemons together may repeat of the requests for a service.
+
+    In any ``window`` of seconds they may make ``ratio`` times the requests, and
+    ``slack`` more; each daemon uses ``part`` of what would be its own.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+    part: float = 0.6
+
+
+@dataclass
+class _ServiceUse:
+    requests: deque[float] = field(default_factory=deque)
+    repeats: deque[float] = field(default_factory=deque)
+
+
+class SharedRetryBudget:
+    """Allow repeats by this daemon so that all daemons stay within one budget.
+
+    The load it answers: upstreams that fail much of their work at every caller at
+    once. Nobody is asked: a daemon spends on its own requests and on its part of the
+    slack. The part is of the most daemons ever seen, since those that are out of sight
+    may still spend theirs.
+    """
+
+    def __init__(self, settings: SharedBudgetSettings) -> None:
+        self._settings = settings
+        self._daemons = 1
+        self._services: dict[str, _ServiceUse] = {}
+
+    def set_daemons(self, count: int) -> None:
+        """Take the number of daemons that are seen."""
+        self._daemons = max(self._daemons, count)
+
+    def record_request(self, service: str, now: float) -> None:
+        """Count a request of a caller."""
+        use = self._services.setdefault(service, _ServiceUse())
+        use.requests.append(now)
+        self._forget(use, now)
+
+    def spend(self, service: str, now: float) -> bool:
+        """Count a repeat if there is room for it; return whether there was."""
+        use = self._services.setdefault(service, _ServiceUse())
+        self._forget(use, now)
+        settings = self._settings
+        allowed = settings.ratio * len(use.requests) + settings.slack / self._daemons
+        if len(use.repeats) + 1 > settings.part * allowed:
+            return False
+        use.repeats.append(now)
+        return True
+
+    def _forget(self, use: _ServiceUse, now: float) -> None:
+        start = now - self._settings.window
+        for times in (use.requests, use.repeats):
+            while times and times[0] <= start:
+                times.popleft()
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -8,20 +8,38 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.resources import Pool, Rank, Route
+from flamingohead.core.resources import (
+    ANY_METHOD,
+    CLIENT_LIMITS_KEY,
+    Pool,
+    Rank,
+    Route,
+)
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import Resource, Service, Snapshot
+    from flamingohead.core.resources import (
+        ClientLimits,
+        Resource,
+        Service,
+        Snapshot,
+    )
+
+# Host, method and path prefix; the host is empty for routes of every host.
+RouteMatch = tuple[str, str, str]
 
 
 @dataclass(frozen=True)
 class ResolvedRoute:
-    """Join a route with the service, pool and rank it names."""
+    """Join a route with the service, pools and rank it names.
+
+    ``pool`` is the first of the pools; a split route has several.
+    """
 
     route: Route
     service: Service
     pool: Pool
     rank: Rank
+    pools: tuple[Pool, ...] = ()
 
 
 class RouteTable:
@@ -29,7 +47,7 @@
 
     def __init__(self, snapshot: Snapshot) -> None:
         self.snapshot = snapshot
-        self._routes: dict[tuple[str, str], ResolvedRoute] = {}
+        self._routes: dict[RouteMatch, ResolvedRoute] = {}
         self._ranks: dict[str, tuple[Rank, ...]] = {}
         self._pools: dict[str, Pool] = {}
         self._add_resources(list(snapshot.resources.values()))
@@ -73,29 +91,52 @@
 
     def _add_route(self, route: Route, rank: Rank) -> None:
         service = self.snapshot.get_service(route.service)
-        resolved = ResolvedRoute(route, service, self._pools[route.pool], rank)
-        for method in route.methods:
-            self._routes[method, get_prefix(route.path)] = resolved
+        pools = tuple(self._pools[name] for name in route.list_pools())
+        resolved = ResolvedRoute(route, service, pools[0], rank, pools)
+        for match in _list_matches(route):
+            self._routes[match] = resolved
 
     def _remove_routes(self, resources: list[Resource]) -> None:
         for route in resources:
             if isinstance(route, Route):
-                for method in route.methods:
-                    del self._routes[method, get_prefix(route.path)]
+                for match in _list_matches(route):
+                    del self._routes[match]
 
-    def match(self, method: str, path: str) -> ResolvedRoute | Refusal:
-        """Return the route for a request."""
+    @property
+    def client_limits(self) -> ClientLimits | None:
+        """Return the limits on callers, if the configuration sets any."""
+        return self.snapshot.resources.get(CLIENT_LIMITS_KEY)
+
+    def match(self, method: str, path: str, host: str = "") -> ResolvedRoute | Refusal:
+        """Return the route for a request; one for its host goes before the others."""
         if self.version == 0:
             return Refusal(ErrorKind.NO_CONFIGURATION, "no configuration is held yet")
-        prefix = path.partition("?")[0].rstrip("/")
+        path = path.partition("?")[0]
+        if host:
+            resolved = self._match_host(method, path, host)
+            if resolved is not None:
+                return _check_mode(resolved)
+        prefix = path.rstrip("/")
         while True:
-            resolved = self._routes.get((method, prefix))
+            resolved = self._routes.get(("", method, prefix))
             if resolved is not None:
                 return _check_mode(resolved)
             if not prefix:
                 return Refusal(ErrorKind.NO_ROUTE, f"no route for {method} {path!r}")
             prefix = prefix.rpartition("/")[0]
 
+    def _match_host(self, method: str, path: str, host: str) -> ResolvedRoute | None:
+        """Return the route of a host whose longest prefix begins the path."""
+        end = path.rfind("/")
+        while end >= 0:
+            prefix = path[:end]
+            for name in (ANY_METHOD[0], method):
+                resolved = self._routes.get((host, name, prefix))
+                if resolved is not None:
+                    return resolved
+            end = path.rfind("/", 0, end)
+        return None
+
     def list_ranks(self, service: str) -> tuple[Rank, ...]:
         """Return the ranks of a service, most urgent first."""
         return self._ranks.get(service, ())
@@ -106,6 +147,11 @@
     return path.rstrip("/")
 
 
+def _list_matches(route: Route) -> list[RouteMatch]:
+    prefix = get_prefix(route.path)
+    return [(route.host, method, prefix) for method in route.methods]
+
+
 def _select_pools(resources: list[Resource]) -> set[Pool]:
     return {resource for resource in resources if isinstance(resource, Pool)}
 
--- a/flamingohead/core/stopping.py
+++ b/flamingohead/core/stopping.py
@@ -101,9 +101,11 @@
 class PlannedStop:
     """Order the steps of one stop; times in seconds."""
 
-    def __init__(self, now: float, *, timeout: float) -> None:
+    def __init__(
+        self, now: float, *, timeout: float, settle_seconds: float = SETTLE_SECONDS
+    ) -> None:
         self._machine: StopMachine = _create_machine(object())
-        self._settled_at = now + min(SETTLE_SECONDS, timeout / 2)
+        self._settled_at = now + min(settle_seconds, timeout / 2)
         self._deadline = now + timeout
 
     @property
--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
 
@@ -18,6 +18,8 @@
 from flamingohead.core.members import LOAD_STEP, UpstreamState, UpstreamStatus
 
 MAX_UPSTREAMS = 4
+# Follows every announcement of an incarnation.
+LAST_SEQUENCE = 2**63
 
 
 class UpstreamStage(Enum):
@@ -151,6 +153,10 @@
 
     # Views
 
+    @property
+    def is_empty(self) -> bool:
+        return not self._records
+
     def get_stage(self, name: str) -> UpstreamStage | None:
         """Return the stage of an upstream, or ``None`` if it is not known."""
         record = self._records.get(name)
@@ -183,7 +189,10 @@
         self._note_time(now)
         name = announcement.name
         record = self._records.get(name)
+        if self._is_overtaken(announcement):
+            return []
         if record is None:
+            self._make_room()
             if len(self._records) >= MAX_UPSTREAMS:
                 detail = f"{name!r} would be upstream {MAX_UPSTREAMS + 1} of this host"
                 return Refusal(ErrorKind.QUEUE_FULL, detail)
@@ -194,7 +203,56 @@
             record = self._start(announcement, previous=record)
         record.announcement = announcement
         record.expires_at = now + self._settings.lifetime
-        return self._move(record, _EVENTS[announcement.status])
+        changes = self._end_predecessors(announcement)
+        return [*changes, *self._move(record, _EVENTS[announcement.status])]
+
+    def end(self, name: str, now: float) -> list[UpstreamChanged]:
+        """Take the word of an upstream that it leaves; late announcements change
+        nothing."""
+        self._note_time(now)
+        record = self._records.get(name)
+        if record is None:
+            return []
+        record.announcement = replace(record.announcement, sequence=LAST_SEQUENCE)
+        record.expires_at = now + self._settings.lifetime
+        return self._move(record, "leave")
+
+    def lose(self, name: str) -> list[UpstreamChanged]:
+        """Take out an upstream until its next announcement."""
+        record = self._records.get(name)
+        return [] if record is None else self._move(record, "expire")
+
+    def _is_overtaken(self, announcement: Announcement) -> bool:
+        """Tell whether a later start has taken the address."""
+        return any(
+            other.announcement.address == announcement.address
+            and other.announcement.name != announcement.name
+            and other.announcement.incarnation > announcement.incarnation
+            for other in self._records.values()
+        )
+
+    def _end_predecessors(self, announcement: Announcement) -> list[UpstreamChanged]:
+        """End those whose address an upstream has taken over."""
+        changes = []
+        for name, other in self._records.items():
+            known = other.announcement
+            taken_over = (
+                known.address == announcement.address
+                and known.incarnation < announcement.incarnation
+            )
+            if name != announcement.name and taken_over:
+                changes += self._move(other, "leave")
+        return changes
+
+    def _make_room(self) -> None:
+        """Forget the oldest upstream that has ended, if there are many."""
+        if len(self._records) < MAX_UPSTREAMS:
+            return
+        for name, record in self._records.items():
+            if record.stage in (UpstreamStage.GONE, UpstreamStage.LOST):
+                del self._records[name]
+                del self._machines[name]
+                return
 
     def tick(self, now: float) -> list[UpstreamChanged]:
         """Let announcements expire, and forget those long gone."""
--- a/flamingohead/core/validation.py
+++ b/flamingohead/core/validation.py
@@ -6,11 +6,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from flamingohead.core.resources import Pool, Rank, Route
+from flamingohead.core.resources import CLIENT_LIMITS_KEY, Pool, Rank, Route
 from flamingohead.core.routing import get_prefix
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import Resource, ResourceKey, Snapshot
+    from flamingohead.core.resources import (
+        ClientLimits,
+        Resource,
+        ResourceKey,
+        Snapshot,
+    )
 
 MODES = ("observe", "enforce")
 
@@ -58,6 +63,9 @@
     problems = []
     for resource in resources:
         key = resource.key
+        if key == CLIENT_LIMITS_KEY:
+            problems += _check_limits(resource)
+            continue
         if snapshot.get_service(key.service) is None:
             problems.append(
                 Problem(key, "service", f"service {key.service!r} does not exist")
@@ -69,6 +77,14 @@
     return problems
 
 
+def _check_limits(limits: ClientLimits) -> list[Problem]:
+    return [
+        Problem(limits.key, name, f"{name} {value} is not positive")
+        for name, value in vars(limits).items()
+        if value <= 0
+    ]
+
+
 def _check_pools(snapshot: Snapshot, resources: list[Resource]) -> list[Problem]:
     """Check that no two services have a pool of the same name."""
     problems = []
@@ -90,10 +106,12 @@
     ranks = {(r.service, r.name) for r in resources if isinstance(r, Rank)}
     routes = [resource for resource in resources if isinstance(resource, Route)]
     for route in routes:
-        if route.pool not in pools:
-            problems.append(
-                Problem(route.key, "pool", f"pool {route.pool!r} does not exist")
-            )
+        problems += [
+            Problem(route.key, "pool", f"pool {pool!r} does not exist")
+            for pool in route.list_pools()
+            if pool not in pools
+        ]
+        problems += _check_parts(route)
         if (route.service, route.rank) not in ranks:
             problems.append(
                 Problem(route.key, "rank", f"rank {route.rank!r} does not exist")
@@ -115,17 +133,30 @@
     return problems + _check_matches(snapshot, routes)
 
 
+def _check_parts(route: Route) -> list[Problem]:
+    """Check the bounds that only some routes set."""
+    problems = []
+    if route.max_attempts < 1:
+        message = f"{route.max_attempts} attempts allow no request"
+        problems.append(Problem(route.key, "max_attempts", message))
+    weights = [part.weight for part in route.split]
+    if weights and (min(weights) < 0 or not any(weights)):
+        message = f"weights {weights} must not be negative, nor all 0"
+        problems.append(Problem(route.key, "split", message))
+    return problems
+
+
 def _check_matches(snapshot: Snapshot, routes: list[Route]) -> list[Problem]:
     """Check that no other route matches what one of ``routes`` matches."""
     problems = []
-    prefixes = {get_prefix(route.path) for route in routes}
-    matches: dict[tuple[str, str], Route] = {}
+    prefixes = {(route.host, get_prefix(route.path)) for route in routes}
+    matches: dict[tuple[str, str, str], Route] = {}
     for route in snapshot.list_kind("route"):
         prefix = get_prefix(route.path)
-        if prefix not in prefixes:
+        if (route.host, prefix) not in prefixes:
             continue
         for method in route.methods:
-            other = matches.setdefault((prefix, method), route)
+            other = matches.setdefault((route.host, prefix, method), route)
             if other is not route:
                 message = f"{method} {route.path!r} is taken by route {other.name!r}"
                 problems.append(Problem(route.key, "methods", message))
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -35,7 +35,15 @@
 async def run_daemon(settings: DaemonSettings) -> int:
     """Run a daemon until SIGTERM or SIGINT; return the exit code."""
     configure_logging(settings)
-    kernel = build_kernel(settings)
+    return await run_kernel(
+        build_kernel(settings),
+        host=settings.host_id,
+        failure_domain=settings.failure_domain,
+    )
+
+
+async def run_kernel(kernel: Kernel, **identity: str) -> int:
+    """Run the services of a daemon until SIGTERM or SIGINT; return the exit code."""
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -49,14 +57,9 @@
     # milliseconds, in which no call is served.
     gc.collect()
     gc.freeze()
-    log_event(
-        logger,
-        Event.DAEMON_STARTED,
-        host=settings.host_id,
-        failure_domain=settings.failure_domain,
-    )
+    log_event(logger, Event.DAEMON_STARTED, **identity)
     await stopping.wait()
-    log_event(logger, Event.DAEMON_STOPPING, host=settings.host_id)
+    log_event(logger, Event.DAEMON_STOPPING, **identity)
     await kernel.stop()
-    log_event(logger, Event.DAEMON_STOPPED, host=settings.host_id)
+    log_event(logger, Event.DAEMON_STOPPED, **identity)
     return 0
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -32,6 +32,9 @@
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
+    STORE_LOST = EventKind(303, logging.WARNING, "platform store out of reach")
+    STORE_REGAINED = EventKind(304, logging.INFO, "platform store reached again")
+    BEAT_MALFORMED = EventKind(305, logging.WARNING, "announcement not understood")
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     DOMAIN_JOINED = EventKind(410, logging.INFO, "joined the failure domain")
@@ -43,6 +46,8 @@
     OUTCOMES_HANDED_OVER = EventKind(571, logging.INFO, "outcomes of keys handed over")
     OUTCOME_MALFORMED = EventKind(572, logging.WARNING, "outcome not understood")
     REQUEST_CUT_BY_STOP = EventKind(510, logging.WARNING, "request cut by the stop")
+    ATTEMPT_REPEATED = EventKind(520, logging.INFO, "request sent again")
+    REQUEST_REFUSED = EventKind(521, logging.INFO, "request refused")
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream taken back")
 
--- a/flamingohead/logs.py
+++ b/flamingohead/logs.py
@@ -4,6 +4,8 @@
 
 import json
 import logging
+import os
+import sys
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -15,6 +17,11 @@
 
 REPEAT_PERIOD = 10.0
 REPEATS_SHOWN = 5
+# Lines of one kind in a period on standard output: enough to follow single requests,
+# and about 10 KB a second at most for the few kinds that a flood brings.
+OUTPUT_PERIOD = 1.0
+OUTPUT_LINES = 20
+MAX_KEPT_BYTES = 256 * 1024
 MAX_KINDS = 1024
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -95,6 +102,56 @@
         return repeats
 
 
+class OutputHandler(logging.Handler):
+    """Write lines to a file descriptor without ever waiting for its reader.
+
+    Lines are kept while the reader is slow, up to ``MAX_KEPT_BYTES``; those that did
+    not fit are counted, and the count is written once there is room.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._kept = bytearray()
+        self._omitted = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        try:
+            line = self.format(record).encode(errors="backslashreplace") + b"\n"
+        except Exception:
+            self.handleError(record)
+            return
+        if self._kept:
+            self._write_kept()
+        if len(self._kept) + len(line) > MAX_KEPT_BYTES:
+            self._omitted += 1
+            return
+        if self._omitted:
+            self._kept += b'{"omitted_lines": %d}\n' % self._omitted
+            self._omitted = 0
+        self._kept += line
+        self._write_kept()
+
+    def _write_kept(self) -> None:
+        try:
+            written = os.write(self._descriptor, self._kept)
+        except BlockingIOError:
+            return
+        except OSError:
+            # The reader has gone for good; there is nobody to tell.
+            written = len(self._kept)
+        del self._kept[:written]
+
+
+def configure_output(level: str = "INFO") -> None:
+    """Send log records to standard output, one JSON object a line."""
+    handler = OutputHandler(sys.stdout.fileno())
+    handler.setFormatter(JsonFormatter())
+    handler.addFilter(RepeatFilter(period=OUTPUT_PERIOD, shown=OUTPUT_LINES))
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+
+
 def configure_logging(settings: DaemonSettings) -> None:
     """Send log records to standard error in the format of the settings."""
     handler = logging.StreamHandler()
--- /dev/null
+++ b/flamingohead/platform/assembly.py
@@ -0,0 +1,125 @@
+"""The services of a daemon on the platform's hosts.
+
+Import this module only after the reactor has been installed.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from flamingohead.core.bootstrap import Bootstrap, BootstrapSettings
+from flamingohead.core.dissemination import Dissemination, DisseminationSettings
+from flamingohead.core.members import Member
+from flamingohead.core.membership import Membership
+from flamingohead.core.placement import Placement
+from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
+from flamingohead.core.upstreams import UpstreamSettings
+from flamingohead.core.versions import Replica
+from flamingohead.platform.dialect import PLATFORM_DIALECT
+from flamingohead.platform.endpoints import InstanceEndpoint, ReadyEndpoint
+from flamingohead.platform.feed import ConfigurationFeed
+from flamingohead.platform.store import StoreClient
+from flamingohead.platform.tables import StoreObjects, StoreTable
+from flamingohead.services.bootstrap import BootstrapService
+from flamingohead.services.calls import CallService
+from flamingohead.services.configuration import ConfigurationService
+from flamingohead.services.gossip import GossipService
+from flamingohead.services.group_attempts import GroupAttemptService
+from flamingohead.services.http_client import HttpClientService
+from flamingohead.services.metrics import MetricsService
+from flamingohead.services.peers import PeersService
+from flamingohead.services.slots import SlotService
+from flamingohead.services.summaries import SummaryService
+from flamingohead.services.upstreams import UpstreamService
+
+if TYPE_CHECKING:
+    from flamingohead.kernel import Kernel
+    from flamingohead.platform.boot import HostSettings
+
+# Announcements may be seconds late while the upstream is sound.
+BEATS_MISSED = 5
+# The platform stops sending new callers after two missed questions, a second apart.
+SETTLE_SECONDS = 2.5
+# The rest of the time given for a stop is left to the end of the process.
+STOP_MARGIN_SECONDS = 0.5
+# A daemon that restarts must find its peers within a second or two.
+BOOTSTRAP = BootstrapSettings(
+    spread=0.2, first_wait=0.3, longest_wait=2.0, first_row_spread=5.0
+)
+DISSEMINATION = DisseminationSettings(polls_table=False, pull_delay=0.6)
+
+
+def add_services(kernel: Kernel, settings: HostSettings) -> None:
+    """Add every service of a daemon."""
+    generator = random.Random()
+    kernel.add("metrics", MetricsService())
+    kernel.add("http_client", HttpClientService())
+    kernel.add("store", StoreClient(kernel, settings.store_address))
+    kernel.add("table", StoreTable(kernel))
+    kernel.add("objects", StoreObjects(kernel))
+    _add_mesh(kernel, settings, generator)
+    _add_requests(kernel, settings, generator)
+    kernel.add("bootstrap", _create_bootstrap(kernel, settings, generator))
+    kernel.add("feed", ConfigurationFeed(kernel))
+    kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
+
+
+def _add_mesh(kernel: Kernel, settings: HostSettings, generator: random.Random) -> None:
+    myself = Member(
+        host_id=settings.host_id,
+        failure_domain=settings.failure_domain,
+        peer_address=settings.peer_address,
+        relay_address=settings.relay_address,
+        incarnation=int(time.time() * 1000),
+        group=settings.group,
+    )
+    membership = Membership(myself, random=generator)
+    kernel.add("gossip", GossipService(kernel, membership, settings.peer_address))
+    kernel.add("summaries", SummaryService(kernel, settings.group, random=generator))
+    kernel.add("peers", PeersService(kernel, settings.peer_address))
+
+
+def _add_requests(
+    kernel: Kernel, settings: HostSettings, generator: random.Random
+) -> None:
+    dissemination = Dissemination(Replica(), random=generator, settings=DISSEMINATION)
+    placement = Placement(settings.failure_domain, random=generator)
+    budget = SharedRetryBudget(
+        SharedBudgetSettings(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window
+        )
+    )
+    kernel.add("slots", SlotService(kernel, PLATFORM_DIALECT))
+    kernel.add("configuration", ConfigurationService(kernel, dissemination))
+    kernel.add("attempts", GroupAttemptService(kernel, placement, budget))
+    kernel.add(
+        "calls",
+        CallService(
+            kernel,
+            ingress_address=settings.ingress_address,
+            relay_address=settings.relay_address,
+            stop_timeout=settings.stop_timeout - STOP_MARGIN_SECONDS,
+            settle_seconds=SETTLE_SECONDS,
+            dialect=PLATFORM_DIALECT,
+            own_service=settings.service,
+        ),
+    )
+    lifetime = BEATS_MISSED * settings.announcement_period
+    upstreams = UpstreamService(kernel, UpstreamSettings(lifetime=lifetime))
+    kernel.add("upstreams", upstreams)
+    kernel.add("announcements", InstanceEndpoint(kernel, settings.announce_address))
+
+
+def _create_bootstrap(
+    kernel: Kernel, settings: HostSettings, generator: random.Random
+) -> BootstrapService:
+    bootstrap = Bootstrap(
+        settings.host_id,
+        settings.peer_address,
+        (),
+        random=generator,
+        settings=BOOTSTRAP,
+    )
+    return BootstrapService(kernel, bootstrap)
--- /dev/null
+++ b/flamingohead/platform/boot.py
@@ -0,0 +1,147 @@
+"""The settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import yaml
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
+
+from flamingohead.platform.durations import Milliseconds
+from flamingohead.settings import check_address
+
+SETTINGS_VARIABLE = "FLAMINGOHEAD_SETTINGS"
+DEFAULT_SETTINGS_PATH = "/etc/flamingohead/boot.yaml"
+
+Address = Annotated[str, AfterValidator(check_address)]
+
+
+class BootError(ValueError):
+    """Report a settings file that can't be used; the message names each problem."""
+
+
+class _Message(BaseModel):
+    model_config = ConfigDict(
+        extra="ignore", alias_generator=lambda name: name.replace("_", "-")
+    )
+
+
+class _Listen(_Message):
+    outbound: Address
+    inbound: Address
+    ready: Address
+    control: Address
+
+
+class _Limits(_Message):
+    memory_mb: float = 0.0
+
+
+class _Bounds(_Message):
+    drain: Milliseconds = 2000.0
+    grace: Milliseconds = 6000.0
+    retry_budget_ratio: float = Field(0.2, ge=0)
+    budget_window: Milliseconds = 10_000.0
+    budget_slack: float = Field(0.0, ge=0)
+
+
+class _Store(_Message):
+    address: Address
+
+
+class _Boot(_Message):
+    node: str = Field(min_length=1)
+    ip: str
+    zone: str = Field(min_length=1)
+    region: str = ""
+    listen: _Listen
+    internal_ports: tuple[int, int]
+    limits: _Limits = _Limits()
+    heartbeat: Milliseconds = 1500.0
+    bounds: _Bounds = _Bounds()
+    app_addr: Address
+    service: str = Field(min_length=1)
+    platform: _Store
+
+
+@dataclass(frozen=True)
+class HostSettings:
+    """Hold what the platform tells a daemon about its host; times in seconds.
+
+    ``group`` names the daemons that know each other singly. The upstream of this host
+    serves ``service`` at ``upstream_address``; its announcements arrive at
+    ``announce_address`` about every ``announcement_period``.
+    """
+
+    host_id: str
+    failure_domain: str
+    group: str
+    ingress_address: str
+    relay_address: str
+    ready_address: str
+    announce_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    upstream_address: str
+    service: str
+    announcement_period: float
+    drain_timeout: float
+    stop_timeout: float
+    retry_ratio: float
+    retry_window: float
+    retry_slack: float
+
+
+def parse_settings(text: str) -> HostSettings:
+    """Return the settings in a file's text; raise ``BootError``."""
+    try:
+        boot = _Boot.model_validate(yaml.safe_load(text))
+    except yaml.YAMLError as error:
+        raise BootError(f"not YAML: {error}") from error
+    except ValidationError as error:
+        raise BootError("; ".join(_describe(p) for p in error.errors())) from error
+    return _decode(boot)
+
+
+def read_settings(path: str) -> HostSettings:
+    """Read the settings file; raise ``BootError`` or ``OSError``."""
+    return parse_settings(Path(path).read_text())
+
+
+def _describe(problem) -> str:
+    name = ".".join(str(part) for part in problem["loc"]) or "file"
+    message = problem["msg"].removeprefix("Value error, ")
+    return f"{name}: found {problem['input']!r}: {message}"
+
+
+def _decode(boot: _Boot) -> HostSettings:
+    first_port, last_port = boot.internal_ports
+    return HostSettings(
+        host_id=boot.node,
+        failure_domain=boot.zone,
+        group=boot.region or boot.zone,
+        ingress_address=boot.listen.outbound,
+        relay_address=boot.listen.inbound,
+        ready_address=boot.listen.ready,
+        announce_address=boot.listen.control,
+        peer_address=f"{boot.ip}:{first_port}",
+        metrics_address=f"{boot.ip}:{last_port}",
+        store_address=boot.platform.address,
+        upstream_address=boot.app_addr,
+        service=boot.service,
+        announcement_period=boot.heartbeat / 1000,
+        drain_timeout=boot.bounds.drain / 1000,
+        stop_timeout=boot.bounds.grace / 1000,
+        retry_ratio=boot.bounds.retry_budget_ratio,
+        retry_window=boot.bounds.budget_window / 1000,
+        retry_slack=boot.bounds.budget_slack,
+    )
--- /dev/null
+++ b/flamingohead/platform/dialect.py
@@ -0,0 +1,35 @@
+"""The platform's headers on requests and answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingohead.services.dialects import Dialect
+
+if TYPE_CHECKING:
+    from flamingohead.services.http_messages import Headers
+
+NOT_EXECUTED_HEADER = b"not-executed"
+INSTANCE_HEADER = b"instance-id"
+LOAD_HEADER = b"instance-load"
+# The upstream at the address is not the one expected.
+MISDIRECTED = 421
+
+
+def states_not_executed(status: int, headers: Headers) -> bool:
+    """Tell whether an upstream states that it did not execute a request."""
+    if status == MISDIRECTED:
+        return True
+    return any(name == NOT_EXECUTED_HEADER for name, _ in headers)
+
+
+PLATFORM_DIALECT = Dialect(
+    deadline=b"request-deadline",
+    upstream=b"expect-instance",
+    caller_service=b"caller-service",
+    states_not_executed=states_not_executed,
+    keeps_host=True,
+    reads_keys=False,
+    sends_fractional_retry_after=True,
+    allows_unframed_answers=True,
+)
--- /dev/null
+++ b/flamingohead/platform/endpoints.py
@@ -0,0 +1,132 @@
+"""The addresses at which the platform calls a daemon: readiness and announcements."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import TYPE_CHECKING, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from flamingohead.core.members import UpstreamStatus
+from flamingohead.core.upstreams import Announcement
+from flamingohead.events import Event, log_event
+from flamingohead.platform.durations import Milliseconds
+from flamingohead.services.http_server import HttpServerFactory
+from flamingohead.services.transport import listen
+from flamingohead.settings import split_address
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from flamingohead.kernel import Kernel
+    from flamingohead.services.http_messages import IncomingRequest
+    from flamingohead.services.http_response import ServerResponse
+
+logger = logging.getLogger(__name__)
+
+READY_PATH = b"/v1/ready"
+INSTANCES_PATH = b"/v1/instances/"
+JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+class _Beat(BaseModel):
+    model_config = ConfigDict(
+        extra="ignore",
+        strict=True,
+        alias_generator=lambda name: name.replace("_", "-"),
+    )
+
+    service: str = Field(min_length=1)
+    address: str
+    slots: int = Field(ge=1)
+    state: Literal["ready", "draining"]
+    # How much longer the upstream stays slow after its start.
+    cold_remaining: Milliseconds = 0.0
+    # Grows with each message of one start.
+    seq: int = Field(ge=0)
+    # Unix milliseconds of the start.
+    born: int = Field(0, ge=0)
+
+
+def decode_beat(name: str, data: bytes) -> Announcement:
+    """Return the announcement in a heartbeat; raise ``ValidationError``."""
+    beat = _Beat.model_validate_json(data)
+    return Announcement(
+        name,
+        beat.service,
+        beat.address,
+        beat.slots,
+        UpstreamStatus[beat.state.upper()],
+        beat.born,
+        beat.seq,
+    )
+
+
+class _Endpoint:
+    """Serve one address of the daemon."""
+
+    def __init__(self, kernel: Kernel, address: str) -> None:
+        self._kernel = kernel
+        self._address = address
+        self._server: asyncio.Server | None = None
+        self._factory: HttpServerFactory | None = None
+
+    async def start(self) -> None:
+        count = self._kernel.get("metrics").count_refusal
+        self._factory = HttpServerFactory(self._handle, count)
+        host, port = split_address(self._address)
+        self._server = await listen(self._factory, host, port)
+
+    async def stop(self) -> None:
+        self._server.close()
+        self._factory.doStop()
+
+    def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
+        raise NotImplementedError
+
+
+class ReadyEndpoint(_Endpoint):
+    """Tell the platform whether callers may be sent to this daemon."""
+
+    def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
+        if request.target != READY_PATH:
+            response.send(404, [], b"")
+            return
+        is_stopping = self._kernel.get("calls").is_stopping
+        is_ready = self._kernel.get("configuration").is_ready and not is_stopping
+        response.send(200 if is_ready else 503, [], b"")
+
+
+class InstanceEndpoint(_Endpoint):
+    """Take the heartbeats and the leave of the upstream on this host."""
+
+    def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
+        if not request.target.startswith(INSTANCES_PATH):
+            response.send(404, [], b"")
+            return
+        name = request.target.removeprefix(INSTANCES_PATH).decode("latin-1")
+        if request.method == "PUT":
+            self._take_beat(name, request, response)
+        elif request.method == "DELETE":
+            self._kernel.get("upstreams").end(name)
+            response.send(200, JSON_HEADERS, b"{}")
+        else:
+            response.send(405, [], b"")
+
+    def _take_beat(
+        self, name: str, request: IncomingRequest, response: ServerResponse
+    ) -> None:
+        try:
+            announcement = decode_beat(name, request.body)
+        except (ValidationError, ValueError) as error:
+            self._kernel.get("metrics").count("beat.malformed")
+            log_event(logger, Event.BEAT_MALFORMED, upstream=name, error=error)
+            response.send(400, JSON_HEADERS, b'{"error":"not a heartbeat"}')
+            return
+        refusal = self._kernel.get("upstreams").announce(announcement)
+        if refusal is not None:
+            body = json.dumps({"error": refusal.detail}).encode()
+            response.send(refusal.answer.status, JSON_HEADERS, body)
+            return
+        response.send(200, JSON_HEADERS, b"{}")
--- /dev/null
+++ b/flamingohead/platform/feed.py
@@ -0,0 +1,90 @@
+"""The configuration row of the platform's store, followed as it changes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from flamingohead.core.errors import Refusal
+from flamingohead.platform.documents import decode_document
+from flamingohead.platform.store import HistoryDropped, StoredRow
+
+if TYPE_CHECKING:
+    from flamingohead.kernel import Kernel
+
+logger = logging.getLogger(__name__)
+
+TABLE = "op"
+CONFIGURATION_KEY = "config"
+# A connection that has gone silent is noticed after this time and the client's slack.
+FEED_WAIT_SECONDS = 10.0
+FIRST_RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 1.0
+
+
+class ConfigurationFeed:
+    """Hand each configuration that operators write to the configuration service."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._task: asyncio.Task | None = None
+        self._retry_wait = FIRST_RETRY_SECONDS
+
+    async def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            version = await self._read()
+            while version is not None:
+                version = await self._follow(version)
+            await self._wait()
+
+    async def _read(self) -> int | None:
+        """Read the row; return the store's version, or ``None`` if that failed."""
+        page = await self._kernel.get("store").read_rows(
+            TABLE, "", first_key=CONFIGURATION_KEY, limit=1
+        )
+        if isinstance(page, Refusal):
+            self._kernel.get("configuration").finish_source_read(succeeded=False)
+            return None
+        self._take_rows(page.rows)
+        return page.version
+
+    async def _follow(self, version: int) -> int | None:
+        page = await self._kernel.get("store").follow_rows(
+            TABLE, version, wait=FEED_WAIT_SECONDS
+        )
+        if isinstance(page, HistoryDropped):
+            return await self._read()
+        if isinstance(page, Refusal):
+            self._kernel.get("configuration").finish_source_read(succeeded=False)
+            return None
+        self._take_rows(page.rows)
+        return page.version
+
+    def _take_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take the newest configuration among the rows."""
+        self._retry_wait = FIRST_RETRY_SECONDS
+        configuration = self._kernel.get("configuration")
+        values = [r for r in rows if r.key == CONFIGURATION_KEY and r.value is not None]
+        if values:
+            row = values[-1]
+            snapshot = decode_document(row.value)
+            if isinstance(snapshot, Refusal):
+                configuration.reject_document(
+                    configuration.replica.version + 1, snapshot
+                )
+            else:
+                configuration.receive_document(snapshot)
+        if values or configuration.replica.version:
+            configuration.finish_source_read(succeeded=True)
+
+    async def _wait(self) -> None:
+        await asyncio.sleep(random.uniform(0.5, 1.0) * self._retry_wait)
+        self._retry_wait = min(2 * self._retry_wait, LONGEST_RETRY_SECONDS)
--- /dev/null
+++ b/flamingohead/platform/store.py
@@ -0,0 +1,273 @@
+"""Client of the platform's store: rows under conditions, a feed of changes, objects."""
+
+from __future__ import annotations
+
+import base64
+import json
+import logging
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import quote, urlencode
+
+from pydantic import Base64Bytes, BaseModel, ConfigDict, Field, ValidationError
+
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.events import Event, log_event
+from flamingohead.services.http_messages import OutgoingRequest
+
+if TYPE_CHECKING:
+    from flamingohead.kernel import Kernel
+    from flamingohead.services.http_messages import Headers
+
+logger = logging.getLogger(__name__)
+
+# An ordinary answer takes some milliseconds; a slow store takes 50 times as long.
+REQUEST_TIMEOUT_SECONDS = 2.0
+# What an answer of the feed may take beyond the time that the request asked to wait.
+FEED_SLACK_SECONDS = 1.0
+# The store answers with at most so many rows at once.
+MAX_ROWS = 500
+
+OK = 200
+CONFLICT = 412
+HISTORY_DROPPED = 410
+NOT_FOUND = 404
+# Statuses by which the store states that nothing was done.
+NOT_DONE = (429, 503)
+
+
+@dataclass(frozen=True)
+class RowKey:
+    """Locate a row; all rows of a transaction share ``part``."""
+
+    table: str
+    part: str
+    key: str
+
+
+@dataclass(frozen=True)
+class StoredRow:
+    """Hold a row as it was at ``version``; a dropped row has no value."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(frozen=True)
+class RowPage:
+    """Hold rows in order, and the store's newest version when they were read."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    is_complete: bool = True
+
+
+@dataclass(frozen=True)
+class HistoryDropped:
+    """State that the store no longer has the changes asked for."""
+
+
+class _WireRow(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    key: str
+    value: Base64Bytes | None = None
+    ver: int = 0
+    # Whether the row was dropped.
+    deleted: bool = False
+
+
+class _WirePage(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    rows: list[_WireRow] = []
+    # The store's newest version, not that of a row.
+    ver: int
+    # More rows follow those given.
+    truncated: bool = False
+
+
+class _WireCommit(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    ver: int = Field(ge=0)
+
+
+class _BodySink:
+    """Collect an answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        self.status = status
+
+    def write(self, data: bytes) -> None:
+        self.body += data
+
+    def finish(self) -> None:
+        pass
+
+
+class StoreClient:
+    """Make calls to the store; each returns its result or a refusal.
+
+    A refusal of a write states by ``ran`` whether it may have been, or still be, done.
+    """
+
+    def __init__(self, kernel: Kernel, address: str) -> None:
+        self._kernel = kernel
+        self._address = address
+        self._is_reached = True
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    async def read_rows(
+        self,
+        table: str,
+        part: str,
+        *,
+        first_key: str = "",
+        limit: int = MAX_ROWS,
+    ) -> RowPage | Refusal:
+        """Read rows with keys from ``first_key`` on, as of a single moment."""
+        query = {"table": table, "part": part, "limit": limit}
+        if first_key:
+            query["from"] = first_key
+        sink = await self._call("GET", f"/v1/rows-get?{urlencode(query)}")
+        if isinstance(sink, Refusal):
+            return sink
+        return self._read_page(sink)
+
+    async def follow_rows(
+        self, table: str, after: int, *, wait: float
+    ) -> RowPage | HistoryDropped | Refusal:
+        """Wait up to ``wait`` seconds for rows that changed after a version."""
+        query = {"table": table, "after": after, "wait-ms": round(wait * 1000)}
+        sink = await self._call(
+            "GET",
+            f"/v1/rows-feed?{urlencode(query)}",
+            timeout=wait + FEED_SLACK_SECONDS,
+        )
+        if isinstance(sink, Refusal):
+            return sink
+        if sink.status == HISTORY_DROPPED:
+            return HistoryDropped()
+        return self._read_page(sink)
+
+    async def commit(
+        self,
+        *,
+        expected: dict[RowKey, int] | None = None,
+        values: dict[RowKey, bytes] | None = None,
+        removed: tuple[RowKey, ...] = (),
+    ) -> int | None | Refusal:
+        """Apply changes together if rows have the expected versions, 0 for absent.
+
+        Returns the new version, or ``None`` if a row has another version.
+        """
+        body = {
+            "precondition": [
+                {**vars(key), "ver": version}
+                for key, version in (expected or {}).items()
+            ],
+            "set-keys": [
+                {**vars(key), "value": base64.b64encode(value).decode()}
+                for key, value in (values or {}).items()
+            ],
+            "delete-keys": [vars(key) for key in removed],
+        }
+        sink = await self._call("POST", "/v1/rows-tx", json.dumps(body).encode())
+        if isinstance(sink, Refusal):
+            return sink
+        if sink.status == CONFLICT:
+            return None
+        if sink.status != OK:
+            return self._refuse(f"transaction answered with {sink.status}")
+        try:
+            return _WireCommit.model_validate_json(sink.body).ver
+        except ValidationError as error:
+            return self._refuse(f"transaction not understood: {error}")
+
+    async def read_object(self, name: str) -> bytes | None | Refusal:
+        """Return an object, or ``None`` if there is none of that name."""
+        sink = await self._call("GET", f"/v1/blob-get/{quote(name, safe='')}")
+        if isinstance(sink, Refusal):
+            return sink
+        if sink.status == NOT_FOUND:
+            return None
+        if sink.status != OK:
+            return self._refuse(f"object answered with {sink.status}")
+        return sink.body
+
+    async def write_object(self, name: str, value: bytes) -> bool | Refusal:
+        """Write an object."""
+        path = f"/v1/blob-put/{quote(name, safe='')}"
+        sink = await self._call("PUT", path, value)
+        if isinstance(sink, Refusal):
+            return sink
+        if sink.status != OK:
+            return self._refuse(f"object answered with {sink.status}")
+        return True
+
+    # Calls
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        timeout: float = REQUEST_TIMEOUT_SECONDS,
+    ) -> _BodySink | Refusal:
+        """Make a call; a refusal by the store or the network is a ``Refusal``."""
+        call = path.partition("?")[0].split("/")[2]
+        self._kernel.get("metrics").count(f"store.{call}")
+        headers = ((b"content-type", b"application/json"),) if body else ()
+        deadline = time.monotonic() + timeout
+        sink = _BodySink()
+        request = OutgoingRequest(method, path.encode(), headers, body, deadline)
+        refusal = await self._kernel.get("http_client").send(
+            self._address, request, sink
+        )
+        if refusal is not None:
+            not_sent = refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE
+            return self._refuse(refusal.detail, done=not not_sent, call=call)
+        if sink.status in NOT_DONE:
+            detail = f"{call} refused with {sink.status}"
+            return self._refuse(detail, done=False, call=call)
+        self._note_reached(call)
+        return sink
+
+    def _read_page(self, sink: _BodySink) -> RowPage | Refusal:
+        if sink.status != OK:
+            return self._refuse(f"rows answered with {sink.status}")
+        try:
+            page = _WirePage.model_validate_json(sink.body)
+        except ValidationError as error:
+            return self._refuse(f"rows not understood: {error}")
+        rows = tuple(
+            StoredRow(row.key, None if row.deleted else row.value or b"", row.ver)
+            for row in page.rows
+        )
+        return RowPage(rows, page.ver, not page.truncated)
+
+    def _note_reached(self, call: str) -> None:
+        if not self._is_reached:
+            self._is_reached = True
+            log_event(logger, Event.STORE_REGAINED, call=call)
+
+    def _refuse(self, detail: str, *, done: bool = True, call: str = "") -> Refusal:
+        self._kernel.get("metrics").count("store.failed")
+        if self._is_reached:
+            self._is_reached = False
+            log_event(logger, Event.STORE_LOST, call=call, reason=detail)
+        ran = Ran.UNKNOWN if done else Ran.NO
+        return Refusal(ErrorKind.PLATFORM_UNAVAILABLE, detail, ran_override=ran)
--- /dev/null
+++ b/flamingohead/platform/tables.py
@@ -0,0 +1,112 @@
+"""The project's table and object store, kept in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from flamingohead.core.errors import Refusal
+from flamingohead.core.storage import Row
+from flamingohead.platform.store import MAX_ROWS, RowKey, StoredRow
+
+if TYPE_CHECKING:
+    from flamingohead.kernel import Kernel
+
+TABLE = "flamingohead"
+
+
+def _locate(key: str) -> RowKey:
+    """Return the place of a key; the keys of one prefix share a part."""
+    return RowKey(TABLE, key.partition("/")[0], key)
+
+
+class StoreTable:
+    """Read and write rows by key, with the version of a row as its tag."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    async def read(self, key: str) -> Row | None | Refusal:
+        """Return a row, or ``None`` if it does not exist."""
+        rows = await self._read(key, 1)
+        if isinstance(rows, Refusal):
+            return rows
+        return next((_decode(row) for row in rows if row.key == key), None)
+
+    async def insert(self, key: str, value: bytes) -> bool | Refusal:
+        """Write a row unless it exists; return whether it was written."""
+        return await self._write(key, value, 0)
+
+    async def update(self, key: str, value: bytes, tag: str) -> bool | Refusal:
+        """Replace a row whose tag is ``tag``; return whether it was written."""
+        return await self._write(key, value, int(tag))
+
+    async def delete(self, key: str, tag: str | None = None) -> bool | Refusal:
+        """Delete a row; return whether there was one to delete."""
+        place = _locate(key)
+        expected = {} if tag is None else {place: int(tag)}
+        result = await self._kernel.get("store").commit(
+            expected=expected, removed=(place,)
+        )
+        return result if isinstance(result, Refusal) else result is not None
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 100
+    ) -> list[Row] | Refusal:
+        """Return rows of a prefix with keys after ``after``."""
+        found: list[Row] = []
+        first = max(prefix, after + "\0") if after else prefix
+        while len(found) < limit:
+            page = await self._read(first, min(limit, MAX_ROWS))
+            if isinstance(page, Refusal):
+                return page
+            matching = [_decode(row) for row in page if row.key.startswith(prefix)]
+            found += matching
+            if len(page) < min(limit, MAX_ROWS) or len(matching) < len(page):
+                break
+            first = page[-1].key + "\0"
+        return found[:limit]
+
+    async def _read(self, first_key: str, limit: int) -> list[StoredRow] | Refusal:
+        place = _locate(first_key)
+        page = await self._kernel.get("store").read_rows(
+            place.table, place.part, first_key=first_key, limit=limit
+        )
+        return page if isinstance(page, Refusal) else list(page.rows)
+
+    async def _write(self, key: str, value: bytes, version: int) -> bool | Refusal:
+        place = _locate(key)
+        result = await self._kernel.get("store").commit(
+            expected={place: version}, values={place: value}
+        )
+        return result if isinstance(result, Refusal) else result is not None
+
+
+class StoreObjects:
+    """Read and write immutable objects."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    async def read(self, key: str) -> bytes | None | Refusal:
+        """Return an object, or ``None`` if it does not exist."""
+        return await self._kernel.get("store").read_object(key)
+
+    async def write(self, key: str, value: bytes) -> bool | Refusal:
+        """Write an object."""
+        return await self._kernel.get("store").write_object(key, value)
+
+
+def _decode(row: StoredRow) -> Row:
+    return Row(row.key, row.value or b"", str(row.version))
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -26,6 +26,8 @@
     PingRequest,
 )
 from flamingohead.core.resources import (
+    DEFAULT_MAX_ATTEMPTS,
+    ClientLimits,
     Pool,
     Rank,
     Resource,
@@ -33,6 +35,7 @@
     Route,
     Service,
     Snapshot,
+    WeightedPool,
 )
 from flamingohead.core.summaries import SummaryReply, SummaryRequest
 from flamingohead.core.versions import VersionRecord
@@ -42,7 +45,7 @@
     encode_summary_reply,
 )
 
-RESOURCE_KINDS = ("service", "pool", "rank", "route")
+RESOURCE_KINDS = ("service", "pool", "rank", "route", "client_limits")
 
 
 class CodecError(ValueError):
@@ -60,6 +63,8 @@
         return pb.Resource(pool=pb.Pool(name=resource.name, service=resource.service))
     if isinstance(resource, Rank):
         return pb.Resource(rank=_encode_rank(resource))
+    if isinstance(resource, ClientLimits):
+        return pb.Resource(client_limits=pb.ClientLimits(**vars(resource)))
     return pb.Resource(route=_encode_route(resource))
 
 
@@ -84,6 +89,10 @@
         rank=route.rank,
         timeout_ms=route.timeout_ms,
         idempotent=route.idempotent,
+        host=route.host,
+        split=[pb.WeightedPool(pool=p.pool, weight=p.weight) for p in route.split],
+        bulky=route.bulky,
+        max_attempts=route.max_attempts,
     )
 
 
@@ -97,6 +106,14 @@
         return _decode_rank(message.rank)
     if kind == "route":
         return _decode_route(message.route)
+    if kind == "client_limits":
+        limits = message.client_limits
+        return ClientLimits(
+            limits.head_bytes,
+            limits.body_bytes,
+            limits.head_timeout_ms,
+            limits.idle_timeout_ms,
+        )
     raise CodecError("resource of no known kind")
 
 
@@ -121,6 +138,10 @@
         rank=route.rank,
         timeout_ms=route.timeout_ms,
         idempotent=route.idempotent,
+        host=route.host,
+        split=tuple(WeightedPool(part.pool, part.weight) for part in route.split),
+        bulky=route.bulky,
+        max_attempts=route.max_attempts or DEFAULT_MAX_ATTEMPTS,
     )
 
 
@@ -245,6 +266,7 @@
         status=int(member.status),
         upstreams=upstreams,
         accuser=member.accuser,
+        group=member.group,
     )
 
 
@@ -260,6 +282,7 @@
         status=_decode_enum(MemberStatus, message.status),
         upstreams=tuple(_decode_upstream(u) for u in message.upstreams),
         accuser=message.accuser,
+        group=message.group,
     )
 
 
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -6,6 +6,7 @@
 import logging
 import secrets
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.calls import Call
@@ -13,15 +14,19 @@
 from flamingohead.core.idempotency import UNMARKED, qualify_refusal
 from flamingohead.core.memory import ByteBudget
 from flamingohead.core.scopes import is_scoped_key
-from flamingohead.core.stopping import PlannedStop, StopEffect
+from flamingohead.core.splits import SplitTurns
+from flamingohead.core.stopping import SETTLE_SECONDS, PlannedStop, StopEffect
 from flamingohead.events import Event, log_event
-from flamingohead.services.http_server import HttpServerFactory
+from flamingohead.services.dialects import PRODUCT_DIALECT
+from flamingohead.services.http_parser import ReadLimits
+from flamingohead.services.http_server import HttpServerFactory, ServerLimits
 from flamingohead.services.relay import (
     KEY_HEADER,
     RELAY_HOME,
+    RELAY_LOAD,
     RELAY_PREFIX,
     RELAY_UPSTREAM,
-    TIMEOUT_HEADER,
+    encode_load,
     read_attempt,
     read_caller,
     read_relayed_call,
@@ -31,9 +36,11 @@
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
+    from flamingohead.core.resources import ClientLimits
     from flamingohead.core.routing import ResolvedRoute
     from flamingohead.kernel import Kernel
-    from flamingohead.services.http_messages import IncomingRequest
+    from flamingohead.services.dialects import Dialect
+    from flamingohead.services.http_messages import Headers, IncomingRequest
     from flamingohead.services.http_response import ServerResponse
 
 logger = logging.getLogger(__name__)
@@ -52,10 +59,18 @@
         ingress_address: str,
         relay_address: str,
         stop_timeout: float,
+        settle_seconds: float = SETTLE_SECONDS,
+        dialect: Dialect = PRODUCT_DIALECT,
+        own_service: str = "",
     ) -> None:
+        self._dialect = dialect
+        self.own_service = own_service
+        self._settle_seconds = settle_seconds
         self._kernel = kernel
         self._addresses = (ingress_address, relay_address)
         self._stop_timeout = stop_timeout
+        self._splits = SplitTurns()
+        self.is_stopping = False
         self._factories: list[HttpServerFactory] = []
         self._ports = []
         self._tasks: dict[asyncio.Task, IncomingRequest] = {}
@@ -73,13 +88,22 @@
         budget = ByteBudget()
         for address, handler in zip(self._addresses, handlers, strict=True):
             host, port = split_address(address)
-            factory = HttpServerFactory(handler, count, budget)
+            factory = HttpServerFactory(
+                handler,
+                count,
+                budget,
+                sends_fractional_retry_after=self._dialect.sends_fractional_retry_after,
+            )
             self._factories.append(factory)
             self._ports.append(await listen(factory, host, port))
 
     async def stop(self) -> None:
         """Leave the mesh, finish the calls in progress, cut what is left."""
-        stop = PlannedStop(time.monotonic(), timeout=self._stop_timeout)
+        stop = PlannedStop(
+            time.monotonic(),
+            timeout=self._stop_timeout,
+            settle_seconds=self._settle_seconds,
+        )
         await self._run_effects(stop.begin())
         while not stop.has_ended:
             connections = sum(len(factory.connections) for factory in self._factories)
@@ -88,11 +112,23 @@
         for factory in self._factories:
             factory.doStop()
 
+    def set_client_limits(self, limits: ClientLimits) -> None:
+        """Take the limits on callers of a new configuration."""
+        read = ReadLimits(limits.head_bytes, limits.body_bytes)
+        head_timeout = limits.head_timeout_ms / 1000
+        self._factories[0].limits = ServerLimits(
+            read=read,
+            head_timeout=head_timeout,
+            body_timeout=max(head_timeout, ServerLimits.body_timeout),
+            idle_timeout=limits.idle_timeout_ms / 1000,
+        )
+
     async def _run_effects(self, effects: list[StopEffect]) -> None:
         for effect in effects:
             await self._stop_steps[effect]()
 
     async def _leave_mesh(self) -> None:
+        self.is_stopping = True
         self._kernel.get("gossip").leave()
 
     async def _close_after_answers(self) -> None:
@@ -136,11 +172,19 @@
             refusal = self._kernel.get("scopes").send_scope(response)
             self._conclude(response, refusal)
             return
-        resolved = routes.match(request.method, request.target.decode("latin-1"))
+        target = request.target.decode("latin-1")
+        resolved = routes.match(request.method, target, _read_host(request))
         if isinstance(resolved, Refusal):
             self._refuse(response, _qualify(request, resolved))
             return
-        call = _build_call(request, resolved, time.monotonic())
+        call = _build_call(
+            request,
+            resolved,
+            time.monotonic(),
+            dialect=self._dialect,
+            service=self._choose_service(resolved),
+            own_service=self.own_service,
+        )
         if isinstance(call, Refusal):
             self._refuse(response, _qualify(request, call))
             return
@@ -155,6 +199,7 @@
             self._spawn(self._serve_home(call, response), request, response)
             return
         upstream = (request.get_header(RELAY_UPSTREAM) or b"").decode("latin-1")
+        response.own_headers = lambda: self._describe_load(upstream, response)
         self._spawn(self._serve_local(upstream, call, response), request, response)
 
     def _spawn(
@@ -183,6 +228,13 @@
             else:
                 self._refuse(response, Refusal(ErrorKind.INTERNAL, "see the log"))
 
+    def _describe_load(self, upstream: str, response: ServerResponse) -> Headers:
+        held_ms = None
+        if response.admitted_at is not None:
+            held_ms = 1000 * (time.monotonic() - response.admitted_at)
+        load = self._kernel.get("slots").report_load(upstream, held_ms)
+        return [] if load is None else [(RELAY_LOAD, encode_load(load))]
+
     # Calls
 
     async def _serve(self, call: Call, response: ServerResponse) -> None:
@@ -216,29 +268,38 @@
         self._kernel.get("metrics").count_refusal(refusal)
         response.refuse(refusal, time.monotonic())
 
+    def _choose_service(self, resolved: ResolvedRoute) -> str:
+        """Return the service whose turn it is among the parts of a route."""
+        split = resolved.route.split
+        if not split:
+            return resolved.pool.service
+        chosen = self._splits.choose(split)
+        return next(pool.service for pool in resolved.pools if pool.name == chosen)
+
 
 def _build_call(
-    request: IncomingRequest, resolved: ResolvedRoute, now: float
+    request: IncomingRequest,
+    resolved: ResolvedRoute,
+    now: float,
+    *,
+    dialect: Dialect = PRODUCT_DIALECT,
+    service: str = "",
+    own_service: str = "",
 ) -> Call | Refusal:
+    """Return the call of a request, to ``service`` or the one that the route names."""
     route = resolved.route
-    timeout_ms = _read_timeout(request, route.timeout_ms)
+    timeout_ms = _read_timeout(request, dialect.deadline, route.timeout_ms)
     if isinstance(timeout_ms, Refusal):
         return timeout_ms
-    attempt = read_attempt(request)
-    if isinstance(attempt, Refusal):
-        return attempt
-    key = request.get_header(KEY_HEADER)
-    if key is not None and not 0 < len(key) <= MAX_KEY_BYTES:
-        return Refusal(
-            ErrorKind.MALFORMED_REQUEST, f"idempotency key of {len(key)} bytes"
-        )
     headers = tuple(
         (name, value)
         for name, value in request.headers
-        if not name.startswith(RELAY_PREFIX) and name != TIMEOUT_HEADER
+        if not name.startswith(RELAY_PREFIX) and name not in dialect.own_headers
     )
-    return Call(
-        service=resolved.pool.service,
+    if dialect.caller_service:
+        headers = (*headers, (dialect.caller_service, own_service.encode()))
+    call = Call(
+        service=service or resolved.pool.service,
         rank=route.rank,
         method=request.method,
         target=request.target,
@@ -246,6 +307,24 @@
         body=request.body,
         deadline=now + timeout_ms / 1000,
         idempotent=route.idempotent,
+        bulky=route.bulky,
+        max_attempts=route.max_attempts,
+        host=(request.get_header(b"host") or b"") if dialect.keeps_host else b"",
+    )
+    return _read_key(request, call) if dialect.reads_keys else call
+
+
+def _read_key(request: IncomingRequest, call: Call) -> Call | Refusal:
+    attempt = read_attempt(request)
+    if isinstance(attempt, Refusal):
+        return attempt
+    key = request.get_header(KEY_HEADER)
+    if key is not None and not 0 < len(key) <= MAX_KEY_BYTES:
+        return Refusal(
+            ErrorKind.MALFORMED_REQUEST, f"idempotency key of {len(key)} bytes"
+        )
+    return replace(
+        call,
         key=None if key is None else key.decode("latin-1"),
         caller=read_caller(request),
         attempt=attempt,
@@ -262,13 +341,21 @@
     )
 
 
-def _read_timeout(request: IncomingRequest, most_ms: int) -> int | Refusal:
-    value = request.get_header(TIMEOUT_HEADER)
+def _read_host(request: IncomingRequest) -> str:
+    """Return the host that a caller asked, without a port."""
+    value = (request.get_header(b"host") or b"").decode("latin-1").lower()
+    return value.partition(":")[0]
+
+
+def _read_timeout(
+    request: IncomingRequest, header: bytes, most_ms: int
+) -> int | Refusal:
+    value = request.get_header(header)
     if value is None:
         return most_ms
     if not value.isdigit() or len(value) > 9:
         return Refusal(
             ErrorKind.MALFORMED_REQUEST,
-            f"request-timeout-ms {value[:20]!r} is not a whole number",
+            f"{header.decode()} {value[:20]!r} is not a whole number",
         )
     return min(int(value), most_ms)
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -104,6 +104,23 @@
         now = time.monotonic()
         self._run(self._dissemination.receive_peer_version(address, version, now))
 
+    def receive_document(self, snapshot: Snapshot) -> None:
+        """Take a whole configuration from its source."""
+        self._take_snapshot(snapshot, snapshot.digest)
+
+    def reject_document(self, version: int, refusal: Refusal) -> None:
+        """Report a configuration of the source that can't be used."""
+        now = time.monotonic()
+        self._run(self._dissemination.report_rejected(version, refusal, now))
+
+    def finish_source_read(self, *, succeeded: bool) -> None:
+        """Note whether the newest configuration of the source is held."""
+        now = time.monotonic()
+        if succeeded:
+            self._run(self._dissemination.finish_table_read(now))
+        else:
+            self._run(self._dissemination.fail_table_read(now))
+
     def _tick(self) -> None:
         members = self._kernel.get("gossip").membership.count_members()
         self._run(self._dissemination.tick(time.monotonic(), members=members))
@@ -154,6 +171,9 @@
     def _publish_routes(self) -> None:
         self.routes = self.routes.build_next(self.replica.snapshot)
         self._kernel.get("slots").set_routes(self.routes)
+        limits = self.routes.client_limits
+        if limits is not None:
+            self._kernel.get("calls").set_client_limits(limits)
 
     def _push(self, effect: PushRecord) -> None:
         """Push a record, or only its version if it is too large for a datagram."""
@@ -252,11 +272,7 @@
 
     async def _read_to_end(self) -> Refusal | None:
         refusal = await self._drive(Recovery(self.replica.version).run())
-        now = time.monotonic()
-        if refusal is None:
-            self._run(self._dissemination.finish_table_read(now))
-        else:
-            self._run(self._dissemination.fail_table_read(now))
+        self.finish_source_read(succeeded=refusal is None)
         return refusal
 
     async def read_records(
--- /dev/null
+++ b/flamingohead/services/dialects.py
@@ -0,0 +1,46 @@
+"""Headers that callers and upstreams of a deployment understand beside HTTP's own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flamingohead.services.http_messages import Headers
+
+
+def _states_not_executed(status: int, headers: Headers) -> bool:
+    return status == 503 and (b"request-executed", b"no") in headers
+
+
+@dataclass(frozen=True)
+class Dialect:
+    """Name the headers of one deployment, in lower case; an empty one is not sent.
+
+    ``deadline`` carries the milliseconds that the sender still waits, ``upstream``
+    the name of the only upstream that may execute the request, ``caller_service``
+    the service on whose host the request began. ``states_not_executed`` tells from
+    the status and headers of an upstream's answer whether it did not execute.
+    """
+
+    deadline: bytes = b"request-timeout-ms"
+    upstream: bytes = b""
+    caller_service: bytes = b""
+    states_not_executed: Callable[[int, Headers], bool] = field(
+        default=_states_not_executed
+    )
+    keeps_host: bool = False
+    reads_keys: bool = True
+    sends_fractional_retry_after: bool = False
+    allows_unframed_answers: bool = False
+
+    @property
+    def own_headers(self) -> frozenset[bytes]:
+        """Return the headers that the daemon sets, whatever a caller has sent."""
+        names = (self.deadline, self.upstream, self.caller_service)
+        return frozenset(name for name in names if name)
+
+
+PRODUCT_DIALECT = Dialect()
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -6,18 +6,17 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.http_messages import RELAY_PREFIX, OutgoingRequest
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
+    from flamingohead.services.dialects import Dialect
     from flamingohead.services.http_client import HttpClientService
     from flamingohead.services.http_connection import ClientConnection
     from flamingohead.services.http_messages import Headers
     from flamingohead.services.http_response import ServerResponse
 
-NOT_EXECUTED_HEADER = b"request-executed"
-DEADLINE_HEADER = b"request-timeout-ms"
-
 
 class AnswerRelay:
     """Pass an answer on to the caller as it arrives.
@@ -26,8 +25,11 @@
     that the request can be tried elsewhere.
     """
 
-    def __init__(self, response: ServerResponse) -> None:
+    def __init__(
+        self, response: ServerResponse, dialect: Dialect = PRODUCT_DIALECT
+    ) -> None:
         self._response = response
+        self._dialect = dialect
         self.status = 0
         self.headers: Headers = []
         self.not_executed = False
@@ -38,6 +40,10 @@
     def started(self) -> bool:
         return self._response.started
 
+    def note_admitted(self, now: float) -> None:
+        """Note when the request got its slot."""
+        self._response.admitted_at = now
+
     def attach(self, connection: ClientConnection) -> None:
         """Let the caller's pace hold back the connection of the answer."""
         self.dispatched = True
@@ -48,7 +54,7 @@
         headers = [h for h in headers if not h[0].startswith(RELAY_PREFIX)]
         self.status = status
         self.headers = headers
-        if status == 503 and (NOT_EXECUTED_HEADER, b"no") in headers:
+        if self._dialect.states_not_executed(status, headers):
             self.not_executed = True
             return
         self._response.start(status, headers, length=length)
@@ -65,13 +71,27 @@
 
 
 async def dispatch_call(
-    client: HttpClientService, address: str, call: Call, relay: AnswerRelay
+    client: HttpClientService,
+    address: str,
+    call: Call,
+    relay: AnswerRelay,
+    *,
+    upstream: str = "",
+    dialect: Dialect = PRODUCT_DIALECT,
 ) -> Refusal | None:
     """Send a call to the upstream at an address; ``None`` means answered."""
     remaining_ms = max(0, round((call.deadline - time.monotonic()) * 1000))
-    headers = (*call.headers, (DEADLINE_HEADER, b"%d" % remaining_ms))
+    headers = (*call.headers, (dialect.deadline, b"%d" % remaining_ms))
+    if dialect.upstream:
+        headers = (*headers, (dialect.upstream, upstream.encode()))
     request = OutgoingRequest(
-        call.method, call.target, headers, call.body, call.deadline
+        call.method,
+        call.target,
+        headers,
+        call.body,
+        call.deadline,
+        host=call.host,
+        allows_unframed_answer=dialect.allows_unframed_answers,
     )
     refusal = await client.send(
         address,
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -126,7 +126,7 @@
             return
         self._kernel.get("metrics").count("datagram.received_bytes", len(data))
         now = time.monotonic()
-        if datagram.failure_domain == self.membership.myself.failure_domain:
+        if datagram.failure_domain == self.membership.myself.gossip_group:
             self._run(self.membership.receive(datagram, now))
         else:
             self._kernel.get("summaries").receive(datagram)
--- /dev/null
+++ b/flamingohead/services/group_attempts.py
@@ -0,0 +1,171 @@
+"""Attempts of a call in a group of daemons that know each other singly."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from flamingohead.core.attempts import AttemptPlan, Step
+from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.placement import Demand, LoadReport
+from flamingohead.events import Event, log_event
+from flamingohead.services.held_response import HeldResponse
+from flamingohead.services.relay import RelaySink, build_relay_request
+
+if TYPE_CHECKING:
+    from flamingohead.core.calls import Call
+    from flamingohead.core.placement import Choice, Placement
+    from flamingohead.core.retries import SharedRetryBudget
+    from flamingohead.kernel import Kernel
+    from flamingohead.services.http_response import ServerResponse
+
+logger = logging.getLogger(__name__)
+
+FIRST_SERVER_ERROR = 500
+
+
+class GroupAttemptService:
+    """Try a call on the upstreams of the group until it has its answer."""
+
+    def __init__(
+        self, kernel: Kernel, placement: Placement, budget: SharedRetryBudget
+    ) -> None:
+        self._kernel = kernel
+        self._placement = placement
+        self._budget = budget
+        self._host_id = ""
+
+    async def start(self) -> None:
+        self._host_id = self._kernel.get("gossip").membership.myself.host_id
+
+    async def stop(self) -> None:
+        pass
+
+    def set_members(self, members) -> None:
+        """Take the members of the group as candidates."""
+        members = list(members)
+        self._placement.set_members(members, time.monotonic())
+        self._budget.set_daemons(sum(member.is_usable for member in members))
+
+    async def serve(self, call: Call, response: ServerResponse) -> Refusal | None:
+        """Answer a call, or return the refusal that ends it."""
+        self._kernel.get("metrics").count(f"calls.{call.service}.{call.rank}")
+        self._budget.record_request(call.service, time.monotonic())
+        demand = Demand(call.service, call.rank, call.bulky)
+        plan = AttemptPlan(call.idempotent, call.max_attempts, call.deadline)
+        failed: HeldResponse | None = None
+        while True:
+            choice = self._placement.choose(
+                demand,
+                time.monotonic(),
+                excluded=frozenset(plan.excluded),
+                must_wait=plan.must_wait,
+            )
+            if choice is None:
+                break
+            held = HeldResponse(response)
+            refusal = await self._attempt(choice, call, held)
+            if refusal is None and not self._is_failure(call, held):
+                held.deliver()
+                return None
+            if response.started:
+                return refusal
+            if refusal is None:
+                failed = held
+                detail = f"the upstream answered {held.status}"
+                refusal = Refusal(ErrorKind.UPSTREAM_FAILED, detail)
+            if not self._goes_on(call, plan, choice, refusal):
+                break
+        if failed is not None:
+            failed.deliver()
+            return None
+        refusal = plan.conclude() or Refusal(
+            ErrorKind.NO_UPSTREAM, f"no upstream of {call.service!r}"
+        )
+        return refusal
+
+    def _is_failure(self, call: Call, held: HeldResponse) -> bool:
+        """Tell whether an answer may be replaced by that of another upstream."""
+        return call.idempotent and held.status >= FIRST_SERVER_ERROR
+
+    def _goes_on(
+        self, call: Call, plan: AttemptPlan, choice: Choice, refusal: Refusal
+    ) -> bool:
+        now = time.monotonic()
+        key = choice.candidate.key
+        step = plan.record(key, refusal, now, waited=choice.may_wait)
+        if step is Step.REPEAT and not self._budget.spend(call.service, now):
+            self._kernel.get("metrics").count("retry.over_budget")
+            step = Step.GIVE_UP
+        if step is Step.GIVE_UP:
+            return False
+        self._kernel.get("metrics").count_retry(refusal)
+        if step is Step.REPEAT:
+            log_event(
+                logger,
+                Event.ATTEMPT_REPEATED,
+                request=call.request_id,
+                upstream=choice.candidate.upstream,
+                reason=refusal.kind.value,
+                detail=refusal.detail,
+                attempts=plan.upstreams,
+            )
+        return True
+
+    async def _attempt(
+        self, choice: Choice, call: Call, held: HeldResponse
+    ) -> Refusal | None:
+        candidate = choice.candidate
+        call = replace(call, may_wait=choice.may_wait)
+        attempt = self._placement.start(candidate, call.rank, time.monotonic())
+        refusal: Refusal | None = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
+        try:
+            if candidate.host_id == self._host_id:
+                refusal = await self._execute(choice, call, held)
+            else:
+                refusal = await self._relay(choice, call, held)
+            return refusal
+        finally:
+            self._placement.finish(
+                attempt, time.monotonic(), refusal, status=held.status
+            )
+
+    async def _execute(
+        self, choice: Choice, call: Call, held: HeldResponse
+    ) -> Refusal | None:
+        slots = self._kernel.get("slots")
+        upstream = choice.candidate.upstream
+        refusal = await slots.execute(upstream, call, held)
+        report = slots.report_load(upstream, held.held_ms)
+        if report is not None:
+            self._take_load(choice, call, report)
+        return refusal
+
+    async def _relay(
+        self, choice: Choice, call: Call, held: HeldResponse
+    ) -> Refusal | None:
+        def take_load(report: LoadReport) -> None:
+            self._take_load(choice, call, report)
+
+        sink = RelaySink(held, take_load)
+        request = build_relay_request(choice.candidate, call, time.monotonic())
+        refusal = await self._kernel.get("http_client").send(
+            choice.candidate.relay_address,
+            request,
+            sink,
+            recent=not call.idempotent,
+            on_connection=sink.attach,
+        )
+        if refusal is None:
+            return sink.refusal
+        if refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
+            return Refusal(ErrorKind.HOST_UNREACHABLE, refusal.detail)
+        if refusal.kind is ErrorKind.UPSTREAM_CUT:
+            return Refusal(ErrorKind.HOST_CUT, refusal.detail)
+        return refusal
+
+    def _take_load(self, choice: Choice, call: Call, report: LoadReport) -> None:
+        now = time.monotonic()
+        self._placement.record_load(choice.candidate, call.rank, report, now)
--- /dev/null
+++ b/flamingohead/services/held_response.py
@@ -0,0 +1,104 @@
+"""An answer held back until it is whole, so that a broken one can be replaced."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flamingohead.services.http_messages import Headers
+    from flamingohead.services.http_response import ServerResponse
+
+# Larger answers are passed on as they arrive.
+MAX_HELD_ANSWER_BYTES = 64 * 1024
+
+
+class HeldResponse:
+    """Take the answer of one attempt in place of the caller's response.
+
+    ``started`` tells whether a part of it has gone to the caller, so that no other
+    attempt may answer. ``admitted_at`` is set when the request gets a slot of this
+    host, and ``held_ms`` when its answer begins.
+    """
+
+    def __init__(self, response: ServerResponse) -> None:
+        self._response = response
+        self._headers: Headers = []
+        self._length: int | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._is_held = False
+        self.status = 0
+        self.is_whole = False
+        self.admitted_at: float | None = None
+        self.held_ms: float | None = None
+
+    @property
+    def started(self) -> bool:
+        return self._response.started
+
+    @property
+    def is_disconnected(self) -> bool:
+        return self._response.is_disconnected
+
+    @property
+    def on_pause(self) -> Callable[[], None] | None:
+        return self._response.on_pause
+
+    @on_pause.setter
+    def on_pause(self, handler: Callable[[], None] | None) -> None:
+        self._response.on_pause = handler
+
+    @property
+    def on_resume(self) -> Callable[[], None] | None:
+        return self._response.on_resume
+
+    @on_resume.setter
+    def on_resume(self, handler: Callable[[], None] | None) -> None:
+        self._response.on_resume = handler
+
+    def start(self, status: int, headers: Headers, *, length: int | None) -> None:
+        """Begin; an answer of unknown length is held as long as it is small."""
+        self.status = status
+        if self.admitted_at is not None:
+            self.held_ms = 1000 * (time.monotonic() - self.admitted_at)
+        self._headers = headers
+        self._length = length
+        if length is None or length <= MAX_HELD_ANSWER_BYTES:
+            self._is_held = True
+        else:
+            self._response.start(status, headers, length=length)
+
+    def write(self, data: bytes) -> None:
+        """Hold a part of the body, or pass it on."""
+        if not self._is_held:
+            self._response.write(data)
+            return
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_HELD_ANSWER_BYTES:
+            self._pass_on()
+
+    def finish(self) -> None:
+        """Note that the answer is whole."""
+        self.is_whole = True
+        if not self._is_held:
+            self._response.finish()
+
+    def deliver(self) -> None:
+        """Send a whole answer that was held back."""
+        if self._is_held and self.is_whole:
+            self._pass_on()
+            self._response.finish()
+
+    def _pass_on(self) -> None:
+        self._is_held = False
+        length = self._length
+        if self.is_whole and length is None and self._body:
+            length = self._body_bytes
+        self._response.start(self.status, self._headers, length=length)
+        for part in self._body:
+            self._response.write(part)
+        self._body = []
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -23,7 +23,9 @@
 __all__ = ["HttpClientService", "OutgoingRequest"]
 
 CONNECT_TIMEOUT = 0.5
-MAX_IDLE_SECONDS = 10.0
+MAX_IDLE_SECONDS = 8.0
+# A peer may close at the moment that it has stated.
+IDLE_MARGIN_SECONDS = 1.0
 MAX_IDLE_CONNECTIONS = 64
 # Shorter than the time for which a stopping daemon keeps idle connections.
 RECENT_SECONDS = 0.5
@@ -63,7 +65,11 @@
         if not reusable or len(idle) >= MAX_IDLE_CONNECTIONS:
             connection.close()
             return
-        connection.idle_until = now + MAX_IDLE_SECONDS
+        stated = connection.idle_seconds
+        idle_seconds = MAX_IDLE_SECONDS
+        if stated is not None:
+            idle_seconds = min(idle_seconds, stated - IDLE_MARGIN_SECONDS)
+        connection.idle_until = now + idle_seconds
         connection.recent_until = now + RECENT_SECONDS
         connection.resume()
         idle.append(connection)
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -5,15 +5,17 @@
 from typing import TYPE_CHECKING, Protocol as TypingProtocol
 
 import httptools
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 
+from flamingohead.core.calls import REQUEST_ID_HEADER
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.services.http_messages import (
     EXCHANGE_HEADER,
-    REQUEST_ID_HEADER,
     drop_hop_headers,
     find_header,
     list_connection_options,
+    read_keep_alive,
 )
 
 if TYPE_CHECKING:
@@ -50,9 +52,12 @@
         self._refusal: Refusal | None = None
         self._status = 0
         self._headers: Headers = []
+        self.idle_seconds: float | None = None
         self._head_bytes = 0
         self._in_head = False
         self._method = ""
+        self._ends_with_connection = False
+        self._allows_unframed = False
         self._request_id: bytes | None = None
         self._exchange_id: bytes | None = None
 
@@ -69,6 +74,8 @@
         self._head_bytes = 0
         self._in_head = True
         self._method = request.method
+        self._ends_with_connection = False
+        self._allows_unframed = request.allows_unframed_answer
         self._request_id = find_header(request.headers, REQUEST_ID_HEADER)
         self._exchange_id = find_header(request.headers, EXCHANGE_HEADER)
         self._on_done = on_done
@@ -121,6 +128,10 @@
             self._fail(Refusal(ErrorKind.UPSTREAM_MALFORMED, detail))
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
+        closed_in_order = reason is connectionDone or reason.check(ConnectionDone)
+        if self._ends_with_connection and self._sink is not None and closed_in_order:
+            self._finish(reusable=False)
+            return
         detail = "connection lost before the answer ended"
         self._fail(Refusal(ErrorKind.UPSTREAM_CUT, detail))
 
@@ -145,6 +156,7 @@
         self._in_head = False
         length = self._find_length()
         self._check_ids()
+        self.idle_seconds = read_keep_alive(self._headers)
         options = list_connection_options(self._headers)
         headers = drop_hop_headers(self._headers, options)
         self._sink.start(self._status, headers, length)
@@ -164,7 +176,10 @@
     # Checks
 
     def _find_length(self) -> int | None:
-        """Return the length; refuse an answer whose end can't be told from a cut."""
+        """Return the length; refuse an answer whose end can't be told from a cut.
+
+        Where the upstream may leave the end to the connection, a reset is a cut.
+        """
         length = find_header(self._headers, b"content-length")
         if length is not None:
             return int(length)
@@ -172,7 +187,9 @@
             return None
         coding = find_header(self._headers, b"transfer-encoding") or b""
         if coding.strip().lower() != b"chunked":
-            self._reject("answer with neither a length nor chunks")
+            if not self._allows_unframed:
+                self._reject("answer with neither a length nor chunks")
+            self._ends_with_connection = True
         return None
 
     def _check_ids(self) -> None:
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -13,7 +13,6 @@
 KEY_HEADER = b"idempotency-key"
 KEY_ATTEMPT_HEADER = b"idempotency-attempt"
 TIMEOUT_HEADER = b"request-timeout-ms"
-REQUEST_ID_HEADER = b"request-id"
 # Between daemons: the answer repeats the value of its request.
 EXCHANGE_HEADER = b"flamingohead-exchange"
 
@@ -57,19 +56,25 @@
 
 @dataclass(frozen=True)
 class OutgoingRequest:
-    """Hold one request to send; ``deadline`` in monotonic seconds."""
+    """Hold one request to send; ``deadline`` in monotonic seconds.
+
+    Without a ``host`` of its own it names the address that it is sent to. An unframed
+    answer has neither a length nor chunks and ends with its connection.
+    """
 
     method: str
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     deadline: float
+    host: bytes = b""
+    allows_unframed_answer: bool = False
 
     def encode(self, host: str) -> bytes:
         """Return the wire form; raise ``ValueError`` if it isn't one request."""
         parts = [
             b"%b %b HTTP/1.1\r\nhost: %b\r\n"
-            % (self.method.encode(), self.target, host.encode())
+            % (self.method.encode(), self.target, self.host or host.encode())
         ]
         for name, value in self.headers:
             if name not in SENDER_HEADERS:
@@ -92,6 +97,16 @@
     return None
 
 
+def read_keep_alive(headers: Headers) -> float | None:
+    """Return the seconds for which the peer keeps an idle connection, if stated."""
+    value = find_header(headers, b"keep-alive") or b""
+    for option in value.split(b","):
+        name, _, number = option.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
+
+
 def check_head(head: bytes, *, lines: int) -> None:
     """Raise ``ValueError`` if names or values have added lines to a head."""
     breaks = head.count(b"\r\n")
--- a/flamingohead/services/http_parser.py
+++ b/flamingohead/services/http_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import httptools
@@ -24,22 +25,33 @@
 VERSIONS = ("1.0", "1.1")
 
 
+@dataclass(frozen=True)
+class ReadLimits:
+    """Bound the sizes of a request, in bytes."""
+
+    head_bytes: int = MAX_HEAD_BYTES
+    body_bytes: int = MAX_BODY_BYTES
+
+
 class RequestReader:
     """Parse bytes into whole requests; refuse what can't be read as requests.
 
     ``take_begin`` is called at the first byte of a request, ``take_head`` when its
-    head has been read and a body is awaited on ``Expect: 100-continue``, and
-    ``take_request`` when the request is whole.
+    head has been read, with whether ``Expect: 100-continue`` asks for an answer, and
+    ``take_request`` when the request is whole. New ``limits`` hold from the next
+    request on.
     """
 
     def __init__(
         self,
         *,
         take_begin: Callable[[], None],
-        take_head: Callable[[], None],
+        take_head: Callable[[bool], None],
         take_request: Callable[[IncomingRequest], None],
         budget: ByteBudget,
+        limits: ReadLimits = ReadLimits(),
     ) -> None:
+        self.limits = limits
         self._take_begin = take_begin
         self._take_head = take_head
         self._take_request = take_request
@@ -116,7 +128,7 @@
         self._check_head()
 
     def on_body(self, body: bytes) -> None:
-        if self._body_bytes + len(body) > MAX_BODY_BYTES:
+        if self._body_bytes + len(body) > self.limits.body_bytes:
             self._reject_body()
         if not self._budget.reserve(len(body)):
             detail = f"bodies of requests hold {self._budget.held} bytes"
@@ -139,7 +151,7 @@
         request = self._request
         size = len(request.target)
         size += sum(len(name) + len(value) for name, value in request.headers)
-        if size > MAX_HEAD_BYTES:
+        if size > self.limits.head_bytes:
             self._reject_head()
         hosts = expects = False
         for name, value in request.headers:
@@ -147,7 +159,7 @@
                 if hosts:
                     self.reject(ErrorKind.MALFORMED_REQUEST, "two Host headers")
                 hosts = True
-            elif name == b"content-length" and int(value) > MAX_BODY_BYTES:
+            elif name == b"content-length" and int(value) > self.limits.body_bytes:
                 self._reject_body()
             elif name == b"expect":
                 expects = True
@@ -162,20 +174,20 @@
             detail = f"Connection must not name {min(forbidden).decode()}"
             self.reject(ErrorKind.MALFORMED_REQUEST, detail)
         request.headers = drop_hop_headers(request.headers, options)
-        if expects and request.version == "1.1":
-            self._take_head()
+        self._take_head(expects and request.version == "1.1")
 
     def _check_head_bytes(self) -> None:
-        if self._head_bytes > MAX_HEAD_BYTES:
-            self._refusal = _refuse_head()
+        if self._head_bytes > self.limits.head_bytes:
+            self._refusal = self._refuse_head()
 
     def _reject_head(self) -> None:
-        self._refusal = _refuse_head()
+        self._refusal = self._refuse_head()
         raise ValueError(self._refusal.detail)
 
     def _reject_body(self) -> None:
-        self.reject(ErrorKind.REQUEST_TOO_LARGE, f"body over {MAX_BODY_BYTES} bytes")
-
+        detail = f"body over {self.limits.body_bytes} bytes"
+        self.reject(ErrorKind.REQUEST_TOO_LARGE, detail)
 
-def _refuse_head() -> Refusal:
-    return Refusal(ErrorKind.REQUEST_TOO_LARGE, f"head over {MAX_HEAD_BYTES} bytes")
+    def _refuse_head(self) -> Refusal:
+        detail = f"head over {self.limits.head_bytes} bytes"
+        return Refusal(ErrorKind.REQUEST_TOO_LARGE, detail)
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -22,6 +22,8 @@
 
 NO_CONTENT = 204
 NOT_MODIFIED = 304
+# What a response holds back behind another one before its source is paused.
+MAX_HELD_BYTES = 64 * 1024
 
 
 def _build_status_line(status: int) -> bytes:
@@ -40,10 +42,13 @@
 
     A response that ends early aborts the connection, so that the caller can't
     take it for a whole one. The head waits for the first part of the body, at most
-    until the next turn of the loop, so that both leave in one write.
+    until the next turn of the loop, so that both leave in one write. Behind another
+    response of its connection it is held back until that one is finished.
 
     ``on_pause`` and ``on_resume`` are called as the caller's connection fills up
-    and drains, ``on_disconnect`` when the caller has gone.
+    and drains, ``on_disconnect`` when the caller has gone. ``own_headers`` are added to
+    the response, whoever starts it. ``admitted_at`` is set when the request gets a slot
+    of this host.
     """
 
     def __init__(self, protocol: HttpServerProtocol, request: IncomingRequest) -> None:
@@ -51,10 +56,15 @@
         self._request = request
         self._chunked = False
         self._head: bytes | None = None
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._is_aborted = False
         self.started = False
         self.status = 0
         self.finished = False
         self.closes = False
+        self.admitted_at: float | None = None
+        self.own_headers: Callable[[], Headers] | None = None
         self.on_disconnect: Callable[[], None] | None = None
         self._on_pause: Callable[[], None] | None = None
         self.on_resume: Callable[[], None] | None = None
@@ -67,7 +77,7 @@
     def on_pause(self, handler: Callable[[], None] | None) -> None:
         self._on_pause = handler
         # An earlier response may have filled the connection up already.
-        if handler is not None and self._protocol.is_write_paused:
+        if handler is not None and self._is_full():
             handler()
 
     @property
@@ -91,8 +101,11 @@
         self.started = True
         self.status = status
         self._chunked = sends_chunks
-        self.closes = not self._request.keep_alive or self._protocol.is_draining
+        may_keep_open = self._protocol.may_keep_open(self)
+        self.closes = not self._request.keep_alive or not may_keep_open
         parts = [STATUS_LINES.get(status) or _build_status_line(status)]
+        if self.own_headers is not None:
+            headers = [*headers, *self.own_headers()]
         for name, value in headers:
             parts.append(b"%b: %b\r\n" % (name, value))
         exchange = self._request.get_header(EXCHANGE_HEADER)
@@ -119,13 +132,13 @@
         if self._head is not None:
             data = self._head + data
             self._head = None
-        self._protocol.write(data)
+        self._send(data)
 
     def flush(self) -> None:
         """Send the head if it is still held back."""
         if self._head is not None and not self.finished:
             head, self._head = self._head, None
-            self._protocol.write(head)
+            self._send(head)
 
     def finish(self) -> None:
         """End a whole response."""
@@ -137,22 +150,69 @@
             self._head = None
         self.finished = True
         if end:
-            self._protocol.write(end)
+            self._send(end)
         self._protocol.finish_response(self)
 
     def abort(self) -> None:
-        """Cut the connection in place of the rest of the response."""
-        if not self.finished:
-            self.finished = True
+        """Cut the connection in place of the rest of the response.
+
+        The responses before it are sent whole first.
+        """
+        if self.finished:
+            return
+        self.finished = True
+        self.closes = True
+        self._is_aborted = True
+        if self._protocol.is_first(self):
             self._protocol.abort()
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response at once."""
         self.start(status, headers, length=len(body))
-        if self._request.method != "HEAD":
-            self.write(body)
+        self.write(body)
         self.finish()
 
+    # Order on the connection
+
+    def become_first(self) -> None:
+        """Send what was held back behind another response."""
+        held, self._held = self._held, []
+        if held:
+            self._held_bytes = 0
+            self._protocol.write(b"".join(held))
+        if self._is_aborted:
+            self._protocol.abort()
+        elif self.finished:
+            self._protocol.finish_response(self)
+        elif not self._is_full():
+            self.resume()
+
+    def pause(self) -> None:
+        """Hold back the source of the response."""
+        if self._on_pause is not None:
+            self._on_pause()
+
+    def resume(self) -> None:
+        """Let the source of the response go on."""
+        if self.on_resume is not None:
+            self.on_resume()
+
+    def _is_full(self) -> bool:
+        if self._protocol.is_first(self):
+            return self._protocol.is_write_paused
+        return self._held_bytes > MAX_HELD_BYTES
+
+    def _send(self, data: bytes) -> None:
+        if self._protocol.is_first(self):
+            self._protocol.write(data)
+            return
+        if self._protocol.is_closing:
+            return
+        self._held.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes > MAX_HELD_BYTES:
+            self.pause()
+
     def refuse(self, refusal: Refusal, now: float, *, ran: Ran | None = None) -> None:
         """Send the final answer for a refusal."""
         headers: Headers = [
@@ -164,8 +224,12 @@
             headers.append((CHECKED_HEADER, b"yes"))
         retry_after_ms = refusal.compute_retry_after_ms(now)
         if retry_after_ms is not None:
-            seconds = max(1, -(-retry_after_ms // 1000))
-            headers.append((b"retry-after", b"%d" % seconds))
+            headers.append((b"retry-after", self._format_seconds(retry_after_ms)))
             headers.append((b"flamingohead-retry-after-ms", b"%d" % retry_after_ms))
         body = f"{refusal.kind.value}: {refusal.detail}\n".encode()
         self.send(refusal.answer.status, headers, body)
+
+    def _format_seconds(self, milliseconds: int) -> bytes:
+        if self._protocol.sends_fractional_retry_after:
+            return b"%.3f" % (milliseconds / 1000)
+        return b"%d" % max(1, -(-milliseconds // 1000))
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -5,6 +5,7 @@
 import math
 import time
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -12,7 +13,11 @@
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.memory import ByteBudget
 from flamingohead.services.http_messages import IncomingRequest
-from flamingohead.services.http_parser import MAX_BODY_BYTES, RequestReader
+from flamingohead.services.http_parser import (
+    MAX_BODY_BYTES,
+    ReadLimits,
+    RequestReader,
+)
 from flamingohead.services.http_response import ServerResponse
 from flamingohead.services.reactor import install_reactor
 
@@ -25,13 +30,27 @@
 LINGER_TIMEOUT = 2.0
 SWEEP_PERIOD = 0.25
 MAX_PIPELINED_REQUESTS = 32
+# Requests of one connection that are served at the same time.
+MAX_CONCURRENT_REQUESTS = 8
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """Bound what a caller may send and the seconds that it may take."""
+
+    read: ReadLimits = ReadLimits()
+    head_timeout: float = READ_TIMEOUT
+    body_timeout: float = READ_TIMEOUT
+    idle_timeout: float = IDLE_TIMEOUT
 
 
 class HttpServerProtocol(Protocol):
-    """Hand whole requests to the handler, one after the other.
+    """Hand whole requests to the handler, and send the responses in their order.
 
-    Goes on reading while a request is served: only so is it noticed that the caller
-    has gone.
+    A few requests of a connection are served at the same time. Only the first
+    response that is not finished writes to the connection; the others hold back what
+    they send. Goes on reading while requests are served: only so is it noticed that
+    the caller has gone.
     """
 
     def __init__(self, factory: HttpServerFactory) -> None:
@@ -41,10 +60,11 @@
             take_head=self._take_head,
             take_request=self._take_request,
             budget=factory.budget,
+            limits=factory.limits.read,
         )
         self._pending: deque[IncomingRequest] = deque()
         self._pending_bytes = 0
-        self._active: ServerResponse | None = None
+        self._active: deque[ServerResponse] = deque()
         self._rejection: Refusal | None = None
         self._is_rejected = False
         self.is_closing = False
@@ -54,15 +74,15 @@
         self._close_deadline = math.inf
         self.call_soon = factory.call_soon
 
-    @property
-    def is_draining(self) -> bool:
-        return self._factory.draining
-
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is being read, served or waiting."""
         waiting = self._pending or self._rejection is not None
-        return self._active is None and not waiting and not self._reader.is_reading
+        return not self._active and not waiting and not self._reader.is_reading
+
+    @property
+    def sends_fractional_retry_after(self) -> bool:
+        return self._factory.sends_fractional_retry_after
 
     # Transport
 
@@ -70,18 +90,19 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._factory.connections.add(self)
-        self._idle_deadline = self._factory.clock() + IDLE_TIMEOUT
+        self._set_idle_deadline()
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         self._factory.connections.discard(self)
         self.is_closing = True
         self._drop_pending()
         self.resumeProducing()
-        active, self._active = self._active, None
-        if active is not None:
-            self._factory.budget.release(active.request_bytes)
-        if active is not None and active.on_disconnect is not None:
-            active.on_disconnect()
+        active, self._active = self._active, deque()
+        for response in active:
+            self._factory.budget.release(response.request_bytes)
+        for response in active:
+            if response.on_disconnect is not None:
+                response.on_disconnect()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.is_closing or self._rejection is not None:
@@ -95,14 +116,13 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         self.is_write_paused = True
-        if self._active is not None and self._active.on_pause is not None:
-            self._active.on_pause()
+        if self._active:
+            self._active[0].pause()
 
     def resumeProducing(self) -> None:  # noqa: N802
         was_paused, self.is_write_paused = self.is_write_paused, False
-        active = self._active
-        if was_paused and active is not None and active.on_resume is not None:
-            active.on_resume()
+        if was_paused and self._active:
+            self._active[0].resume()
 
     def stopProducing(self) -> None:  # noqa: N802
         pass
@@ -110,12 +130,16 @@
     # Requests
 
     def _take_begin(self) -> None:
-        self._read_deadline = self._factory.clock() + READ_TIMEOUT
+        limits = self._factory.limits
+        self._reader.limits = limits.read
+        self._read_deadline = self._factory.clock() + limits.head_timeout
 
-    def _take_head(self) -> None:
+    def _take_head(self, expects_continue: bool) -> None:
+        limits = self._factory.limits
+        self._read_deadline = self._factory.clock() + limits.body_timeout
         # In the middle of another response it would be taken for a part of that.
-        if self._active is None and not self._pending:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if expects_continue and not self._active and not self._pending:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _take_request(self, request: IncomingRequest) -> None:
         self._read_deadline = math.inf
@@ -142,21 +166,40 @@
         self._factory.count_refusal(refusal)
 
     def _start_next(self) -> None:
-        if self._active is not None or self.is_closing:
-            return
-        if self._pending:
+        while self._may_start() and self._pending:
             request = self._pending.popleft()
             self._pending_bytes -= len(request.body)
-            response = self._active = ServerResponse(self, request)
+            response = ServerResponse(self, request)
+            self._active.append(response)
             self._factory.handler(request, response)
-        elif self._rejection is not None:
-            request = IncomingRequest("", b"", keep_alive=False)
-            response = self._active = ServerResponse(self, request)
+        if self._rejection is None or self._active or self._pending:
+            return
+        if not self.is_closing and not self._is_rejected:
             self._is_rejected = True
+            response = ServerResponse(self, IncomingRequest("", b"", keep_alive=False))
+            self._active.append(response)
             response.refuse(self._rejection, self._factory.clock())
 
+    def _may_start(self) -> bool:
+        if self.is_closing or len(self._active) >= MAX_CONCURRENT_REQUESTS:
+            return False
+        return not any(response.closes for response in self._active)
+
     # Responses
 
+    def is_first(self, response: ServerResponse) -> bool:
+        """Tell whether a response is the next to be sent."""
+        return bool(self._active) and self._active[0] is response
+
+    def may_keep_open(self, response: ServerResponse) -> bool:
+        """Tell whether the connection stays open after a response.
+
+        During a stop it closes behind the last response that is being prepared.
+        """
+        if not self._factory.draining:
+            return True
+        return not self._active or self._active[-1] is not response
+
     def write(self, data: bytes) -> None:
         if not self.is_closing:
             self.transport.write(data)
@@ -167,10 +210,10 @@
         self.transport.abortConnection()
 
     def finish_response(self, response: ServerResponse) -> None:
-        """Go on to the next request, or close."""
-        if response is not self._active:
+        """Go on to the next response, or close; only the first response ends."""
+        if not self.is_first(response):
             return
-        self._active = None
+        self._active.popleft()
         self._factory.budget.release(response.request_bytes)
         if self._is_rejected:
             self.close_after_reading()
@@ -178,11 +221,17 @@
         if response.closes:
             self.close()
             return
-        self._idle_deadline = self._factory.clock() + IDLE_TIMEOUT
+        self._set_idle_deadline()
         if self._pending_bytes <= MAX_BODY_BYTES:
             self.transport.resumeProducing()
+        if self._active:
+            self._active[0].become_first()
         self._start_next()
 
+    def _set_idle_deadline(self) -> None:
+        limits = self._factory.limits
+        self._idle_deadline = self._factory.clock() + limits.idle_timeout
+
     def close(self) -> None:
         """Close once everything written has been sent."""
         self.is_closing = True
@@ -215,7 +264,10 @@
 
 
 class HttpServerFactory(Factory):
-    """Build server protocols that share one handler and one sweep of deadlines."""
+    """Build server protocols that share one handler and one sweep of deadlines.
+
+    New ``limits`` hold for open connections too, from their next request on.
+    """
 
     noisy = False
 
@@ -224,6 +276,8 @@
         handler: Callable[[IncomingRequest, ServerResponse], None],
         count_refusal: Callable[[Refusal], None],
         budget: ByteBudget | None = None,
+        *,
+        sends_fractional_retry_after: bool = False,
     ) -> None:
         self._loop = install_reactor()
         self._sweep_handle = None
@@ -232,6 +286,8 @@
         self.connections: set[HttpServerProtocol] = set()
         self.draining = False
         self.budget = budget or ByteBudget()
+        self.limits = ServerLimits()
+        self.sends_fractional_retry_after = sends_fractional_retry_after
         self.clock = time.monotonic
         self.call_soon = self._loop.call_soon
 
--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -18,6 +18,7 @@
 from zope.interface import implementer
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.storage import Row
 from flamingohead.events import Event, log_event
 
 logger = logging.getLogger(__name__)
@@ -28,15 +29,6 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
-@dataclass(frozen=True)
-class Row:
-    """Hold a row of the table and the tag of its state."""
-
-    key: str
-    value: bytes
-    tag: str
-
-
 @dataclass(frozen=True)
 class _Answer:
     status: int
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -9,6 +9,7 @@
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.idempotency import FIRST_ATTEMPT, UNMARKED
+from flamingohead.core.placement import LoadReport
 from flamingohead.services.http_messages import (
     CHECKED_HEADER,
     EXCHANGE_HEADER,
@@ -19,10 +20,14 @@
     RELAY_PREFIX,
     TIMEOUT_HEADER,
     OutgoingRequest,
+    find_header,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingohead.core.balancing import Candidate
+    from flamingohead.services.held_response import HeldResponse
     from flamingohead.services.http_connection import ClientConnection
     from flamingohead.services.http_messages import Headers, IncomingRequest
     from flamingohead.services.http_response import ServerResponse
@@ -34,6 +39,9 @@
 RELAY_CALL = b"flamingohead-call"
 RELAY_CLAIMED = b"flamingohead-claimed"
 RELAY_HOME = b"flamingohead-home"
+RELAY_LOAD = b"flamingohead-load"
+RELAY_WAIT = b"flamingohead-wait"
+RELAY_HOST = b"flamingohead-host"
 RETRY_HEADER = b"flamingohead-retry-after-ms"
 CALLER_HEADER = b"request-caller"
 MAX_ATTEMPT_DIGITS = 9
@@ -44,8 +52,13 @@
 class RelaySink:
     """Pass the answer of another daemon on, or take in its refusal."""
 
-    def __init__(self, response: ServerResponse) -> None:
+    def __init__(
+        self,
+        response: ServerResponse | HeldResponse,
+        take_load: Callable[[LoadReport], None] | None = None,
+    ) -> None:
         self._response = response
+        self._take_load = take_load
         self.refusal: Refusal | None = None
 
     @property
@@ -59,7 +72,11 @@
 
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         self.refusal = _read_refusal(headers, time.monotonic())
+        load = _read_load(headers)
+        if load is not None and self._take_load is not None:
+            self._take_load(load)
         if self.refusal is None:
+            headers = [h for h in headers if h[0] != RELAY_LOAD]
             self._response.start(status, headers, length=length)
 
     def write(self, data: bytes) -> None:
@@ -95,6 +112,8 @@
         (RELAY_IDEMPOTENT, b"yes" if call.idempotent else b"no"),
         (RELAY_CALL, call.call_id.encode()),
         (RELAY_CLAIMED, b"yes" if call.claimed else b"no"),
+        (RELAY_WAIT, b"yes" if call.may_wait else b"no"),
+        (RELAY_HOST, call.host),
         (EXCHANGE_HEADER, secrets.token_hex(8).encode()),
     )
 
@@ -150,9 +169,29 @@
         attempt=attempt,
         call_id=(request.get_header(RELAY_CALL) or b"").decode("latin-1"),
         claimed=request.get_header(RELAY_CLAIMED) == b"yes",
+        may_wait=request.get_header(RELAY_WAIT) != b"no",
+        host=request.get_header(RELAY_HOST) or b"",
     )
 
 
+def encode_load(load: LoadReport) -> bytes:
+    """Return the value of the header that reports the load of a host."""
+    held = "" if load.held_ms is None else f"{load.held_ms:.1f}"
+    return f"{load.running},{load.waiting},{load.slots},{held}".encode()
+
+
+def _read_load(headers: Headers) -> LoadReport | None:
+    value = find_header(headers, RELAY_LOAD)
+    if value is None:
+        return None
+    try:
+        running, waiting, slots, held = value.decode("latin-1").split(",")
+        held_ms = float(held) if held else None
+        return LoadReport(int(running), int(waiting), int(slots), held_ms)
+    except ValueError:
+        return None
+
+
 def _read_refusal(headers: Headers, now: float) -> Refusal | None:
     values = dict(headers)
     name = values.get(REFUSAL_HEADER)
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -12,12 +12,15 @@
 from flamingohead.core.admission import Admission, Ticket, Turn
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
+from flamingohead.core.placement import LoadReport
+from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.dispatch import AnswerRelay, dispatch_call
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
     from flamingohead.core.routing import RouteTable
     from flamingohead.kernel import Kernel
+    from flamingohead.services.dialects import Dialect
     from flamingohead.services.http_server import ServerResponse
 
 
@@ -39,8 +42,9 @@
 class SlotService:
     """Own the slots of the upstreams on this host."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, dialect: Dialect = PRODUCT_DIALECT) -> None:
         self._kernel = kernel
+        self._dialect = dialect
         self.upstreams: dict[str, LocalUpstream] = {}
         self._routes: RouteTable | None = None
         self._ticks = LoopingCall(self._tick)
@@ -144,16 +148,29 @@
         self.in_flight += 1
         try:
             if call.claimed or not call.is_keyed:
-                return await self._run(upstream, call, AnswerRelay(response))
+                return await self._run(upstream, call, self._relay(response))
             return await self._kernel.get("keys").run_once(
                 call,
                 response,
-                lambda recording: self._run(upstream, call, AnswerRelay(recording)),
+                lambda recording: self._run(upstream, call, self._relay(recording)),
                 check=lambda: self._check(upstream, call),
             )
         finally:
             self.in_flight -= 1
 
+    def report_load(self, name: str, held_ms: float | None) -> LoadReport | None:
+        """Return the load at an upstream of this host, if it is known here."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return None
+        admission = upstream.admission
+        return LoadReport(
+            admission.in_use, len(upstream.waiters), admission.limit, held_ms
+        )
+
+    def _relay(self, response: ServerResponse) -> AnswerRelay:
+        return AnswerRelay(response, self._dialect)
+
     def _check(self, upstream: LocalUpstream, call: Call) -> Refusal | None:
         ticket = Ticket(call.rank, call.deadline, call.caller)
         return upstream.admission.check(ticket, time.monotonic())
@@ -162,18 +179,27 @@
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
         ticket = Ticket(call.rank, call.deadline, call.caller)
-        refusal = await self._admit(upstream, ticket)
+        refusal = await self._admit(upstream, ticket, may_wait=call.may_wait)
         if refusal is not None:
             return refusal
+        relay.note_admitted(ticket.admitted_at)
         try:
             return await dispatch_call(
-                self._kernel.get("http_client"), upstream.address, call, relay
+                self._kernel.get("http_client"),
+                upstream.address,
+                call,
+                relay,
+                upstream=upstream.state.name,
+                dialect=self._dialect,
             )
         finally:
             self._release(upstream, ticket)
 
-    async def _admit(self, upstream: LocalUpstream, ticket: Ticket) -> Refusal | None:
-        result = upstream.admission.offer(ticket, time.monotonic())
+    async def _admit(
+        self, upstream: LocalUpstream, ticket: Ticket, *, may_wait: bool
+    ) -> Refusal | None:
+        now = time.monotonic()
+        result = upstream.admission.offer(ticket, now, may_wait=may_wait)
         if isinstance(result, Refusal):
             return result
         if result:
--- /dev/null
+++ b/flamingohead/services/upstreams.py
@@ -0,0 +1,96 @@
+"""The upstreams on this host, as they announce themselves."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from twisted.internet.task import LoopingCall
+
+from flamingohead.core.errors import Refusal
+from flamingohead.core.upstreams import (
+    Announcement,
+    UpstreamChanged,
+    UpstreamRegistry,
+    UpstreamSettings,
+    UpstreamStage,
+)
+from flamingohead.events import Event, log_event
+
+if TYPE_CHECKING:
+    from flamingohead.kernel import Kernel
+
+logger = logging.getLogger(__name__)
+
+TICK_PERIOD = 0.1
+
+
+class UpstreamService:
+    """Keep the life cycle of the upstreams on this host, and their slots."""
+
+    def __init__(
+        self, kernel: Kernel, settings: UpstreamSettings = UpstreamSettings()
+    ) -> None:
+        self._kernel = kernel
+        self._registry = UpstreamRegistry(settings)
+        self._ticks = LoopingCall(self._tick)
+
+    async def start(self) -> None:
+        self._ticks.start(TICK_PERIOD, now=False)
+
+    async def stop(self) -> None:
+        self._ticks.stop()
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no upstream has announced itself yet."""
+        return self._registry.is_empty
+
+    def announce(self, announcement: Announcement) -> Refusal | None:
+        """Take an announcement; it is in force when this returns."""
+        result = self._registry.announce(announcement, time.monotonic())
+        if isinstance(result, Refusal):
+            return result
+        self._take_changes(result)
+        self._update_slots(announcement.name)
+        return None
+
+    def end(self, name: str) -> None:
+        """Take the word of an upstream that it leaves."""
+        self._take_changes(self._registry.end(name, time.monotonic()))
+
+    def lose(self, name: str) -> None:
+        """Take an upstream that can't be reached out until it announces itself."""
+        self._take_changes(self._registry.lose(name))
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        self._take_changes(self._registry.tick(now))
+        for name, upstream in list(self._kernel.get("slots").upstreams.items()):
+            load = upstream.admission.in_use / max(1, upstream.admission.limit)
+            if self._registry.set_load(name, load, now):
+                self._update_slots(name)
+
+    def _take_changes(self, changes: list[UpstreamChanged]) -> None:
+        for change in changes:
+            name = change.announcement.name
+            log_event(
+                logger,
+                Event.UPSTREAM_CHANGED,
+                upstream=name,
+                service=change.announcement.service,
+                status=change.stage.name,
+                previous=change.previous.name,
+                incarnation=change.announcement.incarnation,
+                sequence=change.announcement.sequence,
+            )
+            self._kernel.get("metrics").count(f"upstream.{change.stage.value}")
+            if change.stage in (UpstreamStage.GONE, UpstreamStage.LOST):
+                self._kernel.get("slots").remove(name)
+
+    def _update_slots(self, name: str) -> None:
+        for state in self._registry.list_states():
+            if state.name == name:
+                address = self._registry.get_address(name)
+                self._kernel.get("slots").announce(state, address)
--- /dev/null
+++ b/flamingohead/tests/test_attempt_plan.py
@@ -0,0 +1,92 @@
+"""What follows a failed attempt, and the shared budget of repeats."""
+
+from __future__ import annotations
+
+import pytest
+
+from flamingohead.core.attempts import MAX_OFFERS, AttemptPlan, Step
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
+
+FULL = Refusal(ErrorKind.QUEUE_FULL, retry_at=4.0)
+CUT = Refusal(ErrorKind.HOST_CUT)
+
+
+def build_plan(*, idempotent=True, max_upstreams=2):
+    return AttemptPlan(idempotent, max_upstreams, deadline=10.0)
+
+
+class TestAttemptPlan:
+    def test_full_hosts_are_asked_without_waiting_and_then_to_wait(self):
+        plan = build_plan()
+        for number in range(MAX_OFFERS):
+            assert not plan.must_wait
+            step = plan.record((f"h{number}", "u"), FULL, 0.0, waited=False)
+            assert step is Step.MOVE
+        assert plan.must_wait and not plan.excluded
+        assert plan.record(("h0", "u"), FULL, 0.0, waited=True) is Step.MOVE
+        assert plan.record(("h1", "u"), FULL, 0.0, waited=True) is Step.GIVE_UP
+        assert plan.upstreams == 0
+
+    def test_final_refusal_tells_the_earliest_return(self):
+        plan = build_plan()
+        plan.record(("a", "u"), FULL, 0.0, waited=True)
+        later = Refusal(ErrorKind.DEADLINE_UNREACHABLE, retry_at=9.0)
+        plan.record(("b", "u"), later, 0.0, waited=True)
+        assert plan.conclude().retry_at == 4.0
+
+    @pytest.mark.parametrize(("idempotent", "step"), [(True, "REPEAT"), (False, None)])
+    def test_what_may_have_run_is_repeated_only_if_idempotent(self, idempotent, step):
+        plan = build_plan(idempotent=idempotent)
+        expected = Step[step] if step else Step.GIVE_UP
+        assert plan.record(("a", "u"), CUT, 0.0, waited=False) is expected
+
+    def test_what_did_not_run_is_repeated_in_any_case(self):
+        plan = build_plan(idempotent=False)
+        shed = Refusal(ErrorKind.UPSTREAM_SHED)
+        assert shed.ran is Ran.NO
+        assert plan.record(("a", "u"), shed, 0.0, waited=False) is Step.REPEAT
+
+    def test_upstreams_are_bounded_by_the_route(self):
+        plan = build_plan(max_upstreams=2)
+        assert plan.record(("a", "u"), CUT, 0.0, waited=False) is Step.REPEAT
+        assert plan.record(("b", "u"), CUT, 0.0, waited=False) is Step.GIVE_UP
+
+    def test_nothing_follows_the_deadline(self):
+        plan = build_plan()
+        assert plan.record(("a", "u"), FULL, 10.0, waited=False) is Step.GIVE_UP
+
+
+class TestSharedRetryBudget:
+    SETTINGS = SharedBudgetSettings(ratio=0.2, slack=58, window=10.0)
+
+    def test_failing_upstreams_stay_within_the_common_bound(self):
+        daemons = [SharedRetryBudget(self.SETTINGS) for _ in range(9)]
+        for daemon in daemons:
+            daemon.set_daemons(9)
+        repeats = []
+        requests = []
+        for step in range(4000):
+            now = step * 0.005
+            daemon = daemons[step % 9]
+            daemon.record_request("s", now)
+            requests.append(now)
+            while daemon.spend("s", now):
+                repeats.append(now)
+        for start in range(0, 10):
+            window = [t for t in repeats if start <= t < start + 10]
+            asked = [t for t in requests if start <= t < start + 10]
+            assert len(window) <= 0.2 * len(asked) + 58
+
+    def test_fewer_daemons_in_sight_give_no_larger_part(self):
+        budget = SharedRetryBudget(self.SETTINGS)
+        budget.set_daemons(29)
+        budget.set_daemons(1)
+        assert [budget.spend("s", 0.0) for _ in range(3)] == [True, False, False]
+
+    def test_repeats_are_forgotten_after_the_window(self):
+        budget = SharedRetryBudget(self.SETTINGS)
+        budget.set_daemons(29)
+        assert budget.spend("s", 0.0)
+        assert not budget.spend("s", 9.9)
+        assert budget.spend("s", 10.1)
--- a/flamingohead/tests/test_metrics.py
+++ b/flamingohead/tests/test_metrics.py
@@ -36,7 +36,8 @@
 
 def find_metric_names():
     names = set()
-    for path in (ROOT / "flamingohead" / "services").glob("*.py"):
+    folders = (ROOT / "flamingohead" / name for name in ("services", "platform"))
+    for path in (path for folder in folders for path in folder.glob("*.py")):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
                 continue
--- a/properties/test_answers_whole.py
+++ b/properties/test_answers_whole.py
@@ -219,7 +219,7 @@
     def a_cut_answer_closes_the_caller(self):
         for transport in self.callers:
             active = transport.protocol._active
-            if active is not None and active.finished:
+            if active and active[0].finished:
                 assert transport.is_closed
 
 
--- a/properties/test_http_fuzz.py
+++ b/properties/test_http_fuzz.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from types import SimpleNamespace
-
 import pytest
 from hypothesis import example, given, settings, strategies as st
 
+from flamingohead.core.resources import Pool, Rank, Route, Service
+from flamingohead.core.routing import ResolvedRoute
 from flamingohead.services.calls import _build_call
 from flamingohead.services.dispatch import AnswerRelay
 from flamingohead.services.http_connection import ClientConnection
@@ -29,9 +29,11 @@
 from flamingohead.testing.http import FakeCaller, SeenRequest, read_requests
 from flamingohead.testing.transports import FakeTransport
 
-ROUTE = SimpleNamespace(
-    route=SimpleNamespace(timeout_ms=1000, rank="lookup", idempotent=True),
-    pool=SimpleNamespace(service="stall-ledger"),
+ROUTE = ResolvedRoute(
+    Route("r", "stall-ledger", "/", ("GET",), "ledgers", "lookup", 1000, True),
+    Service("stall-ledger"),
+    Pool("ledgers", "stall-ledger"),
+    Rank("lookup", "stall-ledger", 0, 500, 1.0, 0.0),
 )
 SMUGGLED = b"GET /smuggled HTTP/1.1\r\nhost: a\r\n\r\n"
 
