Let all daemons of a deployment find each other, whatever their failure domain

Ruled out: lost datagrams (rows of the others were never read), the store.

Change: rows belong to the gossip group, the deployment is one group, rows are read again every 15 s or at a common rate, and cut members are probed each second. Refusals are logged with what was believed.

--- a/flamingohead/core/bootstrap.py
+++ b/flamingohead/core/bootstrap.py
@@ -25,13 +25,17 @@
 
 @dataclass(frozen=True)
 class BootstrapSettings:
-    """Set waits and periods in seconds, and numbers of rows and of joins at once."""
+    """Set waits and periods in seconds, and numbers of rows and of joins at once.
+
+    ``row_read_rate`` bounds the reads a second of all daemons that share rows.
+    """
 
     spread: float = 2.0
     first_wait: float = 0.5
     longest_wait: float = 10.0
     attempt_timeout: float = 5.0
     row_period: float = 600.0
+    row_read_rate: float = 2.0
     next_rows_wait: float = 30.0
     first_row_spread: float = 30.0
     synchronize_period: float = 120.0
@@ -194,7 +198,8 @@
         if now >= self._busy_until and now >= self._next_attempt_at:
             effects += self._attempt(now, members)
         if self.phase is Phase.JOINED and now >= self._next_row_check_at:
-            period = self._settings.row_period
+            shared = (1 + len(members)) / self._settings.row_read_rate
+            period = max(self._settings.row_period, shared)
             self._next_row_check_at = now + self._random.uniform(0.5, 1.5) * period
             effects.append(ReadRows())
         return effects
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -23,6 +23,8 @@
     DAEMON_STOPPING = EventKind(101, logging.INFO, "daemon stopping")
     DAEMON_STOPPED = EventKind(102, logging.INFO, "daemon stopped")
     DAEMON_NOT_STARTED = EventKind(103, logging.ERROR, "daemon can't start")
+    SETTINGS_RELOADED = EventKind(104, logging.INFO, "settings read again")
+    SETTINGS_REJECTED = EventKind(105, logging.ERROR, "settings file not usable")
     VERSION_ACTIVATED = EventKind(200, logging.INFO, "configuration in force")
     VERSION_REJECTED = EventKind(201, logging.ERROR, "configuration not taken")
     VERSION_ACCEPTED = EventKind(202, logging.INFO, "change accepted")
@@ -48,6 +50,7 @@
     REQUEST_CUT_BY_STOP = EventKind(510, logging.WARNING, "request cut by the stop")
     ATTEMPT_REPEATED = EventKind(520, logging.INFO, "request sent again")
     REQUEST_REFUSED = EventKind(521, logging.INFO, "request refused")
+    REQUEST_NOT_ADMITTED = EventKind(522, logging.INFO, "request not admitted here")
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream taken back")
 
--- a/flamingohead/platform/__main__.py
+++ b/flamingohead/platform/__main__.py
@@ -32,7 +32,7 @@
     install_reactor()
     from flamingohead.platform.daemon import run_daemon
 
-    return run_until_stopped(lambda: run_daemon(settings))
+    return run_until_stopped(lambda: run_daemon(settings, path))
 
 
 if __name__ == "__main__":
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -12,7 +12,7 @@
 from flamingohead.core.bootstrap import Bootstrap, BootstrapSettings
 from flamingohead.core.dissemination import Dissemination, DisseminationSettings
 from flamingohead.core.members import Member
-from flamingohead.core.membership import Membership
+from flamingohead.core.membership import Membership, MembershipSettings
 from flamingohead.core.placement import Placement
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
 from flamingohead.core.upstreams import UpstreamSettings
@@ -22,6 +22,7 @@
 from flamingohead.platform.feed import ConfigurationFeed
 from flamingohead.platform.store import StoreClient
 from flamingohead.platform.tables import StoreObjects, StoreTable
+from flamingohead.platform.watch import SettingsWatch
 from flamingohead.services.bootstrap import BootstrapService
 from flamingohead.services.calls import CallService
 from flamingohead.services.configuration import ConfigurationService
@@ -46,13 +47,23 @@
 STOP_MARGIN_SECONDS = 0.5
 # A daemon that restarts must find its peers within a second or two.
 BOOTSTRAP = BootstrapSettings(
-    spread=0.2, first_wait=0.3, longest_wait=2.0, first_row_spread=5.0
+    spread=0.2,
+    first_wait=0.3,
+    longest_wait=2.0,
+    first_row_spread=3.0,
+    next_rows_wait=2.0,
+    row_period=15.0,
+    cleanup_spread=20.0,
 )
+# All daemons of a deployment know each other singly: any failure domain may serve.
+GROUP = "mesh"
+# Failure domains that were cut off meet again within a second or two.
+MEMBERSHIP = MembershipSettings(dead_probe_period=1.0)
 DISSEMINATION = DisseminationSettings(polls_table=False, pull_delay=0.6)
 
 
-def add_services(kernel: Kernel, settings: HostSettings) -> None:
-    """Add every service of a daemon."""
+def add_services(kernel: Kernel, settings: HostSettings, path: str) -> None:
+    """Add every service of a daemon; ``path`` is that of its settings file."""
     generator = random.Random()
     kernel.add("metrics", MetricsService())
     kernel.add("http_client", HttpClientService())
@@ -64,6 +75,7 @@
     kernel.add("bootstrap", _create_bootstrap(kernel, settings, generator))
     kernel.add("feed", ConfigurationFeed(kernel))
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
+    kernel.add("watch", SettingsWatch(kernel, settings, path))
 
 
 def _add_mesh(kernel: Kernel, settings: HostSettings, generator: random.Random) -> None:
@@ -73,11 +85,11 @@
         peer_address=settings.peer_address,
         relay_address=settings.relay_address,
         incarnation=int(time.time() * 1000),
-        group=settings.group,
+        group=GROUP,
     )
-    membership = Membership(myself, random=generator)
+    membership = Membership(myself, random=generator, settings=MEMBERSHIP)
     kernel.add("gossip", GossipService(kernel, membership, settings.peer_address))
-    kernel.add("summaries", SummaryService(kernel, settings.group, random=generator))
+    kernel.add("summaries", SummaryService(kernel, GROUP, random=generator))
     kernel.add("peers", PeersService(kernel, settings.peer_address))
 
 
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -61,7 +61,6 @@
     node: str = Field(min_length=1)
     ip: str
     zone: str = Field(min_length=1)
-    region: str = ""
     listen: _Listen
     internal_ports: tuple[int, int]
     limits: _Limits = _Limits()
@@ -76,14 +75,12 @@
 class HostSettings:
     """Hold what the platform tells a daemon about its host; times in seconds.
 
-    ``group`` names the daemons that know each other singly. The upstream of this host
-    serves ``service`` at ``upstream_address``; its announcements arrive at
-    ``announce_address`` about every ``announcement_period``.
+    The upstream of this host serves ``service`` at ``upstream_address``; its
+    announcements arrive at ``announce_address`` about every ``announcement_period``.
     """
 
     host_id: str
     failure_domain: str
-    group: str
     ingress_address: str
     relay_address: str
     ready_address: str
@@ -128,7 +125,6 @@
     return HostSettings(
         host_id=boot.node,
         failure_domain=boot.zone,
-        group=boot.region or boot.zone,
         ingress_address=boot.listen.outbound,
         relay_address=boot.listen.inbound,
         ready_address=boot.listen.ready,
--- a/flamingohead/platform/daemon.py
+++ b/flamingohead/platform/daemon.py
@@ -12,10 +12,10 @@
     from flamingohead.platform.boot import HostSettings
 
 
-async def run_daemon(settings: HostSettings) -> int:
+async def run_daemon(settings: HostSettings, path: str) -> int:
     """Run a daemon until a signal ends it; return the exit code."""
     kernel = Kernel()
-    add_services(kernel, settings)
+    add_services(kernel, settings, path)
     return await run_kernel(
         kernel, host=settings.host_id, failure_domain=settings.failure_domain
     )
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -113,16 +113,16 @@
     # Rows
 
     async def _read_rows(self) -> None:
-        """Read the rows of all failure domains; those of others give contacts."""
-        domain = self._get_membership().myself.failure_domain
+        """Read the rows of all groups; those of others give contacts."""
+        group = self._get_membership().myself.gossip_group
         found = await self._kernel.get("table").scan(HOST_PREFIX, limit=SCAN_LIMIT)
-        own = None if isinstance(found, Refusal) else self._take_rows(found, domain)
+        own = None if isinstance(found, Refusal) else self._take_rows(found, group)
         if own is not None and len(found) == SCAN_LIMIT:
             own = None
         members = self._get_membership().members
         self._run(self._bootstrap.receive_rows(own, members, time.monotonic()))
 
-    def _take_rows(self, found, domain: str) -> list[HostRow]:
+    def _take_rows(self, found, group: str) -> list[HostRow]:
         own: list[HostRow] = []
         for row in found:
             parts = row.key.split("/")
@@ -131,7 +131,7 @@
             except ValidationError:
                 self._kernel.get("metrics").count("host_row.malformed")
                 continue
-            if parts[1] == domain:
+            if parts[1] == group:
                 own.append(HostRow(parts[2], body.peer_address, body.written_at))
             else:
                 remote = self._kernel.get("summaries").remote
@@ -159,7 +159,7 @@
 
     def _get_row_key(self, host_id: str) -> str:
         myself = self._get_membership().myself
-        return f"{HOST_PREFIX}{myself.failure_domain}/{host_id}"
+        return f"{HOST_PREFIX}{myself.gossip_group}/{host_id}"
 
     def _get_membership(self):
         return self._kernel.get("gossip").membership
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -243,6 +243,8 @@
         refusal = await service.serve(call, response)
         if refusal is not None and call.key is not None:
             refusal = qualify_refusal(refusal, call.attempt)
+        if refusal is not None:
+            self._log_refusal(Event.REQUEST_REFUSED, call, refusal)
         self._conclude(response, refusal)
 
     async def _serve_home(self, call: Call, response: ServerResponse) -> None:
@@ -253,8 +255,33 @@
         self, upstream: str, call: Call, response: ServerResponse
     ) -> None:
         refusal = await self._kernel.get("slots").execute(upstream, call, response)
+        if refusal is not None:
+            load = self._kernel.get("slots").report_load(upstream, None)
+            self._log_refusal(
+                Event.REQUEST_NOT_ADMITTED, call, refusal, upstream=upstream, load=load
+            )
         self._conclude(response, refusal)
 
+    def _log_refusal(
+        self, event: Event, call: Call, refusal: Refusal, **fields: object
+    ) -> None:
+        now = time.monotonic()
+        log_event(
+            logger,
+            event,
+            request=call.request_id,
+            service=call.service,
+            rank=call.rank,
+            reason=refusal.kind.value,
+            detail=refusal.detail,
+            ran=refusal.ran.value,
+            retry_after_ms=refusal.compute_retry_after_ms(now),
+            remaining_ms=round(1000 * (call.deadline - now)),
+            version=self._kernel.get("configuration").routes.version,
+            members=self._kernel.get("gossip").membership.count_members(),
+            **fields,
+        )
+
     def _conclude(self, response: ServerResponse, refusal: Refusal | None) -> None:
         if refusal is None:
             return
--- /dev/null
+++ b/flamingohead/tests/test_bootstrap_rows.py
@@ -0,0 +1,55 @@
+"""Host rows of a group that spans failure domains."""
+
+from __future__ import annotations
+
+import random
+
+from flamingohead.core.bootstrap import Bootstrap, BootstrapSettings, ReadRows
+from flamingohead.core.members import Member
+from flamingohead.core.membership import Membership
+from flamingohead.core.storage import Row
+from flamingohead.kernel import Kernel
+from flamingohead.services.bootstrap import BootstrapService
+from flamingohead.services.metrics import MetricsService
+
+
+class FakeGossip:
+    def __init__(self, member):
+        self.membership = Membership(member, random=random.Random(1))
+
+
+def build_service(member):
+    kernel = Kernel()
+    kernel.add("metrics", MetricsService())
+    kernel.add("gossip", FakeGossip(member))
+    bootstrap = Bootstrap("h", "peer", (), random=random.Random(1))
+    return BootstrapService(kernel, bootstrap)
+
+
+class TestHostRows:
+    def test_rows_of_all_failure_domains_of_a_group_lead_to_peers(self):
+        member = Member("h", "makola", "10.0.0.1:1", "relay", 1, group="mesh")
+        service = build_service(member)
+        body = b'{"peer_address": "10.0.0.2:7000", "written_at": 1.0}'
+        found = service._take_rows([Row("hosts/mesh/osu-1", body, "1")], "mesh")
+        assert [row.host_id for row in found] == ["osu-1"]
+        assert service._get_row_key("h") == "hosts/mesh/h"
+
+    def test_group_falls_back_to_the_failure_domain(self):
+        service = build_service(Member("h", "makola", "10.0.0.1:1", "relay", 1))
+        assert service._get_row_key("h") == "hosts/makola/h"
+
+
+class TestRowReads:
+    def test_large_group_reads_rows_at_a_common_rate(self):
+        settings = BootstrapSettings(row_period=15.0, row_read_rate=2.0)
+        reads = 0
+        members = {f"m{n}": None for n in range(600)}
+        for seed in range(20):
+            bootstrap = Bootstrap(
+                "h", "p", (), random=random.Random(seed), settings=settings
+            )
+            for second in range(600):
+                effects = bootstrap.tick(float(second), members)
+                reads += sum(isinstance(effect, ReadRows) for effect in effects)
+        assert reads / 20 <= 600 / (601 / 2.0 * 0.5) + 1
