Give the test of host rows whole members

Cause: the test's members lacked what the choice of a peer reads; it was committed red. Change: real members. Result: passes, and fails with row_read_rate unused.

--- a/flamingohead/tests/test_bootstrap_rows.py
+++ b/flamingohead/tests/test_bootstrap_rows.py
@@ -44,7 +44,9 @@
     def test_large_group_reads_rows_at_a_common_rate(self):
         settings = BootstrapSettings(row_period=15.0, row_read_rate=2.0)
         reads = 0
-        members = {f"m{n}": None for n in range(600)}
+        members = {
+            f"m{n}": Member(f"m{n}", "makola", f"p{n}", "relay", 1) for n in range(600)
+        }
         for seed in range(20):
             bootstrap = Bootstrap(
                 "h", "p", (), random=random.Random(seed), settings=settings
