Serve nested calls first, share equal orders by age, and wait by the work ahead

Ranks of equal order were served strictly one after the other, since the first of them always won.

Ruled out: too few slots (stall-ledger had free ones while lookups failed), the retry budget (its bound was never reached).

Change: a nested call goes before new work of its order and waits until its deadline; equal orders go by age; the expected wait is the work ahead over the slots; an answer whose request was refused a call is not tried again.

--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -1,10 +1,16 @@
-"""Admission by rank and deadline at the daemon that owns the slots."""
+"""Admission by rank and deadline at the daemon that owns the slots.
+
+The load it answers: more work than slots, of ranks that differ in urgency, in the time
+that they hold a slot and in the time within which an answer is worth something; and
+calls that running requests make of another service, each of which keeps the slot of
+its caller for as long as it waits.
+"""
 
 from __future__ import annotations
 
 import heapq
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -22,6 +28,7 @@
 RETIRED_ORDER = 2**31
 RETIRED_SHARE = 0.05
 CLEANUP_MINIMUM = 64
+NESTED_SUFFIX = "/nested"
 
 
 class TicketState(Enum):
@@ -37,13 +44,16 @@
 class Ticket:
     """Stand for one request at the admission of one upstream.
 
-    ``deadline`` is in seconds on the daemon's monotonic clock.
+    ``deadline`` is in seconds on the daemon's monotonic clock. A ``nested`` ticket is
+    for a call that a running request waits for.
     """
 
     rank: str
     deadline: float
     caller: str = ""
+    nested: bool = False
     state: TicketState = TicketState.NEW
+    queued_at: float = 0.0
     admitted_at: float = 0.0
     queue: _RankQueue | None = field(default=None, repr=False)
     place: str = field(default="", repr=False)
@@ -74,6 +84,12 @@
     service_time: float = 0.0
     interval: float = 0.0
     turn_at: float = 0.0
+    nested: bool = False
+
+    @property
+    def urgency(self) -> tuple[int, bool]:
+        """Return what orders the queues, the most urgent first."""
+        return self.rank.order, not self.nested
 
     def start_waiting(self, limit: int, now: float) -> None:
         """Note that tickets wait from now on, at first at the pace of the share."""
@@ -105,8 +121,9 @@
     """Admit tickets to a limited number of slots.
 
     A free slot goes to the most urgent rank that waits and is below its
-    guaranteed share, and if there is none, to the most urgent rank that waits.
-    Inside a rank, callers take turns.
+    guaranteed share, and if there is none, to the most urgent rank that waits. Among
+    ranks of the same order, nested calls go first, and then the ticket that has waited
+    longest. Inside a rank, callers take turns.
     """
 
     def __init__(self, *, slots: int, ranks: tuple[Rank, ...]) -> None:
@@ -124,6 +141,17 @@
         queue = self._queues.get(rank)
         return 0 if queue is None else len(queue.waiting)
 
+    def count_ahead(self, rank: str) -> int:
+        """Return how many waiting tickets go before a new one of a rank."""
+        queue = self._queues.get(rank)
+        if queue is None:
+            return self._waiting
+        return sum(
+            len(other.waiting)
+            for other in self._ordered
+            if other.urgency <= queue.urgency
+        )
+
     def count_in_use(self, rank: str) -> int:
         """Return how many slots a rank holds."""
         queue = self._queues.get(rank)
@@ -142,7 +170,11 @@
             queue.rank = rank
             queues[rank.name] = queue
         for name, queue in self._queues.items():
-            if queue.in_use or queue.waiting:
+            rank = queues.get(name.removesuffix(NESTED_SUFFIX))
+            if queue.nested and rank is not None:
+                queue.rank = replace(rank.rank, name=name, share=0.0)
+                queues[name] = queue
+            elif queue.in_use or queue.waiting:
                 queue.rank = _retire_rank(name)
                 queues[name] = queue
         self._queues = queues
@@ -163,7 +195,7 @@
 
         A ticket that may not wait is refused unless a slot is free for it.
         """
-        queue = self._find_queue(ticket.rank)
+        queue = self._find_queue(ticket)
         if now >= ticket.deadline:
             ticket.state = TicketState.ENDED
             return Refusal(
@@ -190,7 +222,7 @@
             )
         if self.in_use < self.limit and not self._waiting:
             return None
-        return self._check_queue(self._find_queue(ticket.rank), ticket, now)
+        return self._check_queue(self._find_queue(ticket), ticket, now)
 
     def release(self, ticket: Ticket, now: float) -> Turn:
         """Free the slot of a ticket and pass it on."""
@@ -233,20 +265,28 @@
 
     # Queues
 
-    def _find_queue(self, name: str) -> _RankQueue:
-        """Return the queue of a rank, also of one not in the configuration.
+    def _find_queue(self, ticket: Ticket) -> _RankQueue:
+        """Return the queue of a ticket, also if the configuration lacks its rank.
 
         A call may carry a rank of a newer or older configuration.
         """
+        name = ticket.rank + NESTED_SUFFIX if ticket.nested else ticket.rank
         queue = self._queues.get(name)
         if queue is None:
-            queue = _RankQueue(_retire_rank(name))
+            queue = self._add_queue(name, ticket)
             self._queues[name] = queue
             self._arrange()
         return queue
 
+    def _add_queue(self, name: str, ticket: Ticket) -> _RankQueue:
+        if not ticket.nested:
+            return _RankQueue(_retire_rank(name))
+        parent = self._queues.get(ticket.rank)
+        rank = _retire_rank(name) if parent is None else parent.rank
+        return _RankQueue(replace(rank, name=name, share=0.0), nested=True)
+
     def _arrange(self) -> None:
-        queues = sorted(self._queues.values(), key=lambda queue: queue.rank.order)
+        queues = sorted(self._queues.values(), key=lambda queue: queue.urgency)
         for queue in queues:
             share = queue.rank.share
             queue.guaranteed = int(share * self.limit + 1e-9)
@@ -268,7 +308,8 @@
         for queue in waiting:
             if queue.credit >= 1:
                 return queue
-        return waiting[0]
+        first = [queue for queue in waiting if queue.urgency == waiting[0].urgency]
+        return min(first, key=lambda queue: queue.waiting.peek().queued_at)
 
     def _pass_credit(self, served: _RankQueue) -> None:
         for queue in self._ordered:
@@ -290,6 +331,7 @@
             queue.start_waiting(self.limit, now)
         ticket.queue = queue
         ticket.state = TicketState.WAITING
+        ticket.queued_at = now
         ticket.place = queue.waiting.push(ticket.caller, ticket)
         self._waiting += 1
         latest_start = ticket.deadline - queue.service_time
@@ -329,20 +371,44 @@
         """Return the wait with which a ticket is still worth queueing.
 
         A rank's target bounds it where an idle upstream can meet the target; the
-        rest of the target is left for waits and services longer than the mean.
+        rest of the target is left for waits and services longer than the mean. Without
+        a nested call the work of its caller would be lost, so that only its deadline
+        bounds it.
         """
         by_deadline = ticket.deadline - now - queue.service_time
+        if ticket.nested:
+            return by_deadline
         by_target = queue.rank.target_ms / 1000 - queue.service_time
         by_target *= QUEUED_TARGET_FRACTION
         return min(by_deadline, by_target) if by_target > 0 else by_deadline
 
     def _estimate_wait(self, queue: _RankQueue, caller: str) -> float:
+        if queue.rank.share <= 0:
+            return self._estimate_work_ahead(queue)
         turns = queue.waiting.count_items(caller) + 1
         ahead = min(
             len(queue.waiting) + 1, turns * max(queue.waiting.count_callers(), 1)
         )
         return ahead * queue.estimate_interval(self.limit)
 
+    def _estimate_work_ahead(self, queue: _RankQueue) -> float:
+        """Return the time until the slots have served what goes before a new ticket.
+
+        Ranks of the same order share the slots in the order of arrival. What more
+        urgent work holds or awaits now is taken to be joined by as much more.
+        """
+        limit = max(self.limit, 1)
+        ahead = queue.service_time
+        urgent_in_use = 0
+        for other in self._ordered:
+            if other.urgency > queue.urgency:
+                break
+            ahead += len(other.waiting) * (other.service_time or queue.service_time)
+            if other.urgency < queue.urgency:
+                urgent_in_use += other.in_use
+        free = max(limit - urgent_in_use, 1)
+        return ahead / free
+
 
 def _is_late(ticket: Ticket, now: float) -> bool:
     return now + ticket.queue.service_time > ticket.deadline
--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -18,7 +18,8 @@
     it gave none. ``call_id`` names the call across daemons. A call is ``claimed``
     where another daemon has made sure that its key runs once. ``caller`` names who
     sent it. A call that must not wait is refused unless a slot is free. ``host`` is
-    the host that the caller asked, and ``request_id`` the caller's own id.
+    the host that the caller asked, and ``request_id`` the caller's own id. ``parent``
+    is the id of the running request that makes the call, if it is a nested one.
     """
 
     service: str
@@ -36,6 +37,7 @@
     claimed: bool = False
     may_wait: bool = True
     bulky: bool = False
+    parent: str = ""
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     host: bytes = b""
 
--- a/flamingohead/core/candidates.py
+++ b/flamingohead/core/candidates.py
@@ -15,7 +15,10 @@
 
 @dataclass(frozen=True)
 class Candidate:
-    """Locate an upstream: its host, the host's relay address and its slots."""
+    """Locate an upstream: its host, the host's relay address and its slots.
+
+    A ``leaving`` one serves those that find no other.
+    """
 
     host_id: str
     relay_address: str
@@ -23,14 +26,20 @@
     service: str
     slots: int
     failure_domain: str = ""
+    leaving: bool = False
 
     @property
     def key(self) -> UpstreamKey:
         return self.host_id, self.upstream
 
 
-def list_candidates(member: Member) -> tuple[Candidate, ...]:
+def list_candidates(
+    member: Member, *, with_leaving: bool = False
+) -> tuple[Candidate, ...]:
     """Return the ready upstreams of a member; none if it is not usable."""
+    statuses = {UpstreamStatus.READY}
+    if with_leaving:
+        statuses.add(UpstreamStatus.LEAVING)
     if not member.is_usable:
         return ()
     return tuple(
@@ -41,7 +50,8 @@
             upstream.service,
             upstream.slots,
             member.failure_domain,
+            upstream.status is UpstreamStatus.LEAVING,
         )
         for upstream in member.upstreams
-        if upstream.status is UpstreamStatus.READY
+        if upstream.status in statuses
     )
--- a/flamingohead/core/fairness.py
+++ b/flamingohead/core/fairness.py
@@ -51,6 +51,11 @@
             del self._callers[place]
         return item
 
+    def peek(self) -> T:
+        """Return the item that ``pop`` would remove."""
+        items = next(iter(self._callers.values()))
+        return next(iter(items))
+
     def remove(self, place: str, item: T) -> None:
         """Remove an item from its place."""
         items = self._callers[place]
--- a/flamingohead/core/members.py
+++ b/flamingohead/core/members.py
@@ -24,6 +24,8 @@
     READY = 1
     DRAINING = 2
     GONE = 3
+    # Its daemon is being stopped: it serves those that find no other.
+    LEAVING = 4
 
 
 @dataclass(frozen=True)
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -143,8 +143,12 @@
     def leave(self) -> list[MembershipEffect]:
         """Announce that this member leaves."""
         self._list.restate(status=MemberStatus.LEFT)
+        return self.spread_state()
+
+    def spread_state(self) -> list[MembershipEffect]:
+        """Tell a few members the state of this one at once."""
         return [
-            self._datagrams.send(member.peer_address, Gossip())
+            self._datagrams.send(member.peer_address, Gossip(), first=(self.myself,))
             for member in self._choose_members(LEAVE_FANOUT)
         ]
 
--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -41,6 +41,8 @@
 # answer loses little, a large one takes the links between the failure domains.
 REMOTE_COST = 0.05
 BULKY_REMOTE_COST = 1.5
+# Cost of a host that is being stopped; only what finds no other goes there.
+LEAVING_COST = 20.0
 # Two costs closer than this are alike; the choice between them is drawn.
 TIE_COST = 0.1
 # Candidates weighed for a request; of larger groups a sample is drawn.
@@ -69,8 +71,9 @@
 class LoadReport:
     """Hold what a host reports with each answer.
 
-    ``running`` and ``waiting`` count requests at its admission, ``held_ms`` is the
-    time for which the answered request held its slot, or ``None`` if it held none.
+    ``running`` counts the requests on its slots, ``waiting`` those that go before a new
+    one of the same rank. ``held_ms`` is the time for which the answered request held
+    its slot, or ``None`` if it held none.
     """
 
     running: int
@@ -104,16 +107,21 @@
     ready_since: float
     in_flight: int = 0
     others: float = 0.0
+    waiting: dict[str, int] = field(default_factory=dict)
     reported_at: float = 0.0
     slowness: float = 1.0
     slowness_at: float = 0.0
     failures: float = 0.0
     failures_at: float = 0.0
 
-    def estimate_busy(self, now: float) -> float:
-        """Return the requests likely to be there; those of this daemon are known."""
+    def estimate_busy(self, rank: str, now: float) -> float:
+        """Return the requests likely to be served before a new one of a rank.
+
+        Those of this daemon are known.
+        """
         age = max(0.0, now - self.reported_at)
-        return self.in_flight + self.others * 0.5 ** (age / REPORT_MEMORY_SECONDS)
+        others = self.others + self.waiting.get(rank, 0)
+        return self.in_flight + others * 0.5 ** (age / REPORT_MEMORY_SECONDS)
 
     def estimate_slowness(self, now: float) -> float:
         weight = _compute_memory(now - self.slowness_at)
@@ -124,8 +132,8 @@
     def estimate_failures(self, now: float) -> float:
         return self.failures * _compute_memory(now - self.failures_at)
 
-    def is_full(self, now: float) -> bool:
-        return self.estimate_busy(now) >= self.candidate.slots
+    def is_full(self, rank: str, now: float) -> bool:
+        return self.estimate_busy(rank, now) >= self.candidate.slots
 
 
 @dataclass(frozen=True, eq=False)
@@ -157,7 +165,7 @@
         views: dict[UpstreamKey, _View] = {}
         pools: dict[str, _Pool] = {}
         for member in members:
-            for candidate in list_candidates(member):
+            for candidate in list_candidates(member, with_leaving=True):
                 view = self._views.get(candidate.key)
                 if view is None or view.candidate.service != candidate.service:
                     view = _View(candidate, now)
@@ -185,7 +193,8 @@
     ) -> Choice | None:
         """Return where to send a request, or ``None`` if there is nowhere.
 
-        Without ``must_wait`` it waits only where every candidate seems to be full.
+        Without ``must_wait`` it waits only where every candidate seems to be full, or
+        for a large answer, which is better waited for than brought from far away.
         """
         pool = self._pools.get(demand.service)
         if pool is None:
@@ -196,7 +205,11 @@
         if len(views) > SAMPLE_SIZE:
             views = self._random.sample(views, SAMPLE_SIZE)
         chosen = self._pick(views, demand, now)
-        may_wait = must_wait or all(view.is_full(now) for view in views)
+        may_wait = (
+            must_wait
+            or demand.bulky
+            or all(view.is_full(demand.rank, now) for view in views)
+        )
         return Choice(chosen.candidate, may_wait)
 
     def start(self, candidate: Candidate, rank: str, now: float) -> PlacedAttempt:
@@ -238,7 +251,8 @@
             return
         # The request that is being answered is still counted as one of this daemon.
         own = max(0, view.in_flight - 1)
-        view.others = max(0.0, load.running + load.waiting - own)
+        view.others = max(0.0, load.running - own)
+        view.waiting[rank] = max(0, load.waiting - max(0, own - load.running))
         view.reported_at = now
         if load.held_ms is not None:
             self._record_time(view, rank, load.held_ms / 1000, now)
@@ -261,11 +275,13 @@
     def _compute_cost(self, view: _View, demand: Demand, now: float) -> float:
         """Return the expected time of an answer, in multiples of the usual one."""
         slots = max(view.candidate.slots, 1)
-        busy = view.estimate_busy(now)
+        busy = view.estimate_busy(demand.rank, now)
         queued = max(0.0, busy + 1 - slots)
         cost = view.estimate_slowness(now) * (1 + queued / slots)
         cost += TIE_COST * busy / slots
         cost += FAILURE_COST * view.estimate_failures(now)
+        if view.candidate.leaving:
+            cost += LEAVING_COST
         if view.candidate.failure_domain != self._failure_domain:
             cost += BULKY_REMOTE_COST if demand.bulky else REMOTE_COST
         return cost
--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -42,10 +42,14 @@
 
 @dataclass(frozen=True)
 class Pool:
-    """Describe a set of upstreams that announce the same service."""
+    """Describe a set of upstreams that announce the same service.
+
+    ``health_path`` is where an upstream tells that it may be used, if it does.
+    """
 
     name: str
     service: str
+    health_path: str = ""
 
     @property
     def key(self) -> ResourceKey:
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -137,6 +137,10 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def get_pool(self, name: str) -> Pool | None:
+        """Return a pool by its name."""
+        return self._pools.get(name)
+
     def list_ranks(self, service: str) -> tuple[Rank, ...]:
         """Return the ranks of a service, most urgent first."""
         return self._ranks.get(service, ())
--- a/flamingohead/core/stopping.py
+++ b/flamingohead/core/stopping.py
@@ -3,6 +3,10 @@
 The other daemons are told first. Some still send for a moment, so the listeners stay
 open for a short time; every answer closes its connection meanwhile. Then the daemon
 waits until no connection is in use, at most until the deadline of the stop.
+
+A daemon that steps back stays in the mesh until its listeners close, and serves those
+that find no other host: the load it answers is a roll of stops through the hosts of a
+service that has few.
 """
 
 from __future__ import annotations
@@ -18,6 +22,7 @@
 class StopEffect(Enum):
     """Name what a stop asks of the daemon."""
 
+    STEP_BACK = "step_back"
     LEAVE_MESH = "leave_mesh"
     CLOSE_AFTER_ANSWERS = "close_after_answers"
     CLOSE_LISTENERS = "close_listeners"
@@ -99,11 +104,20 @@
 
 
 class PlannedStop:
-    """Order the steps of one stop; times in seconds."""
+    """Order the steps of one stop; times in seconds.
+
+    With ``steps_back`` it first only asks the others to prefer other hosts.
+    """
 
     def __init__(
-        self, now: float, *, timeout: float, settle_seconds: float = SETTLE_SECONDS
+        self,
+        now: float,
+        *,
+        timeout: float,
+        settle_seconds: float = SETTLE_SECONDS,
+        steps_back: bool = False,
     ) -> None:
+        self._steps_back = steps_back
         self._machine: StopMachine = _create_machine(object())
         self._settled_at = now + min(settle_seconds, timeout / 2)
         self._deadline = now + timeout
@@ -115,13 +129,18 @@
 
     def begin(self) -> list[StopEffect]:
         """Start the stop."""
-        return self._machine.begin()
+        effects = self._machine.begin()
+        if not self._steps_back:
+            return effects
+        others = [e for e in effects if e is not StopEffect.LEAVE_MESH]
+        return [StopEffect.STEP_BACK, *others]
 
     def advance(self, now: float, connections: int) -> list[StopEffect]:
         """Go on at ``now`` with this number of open connections."""
         phase = self._machine.get_phase()
         if phase is StopPhase.SETTLING and now >= self._settled_at:
-            return self._machine.drain()
+            effects = self._machine.drain()
+            return [StopEffect.LEAVE_MESH, *effects] if self._steps_back else effects
         if phase is not StopPhase.DRAINING:
             return []
         if connections == 0:
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -20,6 +20,7 @@
 from flamingohead.platform.dialect import PLATFORM_DIALECT
 from flamingohead.platform.endpoints import InstanceEndpoint, ReadyEndpoint
 from flamingohead.platform.feed import ConfigurationFeed
+from flamingohead.platform.probe import UpstreamProbe
 from flamingohead.platform.store import StoreClient
 from flamingohead.platform.tables import StoreObjects, StoreTable
 from flamingohead.platform.watch import SettingsWatch
@@ -75,6 +76,7 @@
     kernel.add("bootstrap", _create_bootstrap(kernel, settings, generator))
     kernel.add("feed", ConfigurationFeed(kernel))
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
+    kernel.add("probe", UpstreamProbe(kernel, settings))
     kernel.add("watch", SettingsWatch(kernel, settings, path))
 
 
@@ -114,6 +116,7 @@
             relay_address=settings.relay_address,
             stop_timeout=settings.stop_timeout - STOP_MARGIN_SECONDS,
             settle_seconds=SETTLE_SECONDS,
+            steps_back=True,
             dialect=PLATFORM_DIALECT,
             own_service=settings.service,
         ),
--- a/flamingohead/platform/dialect.py
+++ b/flamingohead/platform/dialect.py
@@ -23,11 +23,18 @@
     return any(name == NOT_EXECUTED_HEADER for name, _ in headers)
 
 
+def find_parent(request_id: str) -> str:
+    """Return the id that the id of an upstream's own call begins with."""
+    parent, separator, _ = request_id.rpartition(".")
+    return parent if separator else ""
+
+
 PLATFORM_DIALECT = Dialect(
     deadline=b"request-deadline",
     upstream=b"expect-instance",
     caller_service=b"caller-service",
     states_not_executed=states_not_executed,
+    find_parent=find_parent,
     keeps_host=True,
     reads_keys=False,
     sends_fractional_retry_after=True,
--- a/flamingohead/platform/documents.py
+++ b/flamingohead/platform/documents.py
@@ -65,6 +65,7 @@
 
 class _Cluster(_Message):
     name: str = Field(min_length=1)
+    health_path: str = ""
 
 
 class _Limits(_Message):
@@ -108,7 +109,7 @@
         self.resources: dict[ResourceKey, Resource] = {}
         for cluster in document.clusters:
             self._add(Service(cluster.name))
-            self._add(Pool(cluster.name, cluster.name))
+            self._add(Pool(cluster.name, cluster.name, cluster.health_path))
         limits = document.limits
         self._add(
             ClientLimits(
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -60,7 +60,7 @@
         message = pb.Service(name=resource.name, mode=resource.mode)
         return pb.Resource(service=message)
     if isinstance(resource, Pool):
-        return pb.Resource(pool=pb.Pool(name=resource.name, service=resource.service))
+        return pb.Resource(pool=pb.Pool(**vars(resource)))
     if isinstance(resource, Rank):
         return pb.Resource(rank=_encode_rank(resource))
     if isinstance(resource, ClientLimits):
@@ -101,7 +101,8 @@
     if kind == "service":
         return Service(message.service.name, message.service.mode)
     if kind == "pool":
-        return Pool(message.pool.name, message.pool.service)
+        pool = message.pool
+        return Pool(pool.name, pool.service, pool.health_path)
     if kind == "rank":
         return _decode_rank(message.rank)
     if kind == "route":
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -23,6 +23,7 @@
 from flamingohead.services.relay import (
     KEY_HEADER,
     RELAY_HOME,
+    RELAY_LACKS_NESTED,
     RELAY_LOAD,
     RELAY_PREFIX,
     RELAY_UPSTREAM,
@@ -60,12 +61,14 @@
         relay_address: str,
         stop_timeout: float,
         settle_seconds: float = SETTLE_SECONDS,
+        steps_back: bool = False,
         dialect: Dialect = PRODUCT_DIALECT,
         own_service: str = "",
     ) -> None:
         self._dialect = dialect
         self.own_service = own_service
         self._settle_seconds = settle_seconds
+        self._steps_back = steps_back
         self._kernel = kernel
         self._addresses = (ingress_address, relay_address)
         self._stop_timeout = stop_timeout
@@ -75,6 +78,7 @@
         self._ports = []
         self._tasks: dict[asyncio.Task, IncomingRequest] = {}
         self._stop_steps = {
+            StopEffect.STEP_BACK: self._step_back,
             StopEffect.LEAVE_MESH: self._leave_mesh,
             StopEffect.CLOSE_AFTER_ANSWERS: self._close_after_answers,
             StopEffect.CLOSE_LISTENERS: self._close_listeners,
@@ -103,6 +107,7 @@
             time.monotonic(),
             timeout=self._stop_timeout,
             settle_seconds=self._settle_seconds,
+            steps_back=self._steps_back,
         )
         await self._run_effects(stop.begin())
         while not stop.has_ended:
@@ -127,6 +132,10 @@
         for effect in effects:
             await self._stop_steps[effect]()
 
+    async def _step_back(self) -> None:
+        self.is_stopping = True
+        self._kernel.get("slots").step_back()
+
     async def _leave_mesh(self) -> None:
         self.is_stopping = True
         self._kernel.get("gossip").leave()
@@ -188,6 +197,9 @@
         if isinstance(call, Refusal):
             self._refuse(response, _qualify(request, call))
             return
+        parent = self._dialect.find_parent(call.request_id)
+        if parent and self._kernel.get("slots").is_running(parent):
+            call = replace(call, parent=parent)
         self._spawn(self._serve(call, response), request, response)
 
     def _handle_relay(self, request: IncomingRequest, response: ServerResponse) -> None:
@@ -199,7 +211,7 @@
             self._spawn(self._serve_home(call, response), request, response)
             return
         upstream = (request.get_header(RELAY_UPSTREAM) or b"").decode("latin-1")
-        response.own_headers = lambda: self._describe_load(upstream, response)
+        response.own_headers = lambda: self._describe_load(upstream, call, response)
         self._spawn(self._serve_local(upstream, call, response), request, response)
 
     def _spawn(
@@ -228,12 +240,20 @@
             else:
                 self._refuse(response, Refusal(ErrorKind.INTERNAL, "see the log"))
 
-    def _describe_load(self, upstream: str, response: ServerResponse) -> Headers:
+    def _describe_load(
+        self, upstream: str, call: Call, response: ServerResponse
+    ) -> Headers:
         held_ms = None
         if response.admitted_at is not None:
             held_ms = 1000 * (time.monotonic() - response.admitted_at)
-        load = self._kernel.get("slots").report_load(upstream, held_ms)
-        return [] if load is None else [(RELAY_LOAD, encode_load(load))]
+        slots = self._kernel.get("slots")
+        headers: Headers = []
+        load = slots.report_load(upstream, call.rank, held_ms)
+        if load is not None:
+            headers.append((RELAY_LOAD, encode_load(load)))
+        if slots.lacks_nested(call.request_id):
+            headers.append((RELAY_LACKS_NESTED, b"yes"))
+        return headers
 
     # Calls
 
@@ -244,6 +264,8 @@
         if refusal is not None and call.key is not None:
             refusal = qualify_refusal(refusal, call.attempt)
         if refusal is not None:
+            if call.parent:
+                self._kernel.get("slots").note_nested_refused(call.parent)
             self._log_refusal(Event.REQUEST_REFUSED, call, refusal)
         self._conclude(response, refusal)
 
@@ -256,7 +278,8 @@
     ) -> None:
         refusal = await self._kernel.get("slots").execute(upstream, call, response)
         if refusal is not None:
-            load = self._kernel.get("slots").report_load(upstream, None)
+            slots = self._kernel.get("slots")
+            load = slots.report_load(upstream, call.rank, None)
             self._log_refusal(
                 Event.REQUEST_NOT_ADMITTED, call, refusal, upstream=upstream, load=load
             )
--- a/flamingohead/services/dialects.py
+++ b/flamingohead/services/dialects.py
@@ -11,6 +11,10 @@
     from flamingohead.services.http_messages import Headers
 
 
+def _find_no_parent(request_id: str) -> str:
+    return ""
+
+
 def _states_not_executed(status: int, headers: Headers) -> bool:
     return status == 503 and (b"request-executed", b"no") in headers
 
@@ -22,7 +26,8 @@
     ``deadline`` carries the milliseconds that the sender still waits, ``upstream``
     the name of the only upstream that may execute the request, ``caller_service``
     the service on whose host the request began. ``states_not_executed`` tells from
-    the status and headers of an upstream's answer whether it did not execute.
+    the status and headers of an upstream's answer whether it did not execute, and
+    ``find_parent`` from the id of a request the id of the one that may have made it.
     """
 
     deadline: bytes = b"request-timeout-ms"
@@ -31,6 +36,7 @@
     states_not_executed: Callable[[int, Headers], bool] = field(
         default=_states_not_executed
     )
+    find_parent: Callable[[str], str] = field(default=_find_no_parent)
     keeps_host: bool = False
     reads_keys: bool = True
     sends_fractional_retry_after: bool = False
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -18,6 +18,7 @@
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
+    from flamingohead.core.members import Member, UpstreamStatus
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
@@ -106,6 +107,8 @@
         self.membership.set_upstreams(upstreams)
         if self.membership.myself is not before:
             self._publish_members()
+            if _list_statuses(before) != _list_statuses(self.membership.myself):
+                self._run(self.membership.spread_state())
 
     def push_record(self, record, fanout: int) -> None:
         """Send a record to a few random peers."""
@@ -177,3 +180,7 @@
         self._kernel.get("metrics").count("datagram.sent_bytes", len(data))
         if self.transport is not None:
             self.transport.write(data, split_address(effect.address))
+
+
+def _list_statuses(member: Member) -> list[UpstreamStatus]:
+    return [upstream.status for upstream in member.upstreams]
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -88,7 +88,10 @@
 
     def _is_failure(self, call: Call, held: HeldResponse) -> bool:
         """Tell whether an answer may be replaced by that of another upstream."""
-        return call.idempotent and held.status >= FIRST_SERVER_ERROR
+        if held.status < FIRST_SERVER_ERROR or held.lacks_nested:
+            # Another upstream would be refused the same call.
+            return False
+        return call.idempotent
 
     def _goes_on(
         self, call: Call, plan: AttemptPlan, choice: Choice, refusal: Refusal
@@ -138,7 +141,7 @@
         slots = self._kernel.get("slots")
         upstream = choice.candidate.upstream
         refusal = await slots.execute(upstream, call, held)
-        report = slots.report_load(upstream, held.held_ms)
+        report = slots.report_load(upstream, call.rank, held.held_ms)
         if report is not None:
             self._take_load(choice, call, report)
         return refusal
@@ -159,6 +162,7 @@
             on_connection=sink.attach,
         )
         if refusal is None:
+            held.lacks_nested = sink.lacks_nested
             return sink.refusal
         if refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
             return Refusal(ErrorKind.HOST_UNREACHABLE, refusal.detail)
--- a/flamingohead/services/held_response.py
+++ b/flamingohead/services/held_response.py
@@ -20,7 +20,8 @@
 
     ``started`` tells whether a part of it has gone to the caller, so that no other
     attempt may answer. ``admitted_at`` is set when the request gets a slot of this
-    host, and ``held_ms`` when its answer begins.
+    host, and ``held_ms`` when its answer begins. One that ``lacks_nested`` is that
+    of an upstream whose request was refused a call that it made.
     """
 
     def __init__(self, response: ServerResponse) -> None:
@@ -34,6 +35,7 @@
         self.is_whole = False
         self.admitted_at: float | None = None
         self.held_ms: float | None = None
+        self.lacks_nested = False
 
     @property
     def started(self) -> bool:
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -64,6 +64,7 @@
         self.finished = False
         self.closes = False
         self.admitted_at: float | None = None
+        self.lacks_nested = False
         self.own_headers: Callable[[], Headers] | None = None
         self.on_disconnect: Callable[[], None] | None = None
         self._on_pause: Callable[[], None] | None = None
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -42,6 +42,10 @@
 RELAY_LOAD = b"flamingohead-load"
 RELAY_WAIT = b"flamingohead-wait"
 RELAY_HOST = b"flamingohead-host"
+RELAY_PARENT = b"flamingohead-parent"
+# The answer is one of an upstream whose request was refused a call that it made.
+RELAY_LACKS_NESTED = b"flamingohead-lacks-nested"
+REPORT_HEADERS = (RELAY_LOAD, RELAY_LACKS_NESTED)
 RETRY_HEADER = b"flamingohead-retry-after-ms"
 CALLER_HEADER = b"request-caller"
 MAX_ATTEMPT_DIGITS = 9
@@ -60,6 +64,7 @@
         self._response = response
         self._take_load = take_load
         self.refusal: Refusal | None = None
+        self.lacks_nested = False
 
     @property
     def started(self) -> bool:
@@ -76,7 +81,8 @@
         if load is not None and self._take_load is not None:
             self._take_load(load)
         if self.refusal is None:
-            headers = [h for h in headers if h[0] != RELAY_LOAD]
+            self.lacks_nested = (RELAY_LACKS_NESTED, b"yes") in headers
+            headers = [h for h in headers if h[0] not in REPORT_HEADERS]
             self._response.start(status, headers, length=length)
 
     def write(self, data: bytes) -> None:
@@ -114,6 +120,7 @@
         (RELAY_CLAIMED, b"yes" if call.claimed else b"no"),
         (RELAY_WAIT, b"yes" if call.may_wait else b"no"),
         (RELAY_HOST, call.host),
+        (RELAY_PARENT, call.parent.encode()),
         (EXCHANGE_HEADER, secrets.token_hex(8).encode()),
     )
 
@@ -171,6 +178,7 @@
         claimed=request.get_header(RELAY_CLAIMED) == b"yes",
         may_wait=request.get_header(RELAY_WAIT) != b"no",
         host=request.get_header(RELAY_HOST) or b"",
+        parent=(request.get_header(RELAY_PARENT) or b"").decode("latin-1"),
     )
 
 
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -24,7 +25,7 @@
     from flamingohead.services.http_server import ServerResponse
 
 
-READY = UpstreamStatus.READY
+SERVING = (UpstreamStatus.READY, UpstreamStatus.LEAVING)
 TICK_PERIOD = 0.02
 REPORT_PERIOD = 1.0
 
@@ -50,7 +51,10 @@
         self._ticks = LoopingCall(self._tick)
         self._reports = LoopingCall(self._report_queues)
         self._drained: set[str] = set()
+        self._is_leaving = False
         self.in_flight = 0
+        self._running: Counter[str] = Counter()
+        self._failed_parents: set[str] = set()
 
     async def start(self) -> None:
         self._ticks.start(TICK_PERIOD, now=False)
@@ -94,9 +98,16 @@
         self._publish()
         return True
 
+    def step_back(self) -> None:
+        """Ask the others to send here only what finds no other host."""
+        self._is_leaving = True
+        self._publish()
+
     def get_status(self, name: str) -> UpstreamStatus:
         """Return the status of an upstream, operators' drains included."""
         status = self.upstreams[name].state.status
+        if status is UpstreamStatus.READY and self._is_leaving:
+            return UpstreamStatus.LEAVING
         if status is UpstreamStatus.READY and name in self._drained:
             return UpstreamStatus.DRAINING
         return status
@@ -143,9 +154,11 @@
     ) -> Refusal | None:
         """Run a call on an upstream of this host; ``None`` means answered."""
         upstream = self.upstreams.get(upstream_name)
-        if upstream is None or self.get_status(upstream_name) is not READY:
+        if upstream is None or self.get_status(upstream_name) not in SERVING:
             return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
         self.in_flight += 1
+        request_id = call.request_id
+        self._running[request_id] += 1
         try:
             if call.claimed or not call.is_keyed:
                 return await self._run(upstream, call, self._relay(response))
@@ -157,28 +170,48 @@
             )
         finally:
             self.in_flight -= 1
-
-    def report_load(self, name: str, held_ms: float | None) -> LoadReport | None:
-        """Return the load at an upstream of this host, if it is known here."""
+            response.lacks_nested = self.lacks_nested(request_id)
+            self._running[request_id] -= 1
+            if not self._running[request_id]:
+                del self._running[request_id]
+                self._failed_parents.discard(request_id)
+
+    def is_running(self, request_id: str) -> bool:
+        """Tell whether an upstream of this host has a request of this id."""
+        return request_id in self._running
+
+    def note_nested_refused(self, parent: str) -> None:
+        """Note that a call of a running request was refused."""
+        if parent in self._running:
+            self._failed_parents.add(parent)
+
+    def lacks_nested(self, request_id: str) -> bool:
+        """Tell whether a running request was refused one of its calls."""
+        return request_id in self._failed_parents
+
+    def report_load(
+        self, name: str, rank: str, held_ms: float | None
+    ) -> LoadReport | None:
+        """Return the load that a rank meets at an upstream, if it is known here."""
         upstream = self.upstreams.get(name)
         if upstream is None:
             return None
         admission = upstream.admission
         return LoadReport(
-            admission.in_use, len(upstream.waiters), admission.limit, held_ms
+            admission.in_use, admission.count_ahead(rank), admission.limit, held_ms
         )
 
     def _relay(self, response: ServerResponse) -> AnswerRelay:
         return AnswerRelay(response, self._dialect)
 
     def _check(self, upstream: LocalUpstream, call: Call) -> Refusal | None:
-        ticket = Ticket(call.rank, call.deadline, call.caller)
+        ticket = _build_ticket(call)
         return upstream.admission.check(ticket, time.monotonic())
 
     async def _run(
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
-        ticket = Ticket(call.rank, call.deadline, call.caller)
+        ticket = _build_ticket(call)
         refusal = await self._admit(upstream, ticket, may_wait=call.may_wait)
         if refusal is not None:
             return refusal
@@ -239,3 +272,7 @@
         future = upstream.waiters.get(ticket)
         if future is not None and not future.done():
             future.set_result(result)
+
+
+def _build_ticket(call: Call) -> Ticket:
+    return Ticket(call.rank, call.deadline, call.caller, nested=bool(call.parent))
--- a/flamingohead/services/transport.py
+++ b/flamingohead/services/transport.py
@@ -19,6 +19,12 @@
 
 LISTEN_BACKLOG = 512
 WRITE_HIGH_WATER_BYTES = 64 * 1024
+# A dead host or a cut path shows after about two seconds, before most deadlines, while
+# some packets in a row may still be lost.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 2000
 
 
 class AsyncioTransport(asyncio.Protocol):
@@ -105,6 +111,19 @@
 
 async def connect(protocol: Protocol, host: str, port: int) -> None:
     """Connect a protocol; raise ``OSError``."""
-    await asyncio.get_running_loop().create_connection(
+    transport, _ = await asyncio.get_running_loop().create_connection(
         lambda: AsyncioTransport(protocol), host, port
     )
+    _detect_silence(transport.get_extra_info("socket"))
+
+
+def _detect_silence(connection: socket.socket) -> None:
+    """Let the system end a connection whose other end has gone without a word."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/flamingohead/tests/test_admission.py
@@ -0,0 +1,112 @@
+"""Admission replayed on ranks of equal order and on nested calls."""
+
+from __future__ import annotations
+
+import pytest
+
+from flamingohead.core.admission import Admission, Ticket
+from flamingohead.core.errors import ErrorKind
+from flamingohead.core.resources import Rank
+
+
+def build_rank(name, order, target_ms):
+    return Rank(name, "s", order, target_ms, 1.0, 0.0)
+
+
+LOOKUP = build_rank("lookup", 1, 500)
+HAND_OVER = build_rank("hand-over", 1, 600)
+SEARCH = build_rank("search", 2, 4000)
+
+
+@pytest.fixture
+def admission():
+    admission = Admission(slots=2, ranks=(LOOKUP, HAND_OVER, SEARCH))
+    for rank in (LOOKUP, HAND_OVER, SEARCH):
+        # A slot is held for 100 ms by each.
+        ticket = Ticket(rank.name, 10.0)
+        assert admission.offer(ticket, 0.0) is True
+        admission.release(ticket, 0.1)
+    return admission
+
+
+def fill(admission, rank, count, now=1.0):
+    tickets = [Ticket(rank.name, now + 10.0) for _ in range(count)]
+    for ticket in tickets:
+        assert admission.offer(ticket, now) is True
+    return tickets
+
+
+class TestEqualOrders:
+    def test_ranks_of_one_order_are_served_by_age(self, admission):
+        running = fill(admission, SEARCH, 2)
+        waiting = []
+        for number in range(4):
+            rank = (LOOKUP, HAND_OVER)[number % 2]
+            ticket = Ticket(rank.name, 9.0)
+            assert admission.offer(ticket, 1.0 + number / 1000) is False
+            waiting.append(ticket)
+        admitted = []
+        while running:
+            turn = admission.release(running.pop(0), 1.01)
+            admitted += turn.admitted
+            running += turn.admitted
+        assert admitted == waiting
+
+    def test_flood_of_one_rank_does_not_starve_another_of_its_order(self, admission):
+        running = fill(admission, LOOKUP, 2)
+        served = {LOOKUP.name: 0, HAND_OVER.name: 0}
+        now = 1.0
+        for step in range(400):
+            now += 0.05
+            for rank, count in ((LOOKUP, 3), (HAND_OVER, 1)):
+                for _ in range(count):
+                    ticket = Ticket(rank.name, now + 1.2)
+                    if admission.offer(ticket, now) is True:
+                        running.append(ticket)
+            if running:
+                turn = admission.release(running.pop(0), now)
+                running += turn.admitted
+                for ticket in turn.admitted:
+                    served[ticket.rank] += 1
+        assert served[HAND_OVER.name] >= 0.15 * sum(served.values())
+
+
+class TestNestedCalls:
+    def test_nested_call_goes_before_new_work_of_its_order(self, admission):
+        running = fill(admission, SEARCH, 2)
+        first = Ticket(LOOKUP.name, 9.0)
+        nested = Ticket(LOOKUP.name, 9.0, nested=True)
+        assert admission.offer(first, 1.0) is False
+        assert admission.offer(nested, 1.001) is False
+        assert admission.release(running[0], 1.01).admitted == (nested,)
+
+    def test_nested_call_may_wait_until_its_deadline(self, admission):
+        fill(admission, HAND_OVER, 2)
+        for _ in range(4):
+            assert admission.offer(Ticket(LOOKUP.name, 9.0), 1.0) is False
+        # The target leaves no time to wait, the deadline does.
+        assert admission.offer(Ticket(LOOKUP.name, 1.5), 1.0).kind is (
+            ErrorKind.DEADLINE_UNREACHABLE
+        )
+        assert admission.offer(Ticket(LOOKUP.name, 1.5, nested=True), 1.0) is False
+
+    def test_nested_queue_follows_a_new_configuration(self, admission):
+        fill(admission, SEARCH, 2)
+        nested = Ticket(LOOKUP.name, 9.0, nested=True)
+        admission.offer(nested, 1.0)
+        admission.set_ranks((build_rank("lookup", 0, 500), SEARCH))
+        assert nested.queue.urgency == (0, False)
+
+
+class TestOffers:
+    def test_ticket_that_may_not_wait_is_refused_at_once(self, admission):
+        fill(admission, SEARCH, 2)
+        refusal = admission.offer(Ticket(LOOKUP.name, 9.0), 1.0, may_wait=False)
+        assert refusal.kind is ErrorKind.QUEUE_FULL
+        assert admission.count_waiting(LOOKUP.name) == 0
+
+    def test_less_urgent_work_does_not_lengthen_the_wait(self, admission):
+        fill(admission, SEARCH, 2)
+        for _ in range(20):
+            assert admission.offer(Ticket(SEARCH.name, 9.0), 1.0) is False
+        assert admission.offer(Ticket(LOOKUP.name, 9.0), 1.0) is False
--- a/flamingohead/tests/test_placement.py
+++ b/flamingohead/tests/test_placement.py
@@ -118,3 +118,14 @@
             if len(busy) > 15:
                 placement.finish(busy.pop(0), now, None, status=200)
         assert hosts["c"] > 10
+
+
+class TestLeavingHosts:
+    def test_leaving_host_serves_only_what_finds_no_other(self):
+        leaving = build_member("a", status=UpstreamStatus.LEAVING)
+        placement = build_placement(leaving, build_member("b"), now=-100.0)
+        report(placement, "b", 0.0, running=SLOTS, waiting=SLOTS)
+        hosts = [placement.choose(DEMAND, 0.0).candidate.host_id for _ in range(20)]
+        assert set(hosts) == {"b"}
+        placement = build_placement(leaving, now=-100.0)
+        assert placement.choose(DEMAND, 0.0).candidate.host_id == "a"
