--- a/flamingohead/standins/__main__.py
+++ b/flamingohead/standins/__main__.py
@@ -57,6 +57,38 @@
     _run(start)
 
 
+@main.command()
+@LISTEN
+def store(listen: str) -> None:
+    """Run the platform's store."""
+    from flamingohead.standins.store import StoreStandin
+
+    async def start(stopping: asyncio.Event) -> None:
+        StoreStandin().listen(listen)
+        await stopping.wait()
+
+    _run(start)
+
+
+@main.command()
+@LISTEN
+@click.option("--name", required=True)
+@click.option("--service", required=True)
+@click.option("--control", required=True, help="address for heartbeats")
+@click.option("--slots", default=4, show_default=True)
+def instance(listen: str, name: str, service: str, control: str, slots: int) -> None:
+    """Run one upstream that speaks the platform's messages."""
+    from flamingohead.standins.instance import InstanceStandin
+
+    standin = InstanceStandin(name, service, listen, control, slots)
+
+    async def start(stopping: asyncio.Event) -> None:
+        await standin.start()
+        await standin.run(stopping)
+
+    _run(start)
+
+
 @main.command()
 @LISTEN
 @click.option("--name", required=True)
--- /dev/null
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -0,0 +1,241 @@
+"""The adapter's decoding: settings, documents, heartbeats, pages of rows."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.core.members import UpstreamStatus
+from flamingohead.kernel import Kernel
+from flamingohead.platform.boot import BootError, parse_settings
+from flamingohead.platform.dialect import PLATFORM_DIALECT, find_parent
+from flamingohead.platform.documents import decode_document
+from flamingohead.platform.durations import parse_milliseconds
+from flamingohead.platform.endpoints import decode_beat
+from flamingohead.platform.store import HistoryDropped, RowKey, StoreClient
+from flamingohead.platform.tables import StoreTable
+from flamingohead.services.metrics import MetricsService
+from flamingohead.testing.hosts import Host, build_document, build_settings
+
+HOST = Host(
+    "h0",
+    "ledger",
+    *(f"127.0.0.1:{port}" for port in range(7001, 7006)),
+    settings_path=None,
+)
+BEAT = {
+    "service": "ledger",
+    "address": "10.0.0.1:80",
+    "zone": "makola",
+    "version": "v1",
+    "slots": 18,
+    "state": "ready",
+    "cold-remaining": "1500ms",
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+class TestDurations:
+    @pytest.mark.parametrize(
+        ("text", "expected"), [("1500ms", 1500), ("2.5s", 2500), ("0ms", 0)]
+    )
+    def test_time_with_its_unit(self, text, expected):
+        assert parse_milliseconds(text) == expected
+
+    @pytest.mark.parametrize("text", ["1500", "ms", "-1ms", "1 s", 5, None, "1e3ms"])
+    def test_anything_else_is_refused(self, text):
+        with pytest.raises(ValueError, match="expected a time"):
+            parse_milliseconds(text)
+
+
+class TestSettings:
+    def test_settings_are_decoded_into_seconds_and_own_names(self):
+        settings = parse_settings(build_settings(HOST, "127.0.0.1:9", 7380))
+        assert settings.announcement_period == 0.3
+        assert settings.stop_timeout == 6.0
+        assert settings.peer_address == "127.0.0.1:7380"
+        assert settings.ingress_address == HOST.ingress
+
+    @pytest.mark.parametrize(
+        ("change", "name"),
+        [
+            ({"zone": ""}, "zone"),
+            ({"heartbeat": "soon"}, "heartbeat"),
+            ({"bounds": {"grace": 6}}, "bounds.grace"),
+            ({"app-addr": "here"}, "app-addr"),
+        ],
+    )
+    def test_wrong_value_is_named(self, change, name):
+        with pytest.raises(BootError, match=name):
+            parse_settings(build_settings(HOST, "127.0.0.1:9", 7380, **change))
+
+    def test_text_that_is_not_yaml_is_refused(self):
+        with pytest.raises(BootError):
+            parse_settings("node: [")
+
+
+class TestDocuments:
+    def test_document_becomes_a_snapshot(self):
+        snapshot = decode_document(build_document(7, {"/a/": "x", "/unsafe/": "x"}))
+        assert snapshot.version == 7
+        routes = {r.path: r for r in snapshot.list_kind("route")}
+        assert routes["/a/"].idempotent and not routes["/unsafe/"].idempotent
+        assert routes["/a/"].max_attempts == 2
+        assert [rank.order for rank in snapshot.list_kind("rank")] == [1]
+
+    def test_same_document_has_the_same_digest(self):
+        data = build_document(7, {"/a/": "x"})
+        assert decode_document(data).digest == decode_document(data).digest
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"{}",
+            b"\xff",
+            build_document(0, {"/a/": "x"}),
+            build_document(7, {"a": "x"}),
+            build_document(7, {"/a/": "x"}, limits={}),
+            build_document(7, {"/a/": "x"}).replace(b'"safe"', b'"odd"'),
+            build_document(7, {"/a/": "x"}).replace(b'"1200ms"', b"1200"),
+            build_document(7, {"/a/": "x"})[:-9],
+        ],
+    )
+    def test_document_that_is_not_whole_is_refused(self, data):
+        refusal = decode_document(data)
+        assert refusal.kind is ErrorKind.INVALID_CONFIGURATION and refusal.detail
+
+
+class TestBeats:
+    def test_beat_becomes_an_announcement(self):
+        announcement = decode_beat("i-1", json.dumps(BEAT).encode())
+        assert announcement.number == (BEAT["born"], 4)
+        assert announcement.status is UpstreamStatus.READY
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "resting"},
+            {"slots": "18"},
+            {"seq": 4.5},
+            {"born": "x"},
+            {"service": ""},
+            {"cold-remaining": 3},
+        ],
+    )
+    def test_beat_of_another_writer_is_refused(self, change):
+        with pytest.raises(ValueError):
+            decode_beat("i-1", json.dumps({**BEAT, **change}).encode())
+
+    @pytest.mark.parametrize("name", ["service", "address", "slots", "state", "seq"])
+    def test_beat_that_lacks_a_field_is_refused(self, name):
+        beat = {key: value for key, value in BEAT.items() if key != name}
+        with pytest.raises(ValueError):
+            decode_beat("i-1", json.dumps(beat).encode())
+
+
+class TestDialect:
+    def test_statements_that_nothing_ran(self):
+        states = PLATFORM_DIALECT.states_not_executed
+        assert states(421, [])
+        assert states(503, [(b"not-executed", b"1")])
+        assert not states(503, [])
+        assert not states(500, [])
+
+    def test_parent_of_a_nested_call(self):
+        assert find_parent("a.b") == "a"
+        assert find_parent("a.b.c") == "a.b"
+        assert find_parent("a") == ""
+
+
+class FakeHttp:
+    """Answer calls from a script of statuses and bodies, or of refusals."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+
+    async def send(self, address, request, sink, **options):
+        self.requests.append(request)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Refusal):
+            return answer
+        status, body = answer
+        sink.start(status, [], None)
+        sink.write(json.dumps(body).encode())
+        sink.finish()
+        return None
+
+
+def build_store(*answers):
+    kernel = Kernel()
+    kernel.add("metrics", MetricsService())
+    kernel.add("http_client", FakeHttp(*answers))
+    kernel.add("store", StoreClient(kernel, "127.0.0.1:9"))
+    kernel.add("table", StoreTable(kernel))
+    return kernel
+
+
+ROW = {"table": "op", "part": "", "key": "config", "value": "aGk=", "ver": 4}
+KEY = RowKey("t", "p", "k")
+
+
+class TestStore:
+    def test_feed_gives_changes_and_where_to_go_on(self):
+        page = {"rows": [ROW, {**ROW, "deleted": True}], "ver": 9, "now": "1ms"}
+        store = build_store((200, page)).get("store")
+        result = asyncio.run(store.follow_rows("op", 3, wait=1.0))
+        assert result.version == 9
+        assert [row.value for row in result.rows] == [b"hi", None]
+
+    def test_dropped_history_is_told(self):
+        store = build_store((410, {})).get("store")
+        result = asyncio.run(store.follow_rows("op", 3, wait=1.0))
+        assert isinstance(result, HistoryDropped)
+
+    @pytest.mark.parametrize("status", [429, 503])
+    def test_refused_write_was_not_done(self, status):
+        store = build_store((status, {})).get("store")
+        refusal = asyncio.run(store.commit(values={KEY: b"v"}))
+        assert refusal.ran is Ran.NO
+
+    def test_write_without_an_answer_may_have_been_done(self):
+        store = build_store(Refusal(ErrorKind.UPSTREAM_CUT)).get("store")
+        refusal = asyncio.run(store.commit(values={KEY: b"v"}))
+        assert refusal.ran is Ran.UNKNOWN
+
+    def test_write_that_was_never_sent_was_not_done(self):
+        store = build_store(Refusal(ErrorKind.UPSTREAM_UNREACHABLE)).get("store")
+        assert asyncio.run(store.commit(values={KEY: b"v"})).ran is Ran.NO
+
+    def test_conflict_is_no_failure(self):
+        store = build_store((412, {"rows": [], "ver": 3})).get("store")
+        assert asyncio.run(store.commit(expected={KEY: 0}, values={KEY: b"v"})) is None
+
+    @pytest.mark.parametrize(
+        "body", [{}, {"rows": 3, "ver": 1}, {"rows": [{"key": 1}], "ver": 1}]
+    )
+    def test_page_that_is_not_understood_is_refused(self, body):
+        store = build_store((200, body)).get("store")
+        refusal = asyncio.run(store.read_rows("op", ""))
+        assert refusal.kind is ErrorKind.PLATFORM_UNAVAILABLE
+
+    def test_table_inserts_under_the_condition_of_absence(self):
+        kernel = build_store((200, {"ver": 5}))
+        assert asyncio.run(kernel.get("table").insert("hosts/mesh/h", b"v")) is True
+        body = json.loads(kernel.get("http_client").requests[0].body)
+        place = {"table": "flamingohead", "part": "hosts", "key": "hosts/mesh/h"}
+        assert body["precondition"] == [{**place, "ver": 0}]
+
+    def test_scan_reads_page_after_page(self):
+        rows = [{"key": f"hosts/{n:04}", "value": "", "ver": 1} for n in range(700)]
+        kernel = build_store(
+            (200, {"rows": rows[:500], "ver": 9, "truncated": True}),
+            (200, {"rows": rows[500:], "ver": 9}),
+        )
+        found = asyncio.run(kernel.get("table").scan("hosts/", limit=1000))
+        assert [row.key for row in found] == [row["key"] for row in rows]
