Tell callers to come only once the upstreams to serve them are known

Cause: a restarted daemon was ready with its configuration some 200 ms before it had met its peers, and refused what they could serve (process test, reason no_upstream).

Ruled out: the store (the same while it answers), the age of gossip (the join brought the upstreams, which were handed on a quarter of a second later).

Change: readiness waits for an upstream of every routed service, 2 s at most; a request that comes before waits up to 300 ms; the join starts at once and hands on what it brought.

--- a/flamingohead/core/readiness.py
+++ b/flamingohead/core/readiness.py
@@ -54,6 +54,28 @@
 _Machine = _build_machine()
 
 
+class ServingReadiness:
+    """Decide when a daemon that holds a configuration has the upstreams to serve it.
+
+    The load it answers: a restarted daemon that is sent callers before it has met its
+    peers, and would refuse what all others can serve. A service without any upstream
+    holds it back for ``grace`` seconds only.
+    """
+
+    def __init__(self, grace: float = 2.0) -> None:
+        self._grace = grace
+        self._ends_at: float | None = None
+        self._is_ready = False
+
+    def check(self, wanted: set[str], known: set[str], now: float) -> bool:
+        """Tell whether callers may be sent here; it stays so from then on."""
+        if self._ends_at is None:
+            self._ends_at = now + self._grace
+        if not self._is_ready:
+            self._is_ready = wanted <= known or now >= self._ends_at
+        return self._is_ready
+
+
 @dataclass(frozen=True)
 class _Answer:
     version: int
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -137,6 +137,10 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def list_services(self) -> set[str]:
+        """Return the services that routes lead to."""
+        return {pool.service for route in self._routes.values() for pool in route.pools}
+
     def get_pool(self, name: str) -> Pool | None:
         """Return a pool by its name."""
         return self._pools.get(name)
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -48,7 +48,7 @@
 STOP_MARGIN_SECONDS = 0.5
 # A daemon that restarts must find its peers within a second or two.
 BOOTSTRAP = BootstrapSettings(
-    spread=0.2,
+    spread=0.05,
     first_wait=0.3,
     longest_wait=2.0,
     first_row_spread=3.0,
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -95,6 +95,7 @@
             return
         is_stopping = self._kernel.get("calls").is_stopping
         is_ready = self._kernel.get("configuration").is_ready and not is_stopping
+        is_ready = is_ready and self._kernel.get("attempts").can_serve()
         response.send(200 if is_ready else 503, [], b"")
 
 
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -66,6 +66,7 @@
         """Take in the state that a peer gave; return how much of it was news."""
         effects = self.membership.take_state(members, time.monotonic())
         self._run(effects)
+        self._publish_members()
         return len(effects)
 
     async def poll_versions(self, deadline: float) -> dict[str, int]:
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from dataclasses import replace
@@ -10,6 +11,7 @@
 from flamingohead.core.attempts import AttemptPlan, Step
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.placement import Demand, LoadReport
+from flamingohead.core.readiness import ServingReadiness
 from flamingohead.events import Event, log_event
 from flamingohead.services.held_response import HeldResponse
 from flamingohead.services.relay import RelaySink, build_relay_request
@@ -24,6 +26,9 @@
 logger = logging.getLogger(__name__)
 
 FIRST_SERVER_ERROR = 500
+# A started daemon meets its peers within some tens of milliseconds.
+LONGEST_SETTLING_WAIT_SECONDS = 0.3
+SETTLING_CHECK_SECONDS = 0.02
 
 
 class GroupAttemptService:
@@ -36,6 +41,8 @@
         self._placement = placement
         self._budget = budget
         self._host_id = ""
+        self._readiness = ServingReadiness()
+        self._is_settled = False
 
     async def start(self) -> None:
         self._host_id = self._kernel.get("gossip").membership.myself.host_id
@@ -43,6 +50,26 @@
     async def stop(self) -> None:
         pass
 
+    def can_serve(self) -> bool:
+        """Tell whether the upstreams that the routes lead to are known."""
+        if self._is_settled:
+            return True
+        wanted = self._kernel.get("configuration").routes.list_services()
+        known = set(self._placement.list_services())
+        self._is_settled = self._readiness.check(wanted, known, time.monotonic())
+        return self._is_settled
+
+    async def _wait_for_upstream(self, call: Call) -> bool:
+        """Wait for a first upstream while this daemon still meets its peers."""
+        wait_until = min(
+            time.monotonic() + LONGEST_SETTLING_WAIT_SECONDS, call.deadline
+        )
+        while not self.can_serve() and time.monotonic() < wait_until:
+            if call.service in self._placement.list_services():
+                return True
+            await asyncio.sleep(SETTLING_CHECK_SECONDS)
+        return call.service in self._placement.list_services()
+
     def set_members(self, members) -> None:
         """Take the members of the group as candidates."""
         members = list(members)
@@ -64,6 +91,8 @@
                 must_wait=plan.must_wait,
             )
             if choice is None:
+                if plan.last_refusal is None and await self._wait_for_upstream(call):
+                    continue
                 break
             held = HeldResponse(response)
             refusal = await self._attempt(choice, call, held)
--- a/flamingohead/tests/test_bootstrap_rows.py
+++ b/flamingohead/tests/test_bootstrap_rows.py
@@ -7,6 +7,7 @@
 from flamingohead.core.bootstrap import Bootstrap, BootstrapSettings, ReadRows
 from flamingohead.core.members import Member
 from flamingohead.core.membership import Membership
+from flamingohead.core.readiness import ServingReadiness
 from flamingohead.core.storage import Row
 from flamingohead.kernel import Kernel
 from flamingohead.services.bootstrap import BootstrapService
@@ -55,3 +56,16 @@
                 effects = bootstrap.tick(float(second), members)
                 reads += sum(isinstance(effect, ReadRows) for effect in effects)
         assert reads / 20 <= 600 / (601 / 2.0 * 0.5) + 1
+
+
+class TestServingReadiness:
+    def test_daemon_without_peers_is_not_ready_at_once(self):
+        readiness = ServingReadiness(grace=2.0)
+        assert not readiness.check({"ledger", "archive"}, {"ledger"}, 5.0)
+        assert readiness.check({"ledger", "archive"}, {"ledger", "archive"}, 5.1)
+        assert readiness.check({"ledger", "archive"}, set(), 5.2)
+
+    def test_service_without_upstreams_holds_it_back_for_a_while_only(self):
+        readiness = ServingReadiness(grace=2.0)
+        assert not readiness.check({"archive"}, set(), 5.0)
+        assert readiness.check({"archive"}, set(), 7.0)
