Serve counters and latency histograms, and queue bursts of ranks with long targets

Separately, searches (target 4 s, service 0.64 s) were refused in bursts of six seconds although later slots could have answered them within the target.

Ruled out: a metrics library of our own; loading it on the first scrape (26 ms of a start, and histograms would begin late).

Change: prometheus_client behind /metrics of FLAMINGOHEAD_METRICS_PORT; ranks without a share may wait until two service times before their target, and half a service time less than their deadline allows.

--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -25,6 +25,10 @@
 QUEUE_LIMIT = 1024
 UNKNOWN_QUEUE_LIMIT = 4
 QUEUED_TARGET_FRACTION = 0.5
+# Service times kept free in a target, for the service itself and longer ones.
+SERVICES_IN_TARGET = 2.0
+# The same, beside the service itself, before a deadline.
+DEADLINE_MARGIN = 0.5
 RETIRED_ORDER = 2**31
 RETIRED_SHARE = 0.05
 CLEANUP_MINIMUM = 64
@@ -378,9 +382,16 @@
         by_deadline = ticket.deadline - now - queue.service_time
         if ticket.nested:
             return by_deadline
-        by_target = queue.rank.target_ms / 1000 - queue.service_time
-        by_target *= QUEUED_TARGET_FRACTION
-        return min(by_deadline, by_target) if by_target > 0 else by_deadline
+        target = queue.rank.target_ms / 1000
+        by_target = QUEUED_TARGET_FRACTION * (target - queue.service_time)
+        if by_target <= 0:
+            return by_deadline
+        if queue.rank.share > 0:
+            return min(by_deadline, by_target)
+        # Where the target is long against the service, a burst is worth queueing.
+        spare = SERVICES_IN_TARGET * queue.service_time
+        margin = DEADLINE_MARGIN * queue.service_time
+        return min(by_deadline - margin, max(by_target, target - spare))
 
     def _estimate_wait(self, queue: _RankQueue, caller: str) -> float:
         if queue.rank.share <= 0:
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -31,6 +31,7 @@
 from flamingohead.services.group_attempts import GroupAttemptService
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.metrics import MetricsService
+from flamingohead.services.metrics_page import MetricsPage
 from flamingohead.services.peers import PeersService
 from flamingohead.services.slots import SlotService
 from flamingohead.services.summaries import SummaryService
@@ -76,6 +77,8 @@
     kernel.add("bootstrap", _create_bootstrap(kernel, settings, generator))
     kernel.add("feed", ConfigurationFeed(kernel))
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
+    if settings.metrics_address:
+        kernel.add("metrics_page", MetricsPage(kernel, settings.metrics_address))
     kernel.add("probe", UpstreamProbe(kernel, settings))
     kernel.add("watch", SettingsWatch(kernel, settings, path))
 
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -18,6 +19,8 @@
 from flamingohead.platform.durations import Milliseconds
 from flamingohead.settings import check_address
 
+METRICS_VARIABLE = "FLAMINGOHEAD_METRICS_PORT"
+HIGHEST_PORT = 65535
 SETTINGS_VARIABLE = "FLAMINGOHEAD_SETTINGS"
 DEFAULT_SETTINGS_PATH = "/etc/flamingohead/boot.yaml"
 
@@ -98,20 +101,26 @@
     retry_slack: float
 
 
-def parse_settings(text: str) -> HostSettings:
-    """Return the settings in a file's text; raise ``BootError``."""
+def parse_settings(text: str, *, metrics_port: int = 0) -> HostSettings:
+    """Return the settings in a file's text; raise ``BootError``.
+
+    Metrics are served at ``metrics_port`` of the host, or nowhere if it is 0.
+    """
     try:
         boot = _Boot.model_validate(yaml.safe_load(text))
     except yaml.YAMLError as error:
         raise BootError(f"not YAML: {error}") from error
     except ValidationError as error:
         raise BootError("; ".join(_describe(p) for p in error.errors())) from error
-    return _decode(boot)
+    return _decode(boot, metrics_port)
 
 
 def read_settings(path: str) -> HostSettings:
-    """Read the settings file; raise ``BootError`` or ``OSError``."""
-    return parse_settings(Path(path).read_text())
+    """Read the settings file and variables; raise ``BootError`` or ``OSError``."""
+    port = os.environ.get(METRICS_VARIABLE, "0")
+    if not port.isdigit() or int(port) > HIGHEST_PORT:
+        raise BootError(f"{METRICS_VARIABLE}: found {port!r}, expected a port")
+    return parse_settings(Path(path).read_text(), metrics_port=int(port))
 
 
 def _describe(problem) -> str:
@@ -120,8 +129,8 @@
     return f"{name}: found {problem['input']!r}: {message}"
 
 
-def _decode(boot: _Boot) -> HostSettings:
-    first_port, last_port = boot.internal_ports
+def _decode(boot: _Boot, metrics_port: int) -> HostSettings:
+    first_port, _ = boot.internal_ports
     return HostSettings(
         host_id=boot.node,
         failure_domain=boot.zone,
@@ -130,7 +139,7 @@
         ready_address=boot.listen.ready,
         announce_address=boot.listen.control,
         peer_address=f"{boot.ip}:{first_port}",
-        metrics_address=f"{boot.ip}:{last_port}",
+        metrics_address=f"{boot.ip}:{metrics_port}" if metrics_port else "",
         store_address=boot.platform.address,
         upstream_address=boot.app_addr,
         service=boot.service,
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -12,14 +12,9 @@
 from flamingohead.core.upstreams import Announcement
 from flamingohead.events import Event, log_event
 from flamingohead.platform.durations import Milliseconds
-from flamingohead.services.http_server import HttpServerFactory
-from flamingohead.services.transport import listen
-from flamingohead.settings import split_address
+from flamingohead.services.endpoint import Endpoint
 
 if TYPE_CHECKING:
-    import asyncio
-
-    from flamingohead.kernel import Kernel
     from flamingohead.services.http_messages import IncomingRequest
     from flamingohead.services.http_response import ServerResponse
 
@@ -63,30 +58,7 @@
     )
 
 
-class _Endpoint:
-    """Serve one address of the daemon."""
-
-    def __init__(self, kernel: Kernel, address: str) -> None:
-        self._kernel = kernel
-        self._address = address
-        self._server: asyncio.Server | None = None
-        self._factory: HttpServerFactory | None = None
-
-    async def start(self) -> None:
-        count = self._kernel.get("metrics").count_refusal
-        self._factory = HttpServerFactory(self._handle, count)
-        host, port = split_address(self._address)
-        self._server = await listen(self._factory, host, port)
-
-    async def stop(self) -> None:
-        self._server.close()
-        self._factory.doStop()
-
-    def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
-        raise NotImplementedError
-
-
-class ReadyEndpoint(_Endpoint):
+class ReadyEndpoint(Endpoint):
     """Tell the platform whether callers may be sent to this daemon."""
 
     def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
@@ -99,7 +71,7 @@
         response.send(200 if is_ready else 503, [], b"")
 
 
-class InstanceEndpoint(_Endpoint):
+class InstanceEndpoint(Endpoint):
     """Take the heartbeats and the leave of the upstream on this host."""
 
     def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -260,7 +260,12 @@
     async def _serve(self, call: Call, response: ServerResponse) -> None:
         scoped = call.is_keyed and is_scoped_key(call.key)
         service = self._kernel.get("scopes" if scoped else "attempts")
+        started_at = time.monotonic()
         refusal = await service.serve(call, response)
+        outcome = "answered" if refusal is None else refusal.kind.value
+        self._kernel.get("metrics").observe_request(
+            call.service, call.rank, outcome, time.monotonic() - started_at
+        )
         if refusal is not None and call.key is not None:
             refusal = qualify_refusal(refusal, call.attempt)
         if refusal is not None:
--- a/flamingohead/services/metrics.py
+++ b/flamingohead/services/metrics.py
@@ -10,19 +10,30 @@
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingohead.core.errors import Refusal
 
 PREFIX = "flamingohead"
 
 
+def _drop(service: str, rank: str, outcome: str, seconds: float) -> None:
+    """Take an observation that nobody keeps."""
+
+
 class MetricsService:
-    """Count what happens; send it to a statsd server if one is set."""
+    """Count what happens; send it to a statsd server if one is set.
+
+    ``observe_request`` takes the service, rank, outcome and seconds of a request of a
+    caller; a service that keeps histograms sets it.
+    """
 
     def __init__(self, statsd_address: str = "") -> None:
         self.counters: Counter[str] = Counter()
         self.gauges: dict[str, float] = {}
         self._address = statsd_address
         self._client: StatsClient | None = None
+        self.observe_request: Callable[[str, str, str, float], None] = _drop
 
     async def start(self) -> None:
         if self._address:
--- /dev/null
+++ b/flamingohead/services/metrics_page.py
@@ -0,0 +1,84 @@
+"""Counters, gauges and latency histograms as text, for a scraper."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from flamingohead.services.endpoint import Endpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from flamingohead.kernel import Kernel
+    from flamingohead.services.http_messages import IncomingRequest
+    from flamingohead.services.http_response import ServerResponse
+    from flamingohead.services.metrics import MetricsService
+
+METRICS_PATH = b"/metrics"
+CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+# Seconds, from the fastest answer of an upstream to the longest deadline.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0)
+# Services times ranks times outcomes that have a histogram of their own.
+MAX_SERIES = 200
+
+
+class _Collector:
+    """Give the counters and gauges that the services keep by name."""
+
+    def __init__(self, metrics: MetricsService) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily]:
+        counters = CounterMetricFamily(
+            "flamingohead_events", "What happened, by name", labels=["name"]
+        )
+        for name, value in self._metrics.counters.items():
+            counters.add_metric([name], value)
+        yield counters
+        gauges = GaugeMetricFamily(
+            "flamingohead_state", "What is held now, by name", labels=["name"]
+        )
+        for name, value in self._metrics.gauges.items():
+            gauges.add_metric([name], value)
+        yield gauges
+
+
+class MetricsPage(Endpoint):
+    """Serve ``/metrics``."""
+
+    def __init__(self, kernel: Kernel, address: str) -> None:
+        super().__init__(kernel, address)
+        self._registry = CollectorRegistry()
+        self._requests = Histogram(
+            "flamingohead_request_seconds",
+            "Time of requests of callers until their end",
+            ["service", "rank", "outcome"],
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._series: set[tuple[str, str, str]] = set()
+
+    async def start(self) -> None:
+        metrics = self._kernel.get("metrics")
+        self._registry.register(_Collector(metrics))
+        metrics.observe_request = self._observe_request
+        await super().start()
+
+    def _observe_request(
+        self, service: str, rank: str, outcome: str, seconds: float
+    ) -> None:
+        series = service, rank, outcome
+        if series not in self._series:
+            if len(self._series) >= MAX_SERIES:
+                series = "other", "other", outcome
+            self._series.add(series)
+        self._requests.labels(*series).observe(seconds)
+
+    def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
+        if request.target != METRICS_PATH:
+            response.send(404, [], b"")
+            return
+        response.send(200, [CONTENT_TYPE], generate_latest(self._registry))
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -38,6 +38,7 @@
     control: str
     upstream: str
     settings_path: Path
+    metrics: str = ""
     daemon: Process | None = None
     instance: Process | None = None
 
@@ -131,7 +132,7 @@
         """Start a daemon and the upstream beside it."""
         addresses = [choose_address() for _ in range(5)]
         path = self.directory / f"{name}.yaml"
-        host = Host(name, service, *addresses, path)
+        host = Host(name, service, *addresses, path, choose_address())
         peer_port = int(choose_address().rpartition(":")[2])
         path.write_text(build_settings(host, self.store, peer_port))
         self.hosts[name] = host
@@ -145,6 +146,7 @@
             f"daemon-{host.name}",
             ["-m", "flamingohead.platform"],
             FLAMINGOHEAD_SETTINGS=str(host.settings_path),
+            FLAMINGOHEAD_METRICS_PORT=host.metrics.rpartition(":")[2],
         )
 
     def start_instance(self, host: Host, name: str) -> None:
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -10,7 +10,7 @@
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.kernel import Kernel
-from flamingohead.platform.boot import BootError, parse_settings
+from flamingohead.platform.boot import BootError, parse_settings, read_settings
 from flamingohead.platform.dialect import PLATFORM_DIALECT, find_parent
 from flamingohead.platform.documents import decode_document
 from flamingohead.platform.durations import parse_milliseconds
@@ -73,6 +73,16 @@
         with pytest.raises(BootError, match=name):
             parse_settings(build_settings(HOST, "127.0.0.1:9", 7380, **change))
 
+    def test_port_of_the_metrics_is_checked(self, tmp_path, monkeypatch):
+        path = tmp_path / "boot.yaml"
+        path.write_text(build_settings(HOST, "127.0.0.1:9", 7380))
+        assert read_settings(str(path)).metrics_address == ""
+        monkeypatch.setenv("FLAMINGOHEAD_METRICS_PORT", "9464")
+        assert read_settings(str(path)).metrics_address == "127.0.0.1:9464"
+        monkeypatch.setenv("FLAMINGOHEAD_METRICS_PORT", "many")
+        with pytest.raises(BootError, match="many"):
+            read_settings(str(path))
+
     def test_text_that_is_not_yaml_is_refused(self):
         with pytest.raises(BootError):
             parse_settings("node: [")
--- a/flamingohead/tests/test_platform_processes.py
+++ b/flamingohead/tests/test_platform_processes.py
@@ -135,6 +135,19 @@
         mesh.set_faults()
 
 
+class TestMetrics:
+    def test_counters_and_histograms_are_served(self, mesh):
+        host = mesh.hosts["h0"]
+        ask(host, "/archive/", "r-20")
+        status, headers, body = send_request(host.metrics, "GET", "/metrics")
+        text = body.decode()
+        assert status == 200 and headers["content-type"].startswith("text/plain")
+        assert 'flamingohead_events_total{name="store.rows-get"}' in text
+        assert 'flamingohead_state{name="version"}' in text
+        answered = 'outcome="answered",rank="1-500ms",service="archive"'
+        assert f"flamingohead_request_seconds_count{{{answered}}}" in text
+
+
 class TestSettings:
     def test_reload_takes_the_service_and_survives_a_broken_file(self, mesh):
         host = mesh.hosts["h0"]
