Keep the last host of a service through a roll, and queue on hosts just started

A daemon that peers had found while the store refused it did not ask for the whole state (process test, once).

Ruled out: the time of the start itself (0.65 s), the join (within 0.2 s).

Change: a stopping daemon stays while no other host serves its service and 2 s are left; an unknown service time is taken as three tenths of the target; a daemon found by a peer joins at once.

--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -24,6 +24,9 @@
 SMOOTHING = 0.1
 QUEUE_LIMIT = 1024
 UNKNOWN_QUEUE_LIMIT = 4
+# Time on a slot, as a fraction of the target, until a first one has been seen: a host
+# that has just started must not refuse the queue that its upstream can serve.
+ASSUMED_SERVICE_FRACTION = 0.3
 QUEUED_TARGET_FRACTION = 0.5
 # Service times kept free in a target, for the service itself and longer ones.
 SERVICES_IN_TARGET = 2.0
@@ -90,6 +93,13 @@
     turn_at: float = 0.0
     nested: bool = False
 
+    @property
+    def expected_service(self) -> float:
+        """Return the learned time on a slot, or one that the target suggests."""
+        if self.service_time or self.rank.share > 0:
+            return self.service_time
+        return ASSUMED_SERVICE_FRACTION * self.rank.target_ms / 1000
+
     @property
     def urgency(self) -> tuple[int, bool]:
         """Return what orders the queues, the most urgent first."""
@@ -360,10 +370,13 @@
     def _check_queue(
         self, queue: _RankQueue, ticket: Ticket, now: float
     ) -> Refusal | None:
-        wait = self._estimate_wait(queue, ticket.caller)
         detail = f"queue of {ticket.rank}"
+        is_unknown = not queue.service_time
+        if is_unknown and len(queue.waiting) < UNKNOWN_QUEUE_LIMIT:
+            return None
+        wait = self._estimate_wait(queue, ticket.caller)
         longest = QUEUE_LIMIT
-        if not queue.service_time:
+        if not queue.expected_service:
             longest = max(queue.guaranteed, UNKNOWN_QUEUE_LIMIT)
         if len(queue.waiting) >= longest:
             return Refusal(ErrorKind.QUEUE_FULL, detail, now + wait)
@@ -379,18 +392,19 @@
         a nested call the work of its caller would be lost, so that only its deadline
         bounds it.
         """
-        by_deadline = ticket.deadline - now - queue.service_time
+        service = queue.expected_service
+        by_deadline = ticket.deadline - now - service
         if ticket.nested:
             return by_deadline
         target = queue.rank.target_ms / 1000
-        by_target = QUEUED_TARGET_FRACTION * (target - queue.service_time)
+        by_target = QUEUED_TARGET_FRACTION * (target - service)
         if by_target <= 0:
             return by_deadline
         if queue.rank.share > 0:
             return min(by_deadline, by_target)
         # Where the target is long against the service, a burst is worth queueing.
-        spare = SERVICES_IN_TARGET * queue.service_time
-        margin = DEADLINE_MARGIN * queue.service_time
+        spare = SERVICES_IN_TARGET * service
+        margin = DEADLINE_MARGIN * service
         return min(by_deadline - margin, max(by_target, target - spare))
 
     def _estimate_wait(self, queue: _RankQueue, caller: str) -> float:
@@ -409,12 +423,12 @@
         urgent work holds or awaits now is taken to be joined by as much more.
         """
         limit = max(self.limit, 1)
-        ahead = queue.service_time
+        ahead = queue.expected_service
         urgent_in_use = 0
         for other in self._ordered:
             if other.urgency > queue.urgency:
                 break
-            ahead += len(other.waiting) * (other.service_time or queue.service_time)
+            ahead += len(other.waiting) * other.expected_service
             if other.urgency < queue.urgency:
                 urgent_in_use += other.in_use
         free = max(limit - urgent_in_use, 1)
--- a/flamingohead/core/bootstrap.py
+++ b/flamingohead/core/bootstrap.py
@@ -190,7 +190,9 @@
             spread = 0.0 if self._seeds else self._settings.spread
             self._next_attempt_at = now + self._random.uniform(0, spread)
         if members and self.phase is not Phase.JOINED:
+            # A peer has found this daemon first, and tells only what is new to itself.
             self._note_joined(now, len(members))
+            self._next_attempt_at = now
         elif not members and self.phase is Phase.JOINED:
             self._machine.be_alone()
             self._next_attempt_at = now + self._compute_wait()
--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -179,6 +179,14 @@
         """Return the services with at least one ready upstream."""
         return list(self._pools)
 
+    def has_other(self, service: str, host_id: str) -> bool:
+        """Tell whether a host other than ``host_id`` serves, and is not leaving."""
+        pool = self._pools.get(service)
+        if pool is None:
+            return False
+        candidates = (view.candidate for view in pool.views)
+        return any(c.host_id != host_id and not c.leaving for c in candidates)
+
     def get_usual_time(self, service: str, rank: str) -> float:
         """Return the usual seconds on a slot, or 0 if there were no answers yet."""
         return self._usual_times.get((service, rank), 0.0)
--- a/flamingohead/core/stopping.py
+++ b/flamingohead/core/stopping.py
@@ -17,6 +17,8 @@
 from automat import TypeMachineBuilder
 
 SETTLE_SECONDS = 1.0
+# Most requests in progress end within this time.
+ENDING_SECONDS = 2.0
 
 
 class StopEffect(Enum):
@@ -135,9 +137,18 @@
         others = [e for e in effects if e is not StopEffect.LEAVE_MESH]
         return [StopEffect.STEP_BACK, *others]
 
-    def advance(self, now: float, connections: int) -> list[StopEffect]:
-        """Go on at ``now`` with this number of open connections."""
+    def advance(
+        self, now: float, connections: int, *, is_needed: bool = False
+    ) -> list[StopEffect]:
+        """Go on at ``now`` with this number of open connections.
+
+        A daemon that ``is_needed``, since no other serves its upstreams' service, stays
+        until the time left is that for ending what is in progress.
+        """
         phase = self._machine.get_phase()
+        if is_needed and now < self._deadline - ENDING_SECONDS:
+            if phase is StopPhase.SETTLING:
+                return []
         if phase is StopPhase.SETTLING and now >= self._settled_at:
             effects = self._machine.drain()
             return [StopEffect.LEAVE_MESH, *effects] if self._steps_back else effects
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -44,7 +44,7 @@
 # Announcements may be seconds late while the upstream is sound.
 BEATS_MISSED = 5
 # The platform stops sending new callers after two missed questions, a second apart.
-SETTLE_SECONDS = 2.5
+SETTLE_SECONDS = 2.2
 # The rest of the time given for a stop is left to the end of the process.
 STOP_MARGIN_SECONDS = 0.5
 # A daemon that restarts must find its peers within a second or two.
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -112,7 +112,10 @@
         await self._run_effects(stop.begin())
         while not stop.has_ended:
             connections = sum(len(factory.connections) for factory in self._factories)
-            await self._run_effects(stop.advance(time.monotonic(), connections))
+            effects = stop.advance(
+                time.monotonic(), connections, is_needed=self._is_needed()
+            )
+            await self._run_effects(effects)
             await asyncio.sleep(STOP_POLL_SECONDS)
         for factory in self._factories:
             factory.doStop()
@@ -128,6 +131,16 @@
             idle_timeout=limits.idle_timeout_ms / 1000,
         )
 
+    def _is_needed(self) -> bool:
+        """Tell whether no other host serves what this one does."""
+        if not self._steps_back:
+            return False
+        attempts = self._kernel.get("attempts")
+        return any(
+            not attempts.has_other(upstream.state.service)
+            for upstream in self._kernel.get("slots").upstreams.values()
+        )
+
     async def _run_effects(self, effects: list[StopEffect]) -> None:
         for effect in effects:
             await self._stop_steps[effect]()
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -50,6 +50,10 @@
     async def stop(self) -> None:
         pass
 
+    def has_other(self, service: str) -> bool:
+        """Tell whether another host serves a service and goes on doing so."""
+        return self._placement.has_other(service, self._host_id)
+
     def can_serve(self) -> bool:
         """Tell whether the upstreams that the routes lead to are known."""
         if self._is_settled:
--- a/flamingohead/tests/test_admission.py
+++ b/flamingohead/tests/test_admission.py
@@ -125,3 +125,14 @@
         while admission.offer(Ticket(LOOKUP.name, 4.0), 1.0) is False:
             queued += 1
         assert queued * 0.1 / 2 + 0.1 <= 0.5
+
+
+class TestStartedHost:
+    def test_queue_is_not_refused_before_a_service_time_is_known(self):
+        admission = Admission(slots=18, ranks=(LOOKUP, HAND_OVER, SEARCH))
+        for _ in range(18):
+            assert admission.offer(Ticket(LOOKUP.name, 9.0), 0.0) is True
+        queued = 0
+        while admission.offer(Ticket(LOOKUP.name, 9.0), 0.0) is False:
+            queued += 1
+        assert 10 <= queued <= 40
--- a/flamingohead/tests/test_bootstrap_rows.py
+++ b/flamingohead/tests/test_bootstrap_rows.py
@@ -4,7 +4,12 @@
 
 import random
 
-from flamingohead.core.bootstrap import Bootstrap, BootstrapSettings, ReadRows
+from flamingohead.core.bootstrap import (
+    Bootstrap,
+    BootstrapSettings,
+    JoinPeers,
+    ReadRows,
+)
 from flamingohead.core.members import Member
 from flamingohead.core.membership import Membership
 from flamingohead.core.readiness import ServingReadiness
@@ -41,6 +46,15 @@
         assert service._get_row_key("h") == "hosts/makola/h"
 
 
+class TestFoundByPeers:
+    def test_daemon_that_peers_have_found_joins_at_once_for_the_whole_state(self):
+        bootstrap = Bootstrap("h", "p", (), random=random.Random(1))
+        bootstrap.tick(0.0, {})
+        members = {"m": Member("m", "makola", "10.0.0.2:7000", "relay", 1)}
+        effects = bootstrap.tick(10.0, members)
+        assert JoinPeers(("10.0.0.2:7000",)) in effects
+
+
 class TestRowReads:
     def test_large_group_reads_rows_at_a_common_rate(self):
         settings = BootstrapSettings(row_period=15.0, row_read_rate=2.0)
--- a/flamingohead/tests/test_placement.py
+++ b/flamingohead/tests/test_placement.py
@@ -129,3 +129,9 @@
         assert set(hosts) == {"b"}
         placement = build_placement(leaving, now=-100.0)
         assert placement.choose(DEMAND, 0.0).candidate.host_id == "a"
+
+    def test_host_that_stays_is_told_apart_from_leaving_ones(self):
+        leaving = build_member("b", status=UpstreamStatus.LEAVING)
+        placement = build_placement(build_member("a"), leaving)
+        assert not placement.has_other(SERVICE, "a")
+        assert placement.has_other(SERVICE, "b")
