Spend less processor time on timers, logs and collections

A profile of one daemon: timers a quarter of the busy time at 126 wake-ups a second; every log line was formatted twice.

Ruled out: the parser (4 %), the configuration (22 ms a version of 300 routes, some 25 taken in a storm).

Change: slower ticks where nothing waits for them, collections at 20,000 objects, one formatting of a log line with the count of those left out as a field of its own, two offers without waiting instead of three.

--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -19,7 +19,7 @@
     from flamingohead.core.candidates import UpstreamKey
 
 # Hosts that may refuse to run a request at once before it waits at one of them.
-MAX_OFFERS = 3
+MAX_OFFERS = 2
 # Hosts at which a request may be refused the place in the queue.
 MAX_QUEUES = 2
 # Hosts that may turn out to be gone or draining.
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -19,6 +19,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Requests make few cycles; the default of 700 objects costs a tenth of a busy daemon.
+COLLECTION_THRESHOLDS = (20_000, 20, 50)
 EXIT_NOT_STARTED = int(ExitCode.NOT_STARTED)
 
 
@@ -57,6 +59,7 @@
     # milliseconds, in which no call is served.
     gc.collect()
     gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
     log_event(logger, Event.DAEMON_STARTED, **identity)
     await stopping.wait()
     log_event(logger, Event.DAEMON_STOPPING, **identity)
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -55,11 +55,21 @@
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream taken back")
 
 
+class _Details:
+    """Format fields as ``name=value`` only if a record is written as text."""
+
+    def __init__(self, fields: dict[str, object]) -> None:
+        self._fields = fields
+
+    def __str__(self) -> str:
+        return " ".join(f"{name}={value}" for name, value in self._fields.items())
+
+
 def log_event(logger: logging.Logger, event: Event, **fields: object) -> None:
     """Log one event with its fields as ``name=value``."""
     kind = event.value
     if not logger.isEnabledFor(kind.level):
         return
-    text = " ".join(f"{name}={value}" for name, value in fields.items())
-    extra = {"event": kind.number, "fields": fields}
-    logger.log(kind.level, "E%d %s %s", kind.number, kind.message, text, extra=extra)
+    extra = {"event": kind.number, "fields": fields, "text": kind.message}
+    details = _Details(fields)
+    logger.log(kind.level, "E%d %s %s", kind.number, kind.message, details, extra=extra)
--- a/flamingohead/logs.py
+++ b/flamingohead/logs.py
@@ -44,9 +44,12 @@
             "level": record.levelname,
             "logger": record.name,
             "event": getattr(record, "event", None),
-            "message": record.getMessage(),
+            "message": getattr(record, "text", None) or record.getMessage(),
             "fields": {name: str(value) for name, value in fields.items()},
         }
+        omitted = getattr(record, "omitted", 0)
+        if omitted:
+            entry["omitted_before"] = omitted
         if record.exc_info:
             entry["exception"] = self.formatException(record.exc_info)
         return json.dumps(entry)
@@ -89,6 +92,7 @@
             if dropped:
                 record.msg = f"{record.getMessage()} (and {dropped} more like it)"
                 record.args = ()
+                record.omitted = dropped
         if repeats.shown >= self._shown:
             repeats.dropped += 1
             return False
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -29,7 +29,7 @@
 logger = logging.getLogger(__name__)
 
 HOST_PREFIX = "hosts/"
-TICK_PERIOD = 0.05
+TICK_PERIOD = 0.1
 SCAN_LIMIT = 1000
 
 
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -51,7 +51,7 @@
 
 logger = logging.getLogger(__name__)
 
-TICK_PERIOD = 0.05
+TICK_PERIOD = 0.1
 ACCEPT_TIMEOUT = 6.0
 MAX_NEWS_BYTES = 1200
 
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -26,7 +26,8 @@
 
 
 SERVING = (UpstreamStatus.READY, UpstreamStatus.LEAVING)
-TICK_PERIOD = 0.02
+# Waiting tickets are admitted as slots come free; a tick only ends those that are late.
+TICK_PERIOD = 0.05
 REPORT_PERIOD = 1.0
 
 
@@ -128,6 +129,8 @@
     def _tick(self) -> None:
         now = time.monotonic()
         for upstream in list(self.upstreams.values()):
+            if not upstream.waiters:
+                continue
             self._apply(upstream, upstream.admission.advance(now))
 
     def _report_queues(self) -> None:
