--- a/flamingohead/core/retries.py
+++ b/flamingohead/core/retries.py
@@ -146,7 +146,7 @@
     ratio: float
     slack: float
     window: float
-    part: float = 0.6
+    part: float = 0.75
 
 
 @dataclass
--- a/flamingohead/core/stopping.py
+++ b/flamingohead/core/stopping.py
@@ -18,7 +18,7 @@
 
 SETTLE_SECONDS = 1.0
 # Most requests in progress end within this time.
-ENDING_SECONDS = 2.0
+ENDING_SECONDS = 1.2
 
 
 class StopEffect(Enum):
