End a stop without cutting what its upstreams still run

Ruled out: the client's daemon (it waited as it should), the upstream.

Change: from the moment it steps back a daemon admits what is likely to end before the stop does; when it leaves, waiting requests go elsewhere at once; its row is left to its peers after 0.2 s.

--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -166,6 +166,11 @@
             if other.urgency <= queue.urgency
         )
 
+    def get_expected_service(self, rank: str) -> float:
+        """Return the time on a slot that a ticket of a rank is likely to take."""
+        queue = self._queues.get(rank)
+        return 0.0 if queue is None else queue.expected_service
+
     def count_in_use(self, rank: str) -> int:
         """Return how many slots a rank holds."""
         queue = self._queues.get(rank)
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -41,6 +41,7 @@
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     DOMAIN_JOINED = EventKind(410, logging.INFO, "joined the failure domain")
     HOST_ROW_DELETED = EventKind(411, logging.INFO, "row of a dead host deleted")
+    HOST_ROW_LEFT = EventKind(413, logging.WARNING, "own row not deleted in time")
     PEER_RECONNECTED = EventKind(412, logging.INFO, "silent connection replaced")
     LEGACY_DIFFERENCE = EventKind(600, logging.WARNING, "old scripts differ")
     REQUEST_FAILED = EventKind(500, logging.ERROR, "request handler failed")
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -31,6 +31,8 @@
 HOST_PREFIX = "hosts/"
 TICK_PERIOD = 0.1
 SCAN_LIMIT = 1000
+# A store that does not answer must not hold up the end of the process.
+STOP_TIMEOUT_SECONDS = 0.2
 
 
 class HostRowBody(BaseModel):
@@ -65,7 +67,13 @@
         for task in self._tasks:
             task.cancel()
         if self._bootstrap.has_row:
-            await self._delete_row(self._get_membership().myself.host_id)
+            host_id = self._get_membership().myself.host_id
+            try:
+                # Peers delete the row of a host that is gone, if this does not.
+                async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
+                    await self._delete_row(host_id)
+            except TimeoutError:
+                log_event(logger, Event.HOST_ROW_LEFT, host=host_id)
 
     def note_gone(self, host_id: str) -> None:
         """Note that a member of the failure domain died or left."""
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -147,11 +147,13 @@
 
     async def _step_back(self) -> None:
         self.is_stopping = True
-        self._kernel.get("slots").step_back()
+        self._kernel.get("slots").step_back(time.monotonic() + self._stop_timeout)
 
     async def _leave_mesh(self) -> None:
         self.is_stopping = True
         self._kernel.get("gossip").leave()
+        if self._steps_back:
+            self._kernel.get("slots").leave()
 
     async def _close_after_answers(self) -> None:
         for factory in self._factories:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
@@ -53,6 +54,8 @@
         self._reports = LoopingCall(self._report_queues)
         self._drained: set[str] = set()
         self._is_leaving = False
+        self._ends_at = math.inf
+        self._has_left = False
         self.in_flight = 0
         self._running: Counter[str] = Counter()
         self._failed_parents: set[str] = set()
@@ -99,11 +102,21 @@
         self._publish()
         return True
 
-    def step_back(self) -> None:
-        """Ask the others to send here only what finds no other host."""
+    def step_back(self, ends_at: float) -> None:
+        """Ask the others to send here only what finds no other host.
+
+        What is admitted from now on must be likely to end before ``ends_at``.
+        """
         self._is_leaving = True
+        self._ends_at = ends_at
         self._publish()
 
+    def leave(self) -> None:
+        """Let what still waits here be sent elsewhere, and take nothing more."""
+        self._has_left = True
+        for name, upstream in self.upstreams.items():
+            self._refuse_waiting(name, upstream)
+
     def get_status(self, name: str) -> UpstreamStatus:
         """Return the status of an upstream, operators' drains included."""
         status = self.upstreams[name].state.status
@@ -157,7 +170,8 @@
     ) -> Refusal | None:
         """Run a call on an upstream of this host; ``None`` means answered."""
         upstream = self.upstreams.get(upstream_name)
-        if upstream is None or self.get_status(upstream_name) not in SERVING:
+        status = None if upstream is None else self.get_status(upstream_name)
+        if self._has_left or status not in SERVING:
             return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
         self.in_flight += 1
         request_id = call.request_id
@@ -208,13 +222,15 @@
         return AnswerRelay(response, self._dialect)
 
     def _check(self, upstream: LocalUpstream, call: Call) -> Refusal | None:
-        ticket = _build_ticket(call)
+        ticket = self._build_ticket(upstream, call)
         return upstream.admission.check(ticket, time.monotonic())
 
     async def _run(
         self, upstream: LocalUpstream, call: Call, relay: AnswerRelay
     ) -> Refusal | None:
-        ticket = _build_ticket(call)
+        ticket = self._build_ticket(upstream, call)
+        if ticket.deadline <= time.monotonic() < call.deadline:
+            return Refusal(ErrorKind.DRAINING, "the stop leaves no time for it")
         refusal = await self._admit(upstream, ticket, may_wait=call.may_wait)
         if refusal is not None:
             return refusal
@@ -263,7 +279,9 @@
 
     def _remove(self, name: str) -> None:
         """Forget an upstream; what waits for it can go elsewhere."""
-        upstream = self.upstreams.pop(name)
+        self._refuse_waiting(name, self.upstreams.pop(name))
+
+    def _refuse_waiting(self, name: str, upstream: LocalUpstream) -> None:
         for ticket in list(upstream.waiters):
             if upstream.admission.cancel(ticket):
                 refusal = Refusal(ErrorKind.DRAINING, f"{name} is gone")
@@ -276,6 +294,8 @@
         if future is not None and not future.done():
             future.set_result(result)
 
-
-def _build_ticket(call: Call) -> Ticket:
-    return Ticket(call.rank, call.deadline, call.caller, nested=bool(call.parent))
+    def _build_ticket(self, upstream: LocalUpstream, call: Call) -> Ticket:
+        # A service may take twice its usual time; it must not be cut by a stop.
+        spare = upstream.admission.get_expected_service(call.rank)
+        deadline = min(call.deadline, self._ends_at - spare)
+        return Ticket(call.rank, deadline, call.caller, nested=bool(call.parent))
