--- a/flamingohead/assembly.py
+++ b/flamingohead/assembly.py
@@ -17,6 +17,8 @@
 from flamingohead.core.membership import Membership
 from flamingohead.core.overflow import Overflow
 from flamingohead.core.versions import Replica
+from flamingohead.platform.store import StoreClient
+from flamingohead.platform.tables import StoreObjects, StoreTable
 from flamingohead.services.announcements import AnnouncementService
 from flamingohead.services.attempts import AttemptService
 from flamingohead.services.bootstrap import BootstrapService
@@ -39,6 +41,8 @@
 from flamingohead.services.upstreams import UpstreamService
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingohead.kernel import Kernel
     from flamingohead.settings import DaemonSettings
 
@@ -57,8 +61,46 @@
 
 
 def _add_platform(kernel: Kernel, settings: DaemonSettings) -> None:
-    kernel.add("table", TableClient(settings.table_url))
-    kernel.add("objects", ObjectClient(settings.objects_url))
+    for name, url in (
+        ("table", settings.table_url),
+        ("objects", settings.objects_url),
+    ):
+        scheme, _, rest = url.partition("://")
+        kernel.add(name, PLATFORM_CLIENTS[scheme, name](kernel, rest))
+
+
+# Clients of the platform's services by the scheme of their URL.
+PLATFORM_CLIENTS: dict[tuple[str, str], Callable] = {}
+
+
+def register_client(scheme: str, name: str):
+    """Register the function that creates a client of a service of the platform."""
+
+    def decorate(create: Callable):
+        PLATFORM_CLIENTS[scheme, name] = create
+        return create
+
+    return decorate
+
+
+@register_client("http", "table")
+def _create_table(kernel: Kernel, address: str) -> TableClient:
+    return TableClient(f"http://{address}")
+
+
+@register_client("http", "objects")
+def _create_objects(kernel: Kernel, address: str) -> ObjectClient:
+    return ObjectClient(f"http://{address}")
+
+
+@register_client("store", "table")
+def _create_store_table(kernel: Kernel, address: str) -> StoreTable:
+    return StoreTable(kernel, StoreClient(kernel, address))
+
+
+@register_client("store", "objects")
+def _create_store_objects(kernel: Kernel, address: str) -> StoreObjects:
+    return StoreObjects(kernel, StoreClient(kernel, address))
 
 
 def _add_mesh(
--- a/flamingohead/platform/tables.py
+++ b/flamingohead/platform/tables.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from flamingohead.kernel import Kernel
+    from flamingohead.platform.store import StoreClient
 
 TABLE = "flamingohead"
 
@@ -20,10 +21,18 @@
 
 
 class StoreTable:
-    """Read and write rows by key, with the version of a row as its tag."""
+    """Read and write rows by key, with the version of a row as its tag.
 
-    def __init__(self, kernel: Kernel) -> None:
+    Without a store of its own it uses that of the kernel.
+    """
+
+    def __init__(self, kernel: Kernel, store: StoreClient | None = None) -> None:
         self._kernel = kernel
+        self._given = store
+
+    @property
+    def _store(self) -> StoreClient:
+        return self._given or self._kernel.get("store")
 
     async def start(self) -> None:
         pass
@@ -50,9 +59,7 @@
         """Delete a row; return whether there was one to delete."""
         place = _locate(key)
         expected = {} if tag is None else {place: int(tag)}
-        result = await self._kernel.get("store").commit(
-            expected=expected, removed=(place,)
-        )
+        result = await self._store.commit(expected=expected, removed=(place,))
         return result if isinstance(result, Refusal) else result is not None
 
     async def scan(
@@ -74,14 +81,14 @@
 
     async def _read(self, first_key: str, limit: int) -> list[StoredRow] | Refusal:
         place = _locate(first_key)
-        page = await self._kernel.get("store").read_rows(
+        page = await self._store.read_rows(
             place.table, place.part, first_key=first_key, limit=limit
         )
         return page if isinstance(page, Refusal) else list(page.rows)
 
     async def _write(self, key: str, value: bytes, version: int) -> bool | Refusal:
         place = _locate(key)
-        result = await self._kernel.get("store").commit(
+        result = await self._store.commit(
             expected={place: version}, values={place: value}
         )
         return result if isinstance(result, Refusal) else result is not None
@@ -90,8 +97,13 @@
 class StoreObjects:
     """Read and write immutable objects."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, store: StoreClient | None = None) -> None:
         self._kernel = kernel
+        self._given = store
+
+    @property
+    def _store(self) -> StoreClient:
+        return self._given or self._kernel.get("store")
 
     async def start(self) -> None:
         pass
@@ -101,11 +113,11 @@
 
     async def read(self, key: str) -> bytes | None | Refusal:
         """Return an object, or ``None`` if it does not exist."""
-        return await self._kernel.get("store").read_object(key)
+        return await self._store.read_object(key)
 
     async def write(self, key: str, value: bytes) -> bool | Refusal:
         """Write an object."""
-        return await self._kernel.get("store").write_object(key, value)
+        return await self._store.write_object(key, value)
 
 
 def _decode(row: StoredRow) -> Row:
--- a/flamingohead/settings.py
+++ b/flamingohead/settings.py
@@ -26,7 +26,7 @@
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 LOG_FORMATS = ("text", "json")
 _ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
-_URL = re.compile(r"http://[^/\s]+(/\S*)?")
+_URL = re.compile(r"(http|store)://[^/\s]+(/\S*)?")
 
 
 def check_address(value: str) -> str:
@@ -52,7 +52,10 @@
 
 def _check_url(value: str) -> str:
     if not _URL.fullmatch(value):
-        raise ValueError("expected a URL such as http://10.0.0.1:9000")
+        raise ValueError(
+            "expected a URL such as http://10.0.0.1:9000, or store:// for the store "
+            "of the platform's hosts"
+        )
     return value.rstrip("/")
 
 
--- /dev/null
+++ b/flamingohead/tests/test_store_processes.py
@@ -0,0 +1,62 @@
+"""Sheets, history and status with their rows and objects in the platform's store."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from flamingohead.testing.processes import (
+    ROOT,
+    LocalMesh,
+    choose_address,
+    run_command,
+    wait_for_port,
+)
+
+PATIENCE = 30.0
+SHEET = ROOT / "examples" / "kente-mirror.csv"
+
+
+@pytest.fixture(scope="module")
+def mesh(tmp_path_factory):
+    with LocalMesh(tmp_path_factory.mktemp("store")) as mesh:
+        address = choose_address()
+        arguments = ["-m", "flamingohead.standins", "store", "--listen", address]
+        mesh._start("store", arguments)
+        wait_for_port(address)
+        url = f"store://{address}"
+        for number in range(2):
+            mesh.start_daemon(f"h{number}", "makola", table_url=url, objects_url=url)
+        mesh.wait_until_listening()
+        mesh.store_url = url
+        yield mesh
+
+
+class TestSheetsInTheStore:
+    def test_sheet_is_accepted_and_held_by_every_daemon(self, mesh):
+        result = run_command(mesh, "apply", str(SHEET), "--wait")
+        assert result.returncode == 0, result.stderr
+        assert "accepted as version 1" in result.stdout
+
+    def test_history_and_status_tell_of_it(self, mesh):
+        assert "version 1" in run_command(mesh, "status").stdout
+        assert run_command(mesh, "history").stdout.split()[0].lstrip("v") == "1"
+
+    def test_daemons_that_all_ended_read_the_version_from_the_store(self, mesh):
+        for host_id, ended in list(mesh.daemons.items()):
+            ended.process.kill()
+            mesh.start_daemon(
+                host_id,
+                "makola",
+                addresses=ended.addresses,
+                table_url=mesh.store_url,
+                objects_url=mesh.store_url,
+            )
+        mesh.wait_until_listening()
+        deadline = time.monotonic() + PATIENCE
+        while "version 1" not in run_command(mesh, "status").stdout:
+            assert time.monotonic() < deadline
+            time.sleep(0.2)
+        repeated = run_command(mesh, "apply", str(SHEET))
+        assert "version 1" in repeated.stdout
