Refuse at once for a moment what all hosts have just refused

Ruled out: logs (some 4 s at 60 lines a second a daemon), configurations.

Change: for 40 ms after a request found no room in any queue, new ones of its service and rank get the same refusal at once; nested calls are still offered.

Figures: replay of 1,000 requests in a second: 25 are offered.

--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -25,6 +25,10 @@
 # Hosts that may turn out to be gone or draining.
 MAX_MOVES = 4
 
+# A few slots come free in this time, for requests that wait; a queue does not empty.
+FULL_PERIOD_SECONDS = 0.04
+FULL_KINDS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_UNREACHABLE})
+
 MOVE_KINDS = frozenset(
     {
         ErrorKind.HOST_UNREACHABLE,
@@ -112,3 +116,29 @@
         if last is None or self.retry_at is None or last.ran is not Ran.NO:
             return last
         return Refusal(last.kind, last.detail, self.retry_at, last.ran_override)
+
+
+class FullServices:
+    """Remember for a moment that no host had room in its queue for a rank.
+
+    The load it answers: a flood in which every request would be offered to several
+    full hosts, which costs all of them more than the refusal. A slot that comes free
+    meanwhile goes to a request that waits. ``period`` is in seconds.
+    """
+
+    def __init__(self, period: float = FULL_PERIOD_SECONDS) -> None:
+        self._period = period
+        self._known: dict[tuple[str, str], tuple[float, Refusal]] = {}
+
+    def record(self, service: str, rank: str, refusal: Refusal, now: float) -> None:
+        """Take the final refusal of a request that was offered to hosts."""
+        if refusal.kind in FULL_KINDS:
+            self._known[service, rank] = now + self._period, refusal
+
+    def find(self, service: str, rank: str, now: float) -> Refusal | None:
+        """Return the refusal that a new request would meet, if one is known."""
+        until, refusal = self._known.get((service, rank), (now, None))
+        if now < until:
+            return refusal
+        self._known.pop((service, rank), None)
+        return None
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from flamingohead.core.attempts import AttemptPlan, Step
+from flamingohead.core.attempts import AttemptPlan, FullServices, Step
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.placement import Demand, LoadReport
 from flamingohead.core.readiness import ServingReadiness
@@ -43,6 +43,7 @@
         self._host_id = ""
         self._readiness = ServingReadiness()
         self._is_settled = False
+        self._full = FullServices()
 
     async def start(self) -> None:
         self._host_id = self._kernel.get("gossip").membership.myself.host_id
@@ -84,6 +85,10 @@
         """Answer a call, or return the refusal that ends it."""
         self._kernel.get("metrics").count(f"calls.{call.service}.{call.rank}")
         self._budget.record_request(call.service, time.monotonic())
+        known = self._full.find(call.service, call.rank, time.monotonic())
+        if known is not None and not call.parent:
+            self._kernel.get("metrics").count("refusal.known")
+            return known
         demand = Demand(call.service, call.rank, call.bulky)
         plan = AttemptPlan(call.idempotent, call.max_attempts, call.deadline)
         failed: HeldResponse | None = None
@@ -117,6 +122,7 @@
         refusal = plan.conclude() or Refusal(
             ErrorKind.NO_UPSTREAM, f"no upstream of {call.service!r}"
         )
+        self._full.record(call.service, call.rank, refusal, time.monotonic())
         return refusal
 
     def _is_failure(self, call: Call, held: HeldResponse) -> bool:
--- a/flamingohead/tests/test_attempt_plan.py
+++ b/flamingohead/tests/test_attempt_plan.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from flamingohead.core.attempts import MAX_OFFERS, AttemptPlan, Step
+from flamingohead.core.attempts import MAX_OFFERS, AttemptPlan, FullServices, Step
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
 
@@ -57,6 +57,29 @@
         assert plan.record(("a", "u"), FULL, 10.0, waited=False) is Step.GIVE_UP
 
 
+class TestFullServices:
+    def test_flood_is_refused_without_asking_full_hosts_again(self):
+        full = FullServices(period=0.04)
+        asked = 0
+        for step in range(1000):
+            now = step * 0.001
+            if full.find("s", "search", now) is None:
+                asked += 1
+                full.record("s", "search", FULL, now)
+        assert 20 <= asked <= 30
+
+    def test_other_ranks_and_services_are_not_concerned(self):
+        full = FullServices()
+        full.record("s", "search", FULL, 0.0)
+        assert full.find("s", "bundle", 0.0) is None
+        assert full.find("t", "search", 0.0) is None
+
+    def test_failures_of_another_kind_are_not_remembered(self):
+        full = FullServices()
+        full.record("s", "search", CUT, 0.0)
+        assert full.find("s", "search", 0.0) is None
+
+
 class TestSharedRetryBudget:
     SETTINGS = SharedBudgetSettings(ratio=0.2, slack=58, window=10.0)
 
