--- a/benchmarks/policy_baseline.py
+++ b/benchmarks/policy_baseline.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from flamingohead.core.admission import Admission, Ticket, Turn
+from flamingohead.core.admission import Admission, Turn
 from flamingohead.core.balancing import Balancer
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.rank_queues import Ticket
 from flamingohead.core.retries import MAX_ATTEMPTS, RetryBudget
 
 if TYPE_CHECKING:
--- a/benchmarks/policy_cost.py
+++ b/benchmarks/policy_cost.py
@@ -9,10 +9,11 @@
 from typing import TYPE_CHECKING
 
 from benchmarks.results import Row, register_benchmark
-from flamingohead.core.admission import Admission, Ticket
+from flamingohead.core.admission import Admission
 from flamingohead.core.balancing import Balancer
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import Member, UpstreamState, UpstreamStatus
+from flamingohead.core.rank_queues import Ticket
 from flamingohead.core.resources import Rank
 from flamingohead.core.retries import RetryBudget
 
--- a/benchmarks/policy_model.py
+++ b/benchmarks/policy_model.py
@@ -12,10 +12,10 @@
 from typing import TYPE_CHECKING
 
 from benchmarks.policy_baseline import create_policy
-from flamingohead.core.admission import Ticket
 from flamingohead.core.balancing import Candidate
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import Member, UpstreamState, UpstreamStatus
+from flamingohead.core.rank_queues import Ticket
 from flamingohead.core.retries import may_repeat_on_same_upstream
 
 if TYPE_CHECKING:
--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -10,23 +10,18 @@
 
 import heapq
 import itertools
-from dataclasses import dataclass, field, replace
-from enum import Enum
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.fairness import FairQueue
+from flamingohead.core.rank_queues import RankQueue, Ticket, TicketState
 from flamingohead.core.resources import Rank
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-SMOOTHING = 0.1
 QUEUE_LIMIT = 1024
 UNKNOWN_QUEUE_LIMIT = 4
-# Time on a slot, as a fraction of the target, until a first one has been seen: a host
-# that has just started must not refuse the queue that its upstream can serve.
-ASSUMED_SERVICE_FRACTION = 0.3
 QUEUED_TARGET_FRACTION = 0.5
 # Service times kept free in a target, for the service itself and longer ones.
 SERVICES_IN_TARGET = 2.0
@@ -38,34 +33,6 @@
 NESTED_SUFFIX = "/nested"
 
 
-class TicketState(Enum):
-    """Name the steps of a ticket."""
-
-    NEW = "new"
-    WAITING = "waiting"
-    ADMITTED = "admitted"
-    ENDED = "ended"
-
-
-@dataclass(eq=False)
-class Ticket:
-    """Stand for one request at the admission of one upstream.
-
-    ``deadline`` is in seconds on the daemon's monotonic clock. A ``nested`` ticket is
-    for a call that a running request waits for.
-    """
-
-    rank: str
-    deadline: float
-    caller: str = ""
-    nested: bool = False
-    state: TicketState = TicketState.NEW
-    queued_at: float = 0.0
-    admitted_at: float = 0.0
-    queue: _RankQueue | None = field(default=None, repr=False)
-    place: str = field(default="", repr=False)
-
-
 @dataclass(frozen=True)
 class Turn:
     """Report the waiting tickets that were admitted and those that expired."""
@@ -74,63 +41,6 @@
     expired: tuple[Ticket, ...] = ()
 
 
-@dataclass(eq=False)
-class _RankQueue:
-    """Hold the waiting tickets of a rank and what is known of its pace.
-
-    ``guaranteed`` is the rank's share in whole slots. The ``fraction`` of the slots
-    that is left is collected as ``credit`` at each turn; at 1 a turn is owed.
-    """
-
-    rank: Rank
-    waiting: FairQueue[Ticket] = field(default_factory=FairQueue)
-    in_use: int = 0
-    guaranteed: int = 0
-    fraction: float = 0.0
-    credit: float = 0.0
-    service_time: float = 0.0
-    interval: float = 0.0
-    turn_at: float = 0.0
-    nested: bool = False
-
-    @property
-    def expected_service(self) -> float:
-        """Return the learned time on a slot, or one that the target suggests."""
-        if self.service_time or self.rank.share > 0:
-            return self.service_time
-        return ASSUMED_SERVICE_FRACTION * self.rank.target_ms / 1000
-
-    @property
-    def urgency(self) -> tuple[int, bool]:
-        """Return what orders the queues, the most urgent first."""
-        return self.rank.order, not self.nested
-
-    def start_waiting(self, limit: int, now: float) -> None:
-        """Note that tickets wait from now on, at first at the pace of the share."""
-        self.turn_at = now
-        if not self.interval and self.rank.share > 0:
-            self.interval = self.service_time / (self.rank.share * limit)
-
-    def record_turn(self, now: float) -> None:
-        """Learn the time between turns while tickets wait."""
-        self.interval += SMOOTHING * (now - self.turn_at - self.interval)
-        self.turn_at = now
-
-    def record_service(self, seconds: float) -> None:
-        """Learn the time for which a ticket holds its slot."""
-        if self.service_time:
-            seconds = self.service_time + SMOOTHING * (seconds - self.service_time)
-        self.service_time = seconds
-
-    def estimate_interval(self, limit: int) -> float:
-        """Return the expected time between turns, within what shares allow."""
-        lowest = self.service_time / max(limit, 1)
-        slots = self.rank.share * limit
-        if slots <= 0:
-            return max(self.interval, lowest)
-        return min(max(self.interval, lowest), self.service_time / slots)
-
-
 class Admission:
     """Admit tickets to a limited number of slots.
 
@@ -144,8 +54,8 @@
         self.limit = slots
         self.in_use = 0
         self._waiting = 0
-        self._queues: dict[str, _RankQueue] = {}
-        self._ordered: list[_RankQueue] = []
+        self._queues: dict[str, RankQueue] = {}
+        self._ordered: list[RankQueue] = []
         self._deadlines: list[tuple[float, int, Ticket]] = []
         self._numbers = itertools.count()
         self.set_ranks(ranks)
@@ -183,9 +93,9 @@
 
     def set_ranks(self, ranks: Iterable[Rank]) -> None:
         """Take the ranks of a new configuration; tickets keep their places."""
-        queues: dict[str, _RankQueue] = {}
+        queues: dict[str, RankQueue] = {}
         for rank in ranks:
-            queue = self._queues.pop(rank.name, None) or _RankQueue(rank)
+            queue = self._queues.pop(rank.name, None) or RankQueue(rank)
             queue.rank = rank
             queues[rank.name] = queue
         for name, queue in self._queues.items():
@@ -284,7 +194,7 @@
 
     # Queues
 
-    def _find_queue(self, ticket: Ticket) -> _RankQueue:
+    def _find_queue(self, ticket: Ticket) -> RankQueue:
         """Return the queue of a ticket, also if the configuration lacks its rank.
 
         A call may carry a rank of a newer or older configuration.
@@ -297,12 +207,12 @@
             self._arrange()
         return queue
 
-    def _add_queue(self, name: str, ticket: Ticket) -> _RankQueue:
+    def _add_queue(self, name: str, ticket: Ticket) -> RankQueue:
         if not ticket.nested:
-            return _RankQueue(_retire_rank(name))
+            return RankQueue(_retire_rank(name))
         parent = self._queues.get(ticket.rank)
         rank = _retire_rank(name) if parent is None else parent.rank
-        return _RankQueue(replace(rank, name=name, share=0.0), nested=True)
+        return RankQueue(replace(rank, name=name, share=0.0), nested=True)
 
     def _arrange(self) -> None:
         queues = sorted(self._queues.values(), key=lambda queue: queue.urgency)
@@ -312,14 +222,14 @@
             queue.fraction = max(0.0, share - queue.guaranteed / max(self.limit, 1))
         self._ordered = queues
 
-    def _forget_retired(self, queue: _RankQueue) -> None:
+    def _forget_retired(self, queue: RankQueue) -> None:
         is_retired = queue.rank.order == RETIRED_ORDER
         if is_retired and not queue.in_use and not queue.waiting:
             if self._queues.get(queue.rank.name) is queue:
                 del self._queues[queue.rank.name]
                 self._arrange()
 
-    def _choose_queue(self) -> _RankQueue:
+    def _choose_queue(self) -> RankQueue:
         waiting = [queue for queue in self._ordered if queue.waiting]
         for queue in waiting:
             if queue.in_use < queue.guaranteed:
@@ -330,7 +240,7 @@
         first = [queue for queue in waiting if queue.urgency == waiting[0].urgency]
         return min(first, key=lambda queue: queue.waiting.peek().queued_at)
 
-    def _pass_credit(self, served: _RankQueue) -> None:
+    def _pass_credit(self, served: RankQueue) -> None:
         for queue in self._ordered:
             if queue.waiting:
                 queue.credit = min(1.0, queue.credit + queue.fraction)
@@ -338,14 +248,14 @@
 
     # Tickets
 
-    def _admit(self, queue: _RankQueue, ticket: Ticket, now: float) -> None:
+    def _admit(self, queue: RankQueue, ticket: Ticket, now: float) -> None:
         ticket.queue = queue
         ticket.state = TicketState.ADMITTED
         ticket.admitted_at = now
         queue.in_use += 1
         self.in_use += 1
 
-    def _enqueue(self, queue: _RankQueue, ticket: Ticket, now: float) -> None:
+    def _enqueue(self, queue: RankQueue, ticket: Ticket, now: float) -> None:
         if not queue.waiting:
             queue.start_waiting(self.limit, now)
         ticket.queue = queue
@@ -373,7 +283,7 @@
         return expired
 
     def _check_queue(
-        self, queue: _RankQueue, ticket: Ticket, now: float
+        self, queue: RankQueue, ticket: Ticket, now: float
     ) -> Refusal | None:
         detail = f"queue of {ticket.rank}"
         is_unknown = not queue.service_time
@@ -389,7 +299,7 @@
             return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail, now + wait)
         return None
 
-    def _get_longest_wait(self, queue: _RankQueue, ticket: Ticket, now: float) -> float:
+    def _get_longest_wait(self, queue: RankQueue, ticket: Ticket, now: float) -> float:
         """Return the wait with which a ticket is still worth queueing.
 
         A rank's target bounds it where an idle upstream can meet the target; the
@@ -412,7 +322,7 @@
         margin = DEADLINE_MARGIN * service
         return min(by_deadline - margin, max(by_target, target - spare))
 
-    def _estimate_wait(self, queue: _RankQueue, caller: str) -> float:
+    def _estimate_wait(self, queue: RankQueue, caller: str) -> float:
         if queue.rank.share <= 0:
             return self._estimate_work_ahead(queue)
         turns = queue.waiting.count_items(caller) + 1
@@ -421,7 +331,7 @@
         )
         return ahead * queue.estimate_interval(self.limit)
 
-    def _estimate_work_ahead(self, queue: _RankQueue) -> float:
+    def _estimate_work_ahead(self, queue: RankQueue) -> float:
         """Return the time until the slots have served what goes before a new ticket.
 
         Ranks of the same order share the slots in the order of arrival. What more
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -4,32 +4,28 @@
 
 import asyncio
 import logging
-import secrets
 import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.idempotency import UNMARKED, qualify_refusal
+from flamingohead.core.idempotency import qualify_refusal
 from flamingohead.core.memory import ByteBudget
 from flamingohead.core.scopes import is_scoped_key
 from flamingohead.core.splits import SplitTurns
 from flamingohead.core.stopping import SETTLE_SECONDS, PlannedStop, StopEffect
 from flamingohead.events import Event, log_event
+from flamingohead.services.call_requests import build_call, qualify, read_host
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.http_parser import ReadLimits
 from flamingohead.services.http_server import HttpServerFactory, ServerLimits
 from flamingohead.services.relay import (
-    KEY_HEADER,
     RELAY_HOME,
     RELAY_LACKS_NESTED,
     RELAY_LOAD,
-    RELAY_PREFIX,
     RELAY_UPSTREAM,
     encode_load,
-    read_attempt,
-    read_caller,
     read_relayed_call,
 )
 from flamingohead.services.scopes import SCOPE_PATH
@@ -46,7 +42,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_KEY_BYTES = 256
 STOP_POLL_SECONDS = 0.05
 
 
@@ -197,11 +192,11 @@
             self._conclude(response, refusal)
             return
         target = request.target.decode("latin-1")
-        resolved = routes.match(request.method, target, _read_host(request))
+        resolved = routes.match(request.method, target, read_host(request))
         if isinstance(resolved, Refusal):
-            self._refuse(response, _qualify(request, resolved))
+            self._refuse(response, qualify(request, resolved))
             return
-        call = _build_call(
+        call = build_call(
             request,
             resolved,
             time.monotonic(),
@@ -210,7 +205,7 @@
             own_service=self.own_service,
         )
         if isinstance(call, Refusal):
-            self._refuse(response, _qualify(request, call))
+            self._refuse(response, qualify(request, call))
             return
         parent = self._dialect.find_parent(call.request_id)
         if parent and self._kernel.get("slots").is_running(parent):
@@ -345,87 +340,3 @@
             return resolved.pool.service
         chosen = self._splits.choose(split)
         return next(pool.service for pool in resolved.pools if pool.name == chosen)
-
-
-def _build_call(
-    request: IncomingRequest,
-    resolved: ResolvedRoute,
-    now: float,
-    *,
-    dialect: Dialect = PRODUCT_DIALECT,
-    service: str = "",
-    own_service: str = "",
-) -> Call | Refusal:
-    """Return the call of a request, to ``service`` or the one that the route names."""
-    route = resolved.route
-    timeout_ms = _read_timeout(request, dialect.deadline, route.timeout_ms)
-    if isinstance(timeout_ms, Refusal):
-        return timeout_ms
-    headers = tuple(
-        (name, value)
-        for name, value in request.headers
-        if not name.startswith(RELAY_PREFIX) and name not in dialect.own_headers
-    )
-    if dialect.caller_service:
-        headers = (*headers, (dialect.caller_service, own_service.encode()))
-    call = Call(
-        service=service or resolved.pool.service,
-        rank=route.rank,
-        method=request.method,
-        target=request.target,
-        headers=headers,
-        body=request.body,
-        deadline=now + timeout_ms / 1000,
-        idempotent=route.idempotent,
-        bulky=route.bulky,
-        max_attempts=route.max_attempts,
-        host=(request.get_header(b"host") or b"") if dialect.keeps_host else b"",
-    )
-    return _read_key(request, call) if dialect.reads_keys else call
-
-
-def _read_key(request: IncomingRequest, call: Call) -> Call | Refusal:
-    attempt = read_attempt(request)
-    if isinstance(attempt, Refusal):
-        return attempt
-    key = request.get_header(KEY_HEADER)
-    if key is not None and not 0 < len(key) <= MAX_KEY_BYTES:
-        return Refusal(
-            ErrorKind.MALFORMED_REQUEST, f"idempotency key of {len(key)} bytes"
-        )
-    return replace(
-        call,
-        key=None if key is None else key.decode("latin-1"),
-        caller=read_caller(request),
-        attempt=attempt,
-        call_id="" if key is None else secrets.token_hex(8),
-    )
-
-
-def _qualify(request: IncomingRequest, refusal: Refusal) -> Refusal:
-    if request.get_header(KEY_HEADER) is None:
-        return refusal
-    attempt = read_attempt(request)
-    return qualify_refusal(
-        refusal, UNMARKED if isinstance(attempt, Refusal) else attempt
-    )
-
-
-def _read_host(request: IncomingRequest) -> str:
-    """Return the host that a caller asked, without a port."""
-    value = (request.get_header(b"host") or b"").decode("latin-1").lower()
-    return value.partition(":")[0]
-
-
-def _read_timeout(
-    request: IncomingRequest, header: bytes, most_ms: int
-) -> int | Refusal:
-    value = request.get_header(header)
-    if value is None:
-        return most_ms
-    if not value.isdigit() or len(value) > 9:
-        return Refusal(
-            ErrorKind.MALFORMED_REQUEST,
-            f"{header.decode()} {value[:20]!r} is not a whole number",
-        )
-    return min(int(value), most_ms)
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -11,10 +11,11 @@
 
 from twisted.internet.task import LoopingCall
 
-from flamingohead.core.admission import Admission, Ticket, Turn
+from flamingohead.core.admission import Admission, Turn
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.core.placement import LoadReport
+from flamingohead.core.rank_queues import Ticket
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.dispatch import AnswerRelay, dispatch_call
 
--- a/flamingohead/tests/test_admission.py
+++ b/flamingohead/tests/test_admission.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from flamingohead.core.admission import Admission, Ticket
+from flamingohead.core.admission import Admission
 from flamingohead.core.errors import ErrorKind
+from flamingohead.core.rank_queues import Ticket
 from flamingohead.core.resources import Rank
 
 
--- a/flamingohead/tests/test_metrics.py
+++ b/flamingohead/tests/test_metrics.py
@@ -6,9 +6,10 @@
 import re
 import socket
 
-from flamingohead.core.admission import Admission, Ticket
+from flamingohead.core.admission import Admission
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
+from flamingohead.core.rank_queues import Ticket
 from flamingohead.core.resources import Rank, Service, Snapshot
 from flamingohead.core.routing import RouteTable
 from flamingohead.kernel import Kernel
--- a/properties/test_admission_floods.py
+++ b/properties/test_admission_floods.py
@@ -9,8 +9,9 @@
 
 from hypothesis import given, settings, strategies as st
 
-from flamingohead.core.admission import Admission, Ticket
+from flamingohead.core.admission import Admission
 from flamingohead.core.errors import Refusal
+from flamingohead.core.rank_queues import Ticket
 from flamingohead.core.resources import Rank
 
 SERVICE_TIME = 0.1
--- a/properties/test_admission_tickets.py
+++ b/properties/test_admission_tickets.py
@@ -11,8 +11,9 @@
     rule,
 )
 
-from flamingohead.core.admission import Admission, Ticket, TicketState
+from flamingohead.core.admission import Admission
 from flamingohead.core.errors import Refusal
+from flamingohead.core.rank_queues import Ticket, TicketState
 from flamingohead.core.resources import Rank
 
 NAMES = ["lookup", "hand-over", "search"]
--- a/properties/test_http_fuzz.py
+++ b/properties/test_http_fuzz.py
@@ -11,7 +11,7 @@
 
 from flamingohead.core.resources import Pool, Rank, Route, Service
 from flamingohead.core.routing import ResolvedRoute
-from flamingohead.services.calls import _build_call
+from flamingohead.services.call_requests import build_call
 from flamingohead.services.dispatch import AnswerRelay
 from flamingohead.services.http_connection import ClientConnection
 from flamingohead.services.http_messages import (
@@ -111,7 +111,7 @@
         caller = FakeCaller()
         caller.deliver(data)
         for request in caller.requests:
-            call = _build_call(request, ROUTE, 0.0)
+            call = build_call(request, ROUTE, 0.0)
             if not hasattr(call, "target"):
                 continue
             outgoing = OutgoingRequest(
