Share the wrapper of responses and the start of test processes

Cause: two classes passed the same four properties on, two test meshes started processes by the same lines. Change: one of each.

--- a/flamingohead/services/held_response.py
+++ b/flamingohead/services/held_response.py
@@ -5,9 +5,9 @@
 import time
 from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from flamingohead.services.response_wrapper import ResponseWrapper
 
+if TYPE_CHECKING:
     from flamingohead.services.http_messages import Headers
     from flamingohead.services.http_response import ServerResponse
 
@@ -15,7 +15,7 @@
 MAX_HELD_ANSWER_BYTES = 64 * 1024
 
 
-class HeldResponse:
+class HeldResponse(ResponseWrapper):
     """Take the answer of one attempt in place of the caller's response.
 
     ``started`` tells whether a part of it has gone to the caller, so that no other
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, response: ServerResponse) -> None:
-        self._response = response
+        super().__init__(response)
         self._headers: Headers = []
         self._length: int | None = None
         self._body: list[bytes] = []
@@ -37,30 +37,10 @@
         self.held_ms: float | None = None
         self.lacks_nested = False
 
-    @property
-    def started(self) -> bool:
-        return self._response.started
-
     @property
     def is_disconnected(self) -> bool:
         return self._response.is_disconnected
 
-    @property
-    def on_pause(self) -> Callable[[], None] | None:
-        return self._response.on_pause
-
-    @on_pause.setter
-    def on_pause(self, handler: Callable[[], None] | None) -> None:
-        self._response.on_pause = handler
-
-    @property
-    def on_resume(self) -> Callable[[], None] | None:
-        return self._response.on_resume
-
-    @on_resume.setter
-    def on_resume(self, handler: Callable[[], None] | None) -> None:
-        self._response.on_resume = handler
-
     def start(self, status: int, headers: Headers, *, length: int | None) -> None:
         """Begin; an answer of unknown length is held as long as it is small."""
         self.status = status
--- a/flamingohead/services/key_runs.py
+++ b/flamingohead/services/key_runs.py
@@ -10,6 +10,7 @@
 
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.idempotency import Outcome, StoredAnswer
+from flamingohead.services.response_wrapper import ResponseWrapper
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -23,7 +24,7 @@
 MAX_WAITING = 1000
 
 
-class RecordingResponse:
+class RecordingResponse(ResponseWrapper):
     """Pass a response on to its caller and keep a copy of it.
 
     A caller that leaves does not end the request: its answer is kept for the
@@ -31,7 +32,7 @@
     """
 
     def __init__(self, response: ServerResponse, *, limit: int) -> None:
-        self._response = response
+        super().__init__(response)
         self._limit = limit
         self._leave = response.on_disconnect
         self._parts: list[bytes] = []
@@ -42,10 +43,6 @@
         self.on_disconnect: Callable[[], None] | None = None
         response.on_disconnect = self._handle_disconnect
 
-    @property
-    def started(self) -> bool:
-        return self._response.started
-
     @property
     def status(self) -> int:
         return self._status
@@ -54,22 +51,6 @@
     def finished(self) -> bool:
         return self._response.finished
 
-    @property
-    def on_pause(self) -> Callable[[], None] | None:
-        return self._response.on_pause
-
-    @on_pause.setter
-    def on_pause(self, handler: Callable[[], None] | None) -> None:
-        self._response.on_pause = handler
-
-    @property
-    def on_resume(self) -> Callable[[], None] | None:
-        return self._response.on_resume
-
-    @on_resume.setter
-    def on_resume(self, handler: Callable[[], None] | None) -> None:
-        self._response.on_resume = handler
-
     def start(self, status: int, headers: Headers, *, length: int | None) -> None:
         self._status = status
         self._headers = headers
--- /dev/null
+++ b/flamingohead/services/response_wrapper.py
@@ -0,0 +1,37 @@
+"""What an answer goes through on its way to a caller's response."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from flamingohead.services.http_response import ServerResponse
+
+
+class ResponseWrapper:
+    """Stand in for a caller's response, and let its pace hold back the answer."""
+
+    def __init__(self, response: ServerResponse) -> None:
+        self._response = response
+
+    @property
+    def started(self) -> bool:
+        return self._response.started
+
+    @property
+    def on_pause(self) -> Callable[[], None] | None:
+        return self._response.on_pause
+
+    @on_pause.setter
+    def on_pause(self, handler: Callable[[], None] | None) -> None:
+        self._response.on_pause = handler
+
+    @property
+    def on_resume(self) -> Callable[[], None] | None:
+        return self._response.on_resume
+
+    @on_resume.setter
+    def on_resume(self, handler: Callable[[], None] | None) -> None:
+        self._response.on_resume = handler
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -4,9 +4,6 @@
 
 import http.client
 import json
-import os
-import subprocess
-import sys
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -14,9 +11,9 @@
 
 from flamingohead.testing.processes import (
     LOOPBACK,
-    ROOT,
     Process,
     choose_address,
+    start_python,
     wait_for_port,
 )
 
@@ -160,18 +157,7 @@
         self, name: str, arguments: list[str], **variables: str
     ) -> Process:
         """Start a Python process whose output goes to a file."""
-        log_path = self.directory / f"{name}.log"
-        environment = {**os.environ, "PYTHONPATH": str(ROOT), **variables}
-        with log_path.open("ab") as log:
-            popen = subprocess.Popen(
-                [sys.executable, *arguments],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-        process = Process(name, popen, log_path)
+        process = start_python(name, arguments, self.directory, **variables)
         self._processes.append(process)
         return process
 
--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -252,22 +252,29 @@
         self.stop()
 
     def _start(self, name: str, arguments: list[str]) -> Process:
-        log_path = self.directory / f"{name}.log"
-        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
-        with log_path.open("ab") as log:
-            popen = subprocess.Popen(
-                [sys.executable, *arguments],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-        process = Process(name, popen, log_path)
+        process = start_python(name, arguments, self.directory)
         self.processes.append(process)
         return process
 
 
+def start_python(
+    name: str, arguments: list[str], directory: Path, **variables: str
+) -> Process:
+    """Start a Python process whose output goes to a file of the directory."""
+    log_path = directory / f"{name}.log"
+    environment = {**os.environ, "PYTHONPATH": str(ROOT), **variables}
+    with log_path.open("ab") as log:
+        popen = subprocess.Popen(
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+        )
+    return Process(name, popen, log_path)
+
+
 def run_command(
     mesh: LocalMesh,
     *arguments: str,
