--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -162,6 +162,11 @@
         record = self._records.get(name)
         return record.stage if record else None
 
+    def get_incarnation(self, name: str) -> int | None:
+        """Return the incarnation of a known upstream."""
+        record = self._records.get(name)
+        return record.announcement.incarnation if record else None
+
     def get_address(self, name: str) -> str:
         """Return the address of a known upstream."""
         return self._records[name].announcement.address
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -37,6 +37,9 @@
     STORE_LOST = EventKind(303, logging.WARNING, "platform store out of reach")
     STORE_REGAINED = EventKind(304, logging.INFO, "platform store reached again")
     BEAT_MALFORMED = EventKind(305, logging.WARNING, "announcement not understood")
+    DEPARTURE_NOT_KEPT = EventKind(
+        306, logging.WARNING, "leave of the upstream not kept in the store"
+    )
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     DOMAIN_JOINED = EventKind(410, logging.INFO, "joined the failure domain")
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -17,6 +17,7 @@
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
 from flamingohead.core.upstreams import UpstreamSettings
 from flamingohead.core.versions import Replica
+from flamingohead.platform.departures import Departures
 from flamingohead.platform.dialect import PLATFORM_DIALECT
 from flamingohead.platform.endpoints import InstanceEndpoint, ReadyEndpoint
 from flamingohead.platform.feed import ConfigurationFeed
@@ -127,6 +128,7 @@
     lifetime = BEATS_MISSED * settings.announcement_period
     upstreams = UpstreamService(kernel, UpstreamSettings(lifetime=lifetime))
     kernel.add("upstreams", upstreams)
+    kernel.add("departures", Departures(kernel, settings.host_id))
     kernel.add("announcements", InstanceEndpoint(kernel, settings.announce_address))
 
 
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 from typing import TYPE_CHECKING, Literal
@@ -15,6 +16,7 @@
 from flamingohead.services.endpoint import Endpoint
 
 if TYPE_CHECKING:
+    from flamingohead.kernel import Kernel
     from flamingohead.services.http_messages import IncomingRequest
     from flamingohead.services.http_response import ServerResponse
 
@@ -74,6 +76,10 @@
 class InstanceEndpoint(Endpoint):
     """Take the heartbeats and the leave of the upstream on this host."""
 
+    def __init__(self, kernel: Kernel, address: str) -> None:
+        super().__init__(kernel, address)
+        self._answers: set[asyncio.Task] = set()
+
     def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
         if not request.target.startswith(INSTANCES_PATH):
             response.send(404, [], b"")
@@ -83,7 +89,7 @@
             self._take_beat(name, request, response)
         elif request.method == "DELETE":
             self._kernel.get("upstreams").end(name)
-            response.send(200, JSON_HEADERS, b"{}")
+            self._acknowledge_leave(name, response)
         else:
             response.send(405, [], b"")
 
@@ -102,4 +108,19 @@
             body = json.dumps({"error": refusal.detail}).encode()
             response.send(refusal.answer.status, JSON_HEADERS, body)
             return
+        if announcement.status is UpstreamStatus.DRAINING:
+            self._acknowledge_leave(name, response)
+            return
         response.send(200, JSON_HEADERS, b"{}")
+
+    def _acknowledge_leave(self, name: str, response: ServerResponse) -> None:
+        """Answer once the leave would outlast this process."""
+
+        async def answer() -> None:
+            await self._kernel.get("departures").record(name)
+            if not response.is_disconnected:
+                response.send(200, JSON_HEADERS, b"{}")
+
+        task = asyncio.get_running_loop().create_task(answer())
+        self._answers.add(task)
+        task.add_done_callback(self._answers.discard)
--- a/flamingohead/platform/probe.py
+++ b/flamingohead/platform/probe.py
@@ -65,6 +65,8 @@
     async def _run(self) -> None:
         while not self._kernel.get("configuration").is_ready:
             await asyncio.sleep(WAIT_SECONDS)
+        while not self._kernel.get("departures").is_loaded:
+            await asyncio.sleep(WAIT_SECONDS)
         if self._kernel.get("upstreams").is_empty:
             announcement = await self._ask()
             if announcement is not None and self._kernel.get("upstreams").is_empty:
--- a/flamingohead/platform/tables.py
+++ b/flamingohead/platform/tables.py
@@ -55,6 +55,11 @@
         """Replace a row whose tag is ``tag``; return whether it was written."""
         return await self._write(key, value, int(tag))
 
+    async def replace(self, key: str, value: bytes) -> bool | Refusal:
+        """Write a row, whatever it held before."""
+        result = await self._store.commit(values={_locate(key): value})
+        return result if isinstance(result, Refusal) else result is not None
+
     async def delete(self, key: str, tag: str | None = None) -> bool | Refusal:
         """Delete a row; return whether there was one to delete."""
         place = _locate(key)
--- a/flamingohead/services/upstreams.py
+++ b/flamingohead/services/upstreams.py
@@ -47,6 +47,10 @@
         """Tell whether no upstream has announced itself yet."""
         return self._registry.is_empty
 
+    def get_incarnation(self, name: str) -> int | None:
+        """Return the incarnation of a known upstream."""
+        return self._registry.get_incarnation(name)
+
     def announce(self, announcement: Announcement) -> Refusal | None:
         """Take an announcement; it is in force when this returns."""
         result = self._registry.announce(announcement, time.monotonic())
