Remember the leave of an upstream that its daemon did not know yet

Ruled out: the restart after the acknowledgement alone (kept in the store, seen working in the process test).

Change: a leave holds for every start up to its time, also of an unknown name.

--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -211,14 +211,26 @@
         changes = self._end_predecessors(announcement)
         return [*changes, *self._move(record, _EVENTS[announcement.status])]
 
-    def end(self, name: str, now: float) -> list[UpstreamChanged]:
-        """Take the word of an upstream that it leaves; late announcements change
-        nothing."""
+    def end(
+        self, name: str, now: float, *, incarnation: int = 0
+    ) -> list[UpstreamChanged]:
+        """Take the word of an upstream that it leaves.
+
+        Announcements of incarnations up to ``incarnation`` change nothing from then on,
+        also if the upstream was not known or only by a probe.
+        """
         self._note_time(now)
         record = self._records.get(name)
         if record is None:
-            return []
-        record.announcement = replace(record.announcement, sequence=LAST_SEQUENCE)
+            unknown = Announcement(name, "", "", 1, UpstreamStatus.GONE, incarnation, 0)
+            self._make_room()
+            record = self._start(unknown)
+        known = record.announcement
+        record.announcement = replace(
+            known,
+            incarnation=max(known.incarnation, incarnation),
+            sequence=LAST_SEQUENCE,
+        )
         record.expires_at = now + self._settings.lifetime
         return self._move(record, "leave")
 
--- a/flamingohead/services/upstreams.py
+++ b/flamingohead/services/upstreams.py
@@ -62,7 +62,10 @@
 
     def end(self, name: str) -> None:
         """Take the word of an upstream that it leaves."""
-        self._take_changes(self._registry.end(name, time.monotonic()))
+        # Incarnations are the wall-clock milliseconds of a start.
+        incarnation = round(time.time() * 1000)
+        changes = self._registry.end(name, time.monotonic(), incarnation=incarnation)
+        self._take_changes(changes)
 
     def lose(self, name: str) -> None:
         """Take an upstream that can't be reached out until it announces itself."""
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -4,11 +4,17 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.members import UpstreamStatus
+from flamingohead.core.upstreams import (
+    Announcement,
+    UpstreamRegistry,
+    UpstreamStage,
+)
 from flamingohead.kernel import Kernel
 from flamingohead.platform.boot import BootError, parse_settings, read_settings
 from flamingohead.platform.dialect import PLATFORM_DIALECT, find_parent
@@ -249,3 +255,25 @@
         )
         found = asyncio.run(kernel.get("table").scan("hosts/", limit=1000))
         assert [row.key for row in found] == [row["key"] for row in rows]
+
+
+class TestLeaves:
+    BEAT = Announcement("i-1", "s", "a:1", 4, UpstreamStatus.READY, 1000, 7)
+
+    def test_leave_of_an_unknown_upstream_holds_against_late_messages(self):
+        registry = UpstreamRegistry()
+        registry.end("i-1", 0.0, incarnation=2000)
+        assert registry.announce(self.BEAT, 0.1) == []
+        assert registry.get_stage("i-1") is UpstreamStage.GONE
+
+    def test_leave_of_one_known_by_a_probe_holds_too(self):
+        registry = UpstreamRegistry()
+        registry.announce(replace(self.BEAT, incarnation=0, sequence=0), 0.0)
+        registry.end("i-1", 0.1, incarnation=2000)
+        assert registry.announce(self.BEAT, 0.2) == []
+
+    def test_later_start_under_the_same_name_is_taken(self):
+        registry = UpstreamRegistry()
+        registry.end("i-1", 0.0, incarnation=2000)
+        registry.announce(replace(self.BEAT, incarnation=3000), 0.1)
+        assert registry.get_stage("i-1") is UpstreamStage.READY
