Call what the project had, and take out what nothing calls

Cause: read again, the change tested for server errors and turned refusals of a host in two places each beside existing code, and had three methods without a caller. Change: is_server_error and one blame_host serve all; get_usual_time and lose are gone. No behaviour.

--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
-from flamingohead.core.ejection import OVERLOAD_KINDS
+from flamingohead.core.ejection import OVERLOAD_KINDS, is_server_error
 from flamingohead.core.errors import ErrorKind
 
 if TYPE_CHECKING:
@@ -64,7 +64,6 @@
     ErrorKind.DEADLINE_PASSED,
     ErrorKind.INTERNAL,
 }
-FIRST_SERVER_ERROR = 500
 
 
 @dataclass(frozen=True)
@@ -187,10 +186,6 @@
         candidates = (view.candidate for view in pool.views)
         return any(c.host_id != host_id and not c.leaving for c in candidates)
 
-    def get_usual_time(self, service: str, rank: str) -> float:
-        """Return the usual seconds on a slot, or 0 if there were no answers yet."""
-        return self._usual_times.get((service, rank), 0.0)
-
     def choose(
         self,
         demand: Demand,
@@ -238,7 +233,7 @@
         view = attempt.view
         view.in_flight -= 1
         if refusal is None:
-            failed = status >= FIRST_SERVER_ERROR
+            failed = is_server_error(status)
         elif refusal.kind in NEUTRAL_KINDS:
             return
         elif refusal.kind in CERTAIN_KINDS:
--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -234,11 +234,6 @@
         record.expires_at = now + self._settings.lifetime
         return self._move(record, "leave")
 
-    def lose(self, name: str) -> list[UpstreamChanged]:
-        """Take out an upstream until its next announcement."""
-        record = self._records.get(name)
-        return [] if record is None else self._move(record, "expire")
-
     def _is_overtaken(self, announcement: Announcement) -> bool:
         """Tell whether a later start has taken the address."""
         return any(
--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -11,7 +11,11 @@
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.retries import RetryBudget, may_repeat_on_same_upstream
 from flamingohead.events import Event, log_event
-from flamingohead.services.relay import RelaySink, build_relay_request
+from flamingohead.services.relay import (
+    RelaySink,
+    blame_host,
+    build_relay_request,
+)
 
 if TYPE_CHECKING:
     from flamingohead.core.balancing import Balancer, Candidate, HealthChange
@@ -173,11 +177,7 @@
         )
         if refusal is None:
             return sink.refusal
-        if refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
-            return Refusal(ErrorKind.HOST_UNREACHABLE, refusal.detail)
-        if refusal.kind is ErrorKind.UPSTREAM_CUT:
-            return Refusal(ErrorKind.HOST_CUT, refusal.detail)
-        return refusal
+        return blame_host(refusal)
 
 
 def _is_retry(call: Call) -> bool:
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -9,12 +9,17 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.attempts import AttemptPlan, FullServices, Step
+from flamingohead.core.ejection import is_server_error
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.placement import Demand, LoadReport
 from flamingohead.core.readiness import ServingReadiness
 from flamingohead.events import Event, log_event
 from flamingohead.services.held_response import HeldResponse
-from flamingohead.services.relay import RelaySink, build_relay_request
+from flamingohead.services.relay import (
+    RelaySink,
+    blame_host,
+    build_relay_request,
+)
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
@@ -25,7 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-FIRST_SERVER_ERROR = 500
 # A started daemon meets its peers within some tens of milliseconds.
 LONGEST_SETTLING_WAIT_SECONDS = 0.3
 SETTLING_CHECK_SECONDS = 0.02
@@ -127,7 +131,7 @@
 
     def _is_failure(self, call: Call, held: HeldResponse) -> bool:
         """Tell whether an answer may be replaced by that of another upstream."""
-        if held.status < FIRST_SERVER_ERROR or held.lacks_nested:
+        if not is_server_error(held.status) or held.lacks_nested:
             # Another upstream would be refused the same call.
             return False
         return call.idempotent
@@ -203,11 +207,7 @@
         if refusal is None:
             held.lacks_nested = sink.lacks_nested
             return sink.refusal
-        if refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
-            return Refusal(ErrorKind.HOST_UNREACHABLE, refusal.detail)
-        if refusal.kind is ErrorKind.UPSTREAM_CUT:
-            return Refusal(ErrorKind.HOST_CUT, refusal.detail)
-        return refusal
+        return blame_host(refusal)
 
     def _take_load(self, choice: Choice, call: Call, report: LoadReport) -> None:
         now = time.monotonic()
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -103,6 +103,15 @@
     return OutgoingRequest(call.method, call.target, headers, call.body, call.deadline)
 
 
+def blame_host(refusal: Refusal) -> Refusal:
+    """Return the refusal of an exchange with a daemon in terms of its host."""
+    if refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
+        return Refusal(ErrorKind.HOST_UNREACHABLE, refusal.detail)
+    if refusal.kind is ErrorKind.UPSTREAM_CUT:
+        return Refusal(ErrorKind.HOST_CUT, refusal.detail)
+    return refusal
+
+
 def build_home_headers(call: Call, now: float) -> tuple[tuple[bytes, bytes], ...]:
     """Return the headers that pass a call to the home of its key."""
     return (*_build_headers(call, now), (RELAY_HOME, b"yes"))
--- a/flamingohead/services/upstreams.py
+++ b/flamingohead/services/upstreams.py
@@ -67,10 +67,6 @@
         changes = self._registry.end(name, time.monotonic(), incarnation=incarnation)
         self._take_changes(changes)
 
-    def lose(self, name: str) -> None:
-        """Take an upstream that can't be reached out until it announces itself."""
-        self._take_changes(self._registry.lose(name))
-
     def _tick(self) -> None:
         now = time.monotonic()
         self._take_changes(self._registry.tick(now))
