Keep leaves that are known by name alone apart

Cause: the leave of an upstream that its daemon doesn't know, or that was read back from the store after a restart, has no address. Two such leaves were taken for upstreams that share an address, so that the later start overtook the other leave and dropped it; a beat that was sent before the leave then made the upstream ready again.

Ruled out: the comparison of incarnations, which is right for one address.

Change: an announcement without an address is neither overtaken nor takes an address over.

Test: test_leaves_known_by_name_alone_do_not_overtake_each_other, failed before the change and passes after it.

--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -235,7 +235,12 @@
         return self._move(record, "leave")
 
     def _is_overtaken(self, announcement: Announcement) -> bool:
-        """Tell whether a later start has taken the address."""
+        """Tell whether a later start has taken the address.
+
+        The leave of an upstream that is known by its name alone has no address.
+        """
+        if not announcement.address:
+            return False
         return any(
             other.announcement.address == announcement.address
             and other.announcement.name != announcement.name
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -11,6 +11,7 @@
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import (
+    LAST_SEQUENCE,
     Announcement,
     UpstreamRegistry,
     UpstreamStage,
@@ -277,3 +278,13 @@
         registry.end("i-1", 0.0, incarnation=2000)
         registry.announce(replace(self.BEAT, incarnation=3000), 0.1)
         assert registry.get_stage("i-1") is UpstreamStage.READY
+
+    def test_leaves_known_by_name_alone_do_not_overtake_each_other(self):
+        registry = UpstreamRegistry()
+        registry.end("i-2", 0.0, incarnation=2000)
+        leave = replace(
+            self.BEAT, address="", status=UpstreamStatus.GONE, sequence=LAST_SEQUENCE
+        )
+        registry.announce(leave, 0.1)
+        assert registry.announce(self.BEAT, 0.2) == []
+        assert registry.get_stage("i-1") is UpstreamStage.GONE
