--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -72,18 +72,22 @@
         return len(body) >= length
 
 
+def _build_head(address: str, keyed: bool) -> str:
+    method, path = ("POST", KEYED_PATH) if keyed else ("GET", PATH)
+    return (
+        f"{method} {path} HTTP/1.1\r\nhost: {address}\r\n"
+        "request-id: 0123456789abcdef\r\naccept: */*\r\nuser-agent: hop\r\n"
+        "content-length: 0\r\n"
+    )
+
+
 class HopClient:
     """Send calls to one address on schedule and time them from their due time."""
 
-    def __init__(self, address: str, *, keyed: bool = False) -> None:
+    def __init__(self, address: str, *, keyed: bool = False, head: str = "") -> None:
         self._address = split_address(address)
         self._keyed = keyed
-        method, path = ("POST", KEYED_PATH) if keyed else ("GET", PATH)
-        self._request = (
-            f"{method} {path} HTTP/1.1\r\nhost: {address}\r\n"
-            "request-id: 0123456789abcdef\r\naccept: */*\r\nuser-agent: hop\r\n"
-            "content-length: 0\r\n"
-        ).encode()
+        self._request = (head or _build_head(address, keyed)).encode()
         self._idle: list[HopConnection] = []
         self._selector = selectors.SelectSelector()
 
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -125,7 +125,7 @@
         """Set the faults of the store; none given ends them."""
         self._put("/faults", json.dumps(faults).encode())
 
-    def add_host(self, name: str, service: str) -> Host:
+    def add_host(self, name: str, service: str, *, slots: int = 4) -> Host:
         """Start a daemon and the upstream beside it."""
         addresses = [choose_address() for _ in range(5)]
         path = self.directory / f"{name}.yaml"
@@ -134,7 +134,7 @@
         path.write_text(build_settings(host, self.store, peer_port))
         self.hosts[name] = host
         self.start_daemon(host)
-        self.start_instance(host, f"i-{name}")
+        self.start_instance(host, f"i-{name}", slots=slots)
         return host
 
     def start_daemon(self, host: Host) -> None:
@@ -146,11 +146,12 @@
             FLAMINGOHEAD_METRICS_PORT=host.metrics.rpartition(":")[2],
         )
 
-    def start_instance(self, host: Host, name: str) -> None:
+    def start_instance(self, host: Host, name: str, *, slots: int = 4) -> None:
         """Start the upstream of a host."""
         arguments = ["-m", "flamingohead.standins", "instance"]
         arguments += ["--listen", host.upstream, "--name", name]
         arguments += ["--service", host.service, "--control", host.control]
+        arguments += ["--slots", str(slots)]
         host.instance = self.start_process(f"instance-{host.name}", arguments)
 
     def start_process(
