Run the daemons on uvloop

A profile shows no single place; asyncio's own loop, transports and polls are about a third.

Hosts given to create_server, which start four threads of libuv; sockets are bound first.

Tests: no io_uring among the descriptors of a daemon; one thread, as before.

--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -15,6 +15,7 @@
 from flamingohead.protocol import codec, key_codec, peers_pb2 as pb
 from flamingohead.protocol.peers_grpc import PeersBase, PeersStub
 from flamingohead.services.channels import ChannelPool, PooledChannel
+from flamingohead.services.transport import bind
 from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
     async def start(self) -> None:
         self._server = Server([self])
         host, port = split_address(self._address)
-        await self._server.start(host, port)
+        await self._server.start(sock=bind(host, port))
 
     async def stop(self) -> None:
         self._channels.close()
--- a/flamingohead/services/reactor.py
+++ b/flamingohead/services/reactor.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 
+import uvloop
+
+# libuv reads it once, when the first loop is made; then it keeps to epoll.
+IO_URING_VARIABLE = "UV_USE_IO_URING"
+
 
 def install_reactor() -> asyncio.AbstractEventLoop:
     """Install Twisted's asyncio reactor once and return its loop."""
     if "twisted.internet.reactor" not in sys.modules:
         from twisted.internet import asyncioreactor
 
-        loop = asyncio.new_event_loop()
+        os.environ[IO_URING_VARIABLE] = "0"
+        loop = uvloop.new_event_loop()
         asyncio.set_event_loop(loop)
         asyncioreactor.install(loop)
     from twisted.internet import reactor
--- a/flamingohead/services/transport.py
+++ b/flamingohead/services/transport.py
@@ -98,13 +98,22 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, int(enabled))
 
 
+def bind(host: str, port: int) -> socket.socket:
+    """Return a listening socket; raise ``OSError``.
+
+    The loop would look a host up on threads of its own, and keep them.
+    """
+    listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
 async def listen(factory: Factory, host: str, port: int) -> asyncio.Server:
     """Accept connections, each with a protocol of the factory."""
     factory.doStart()
     return await asyncio.get_running_loop().create_server(
         lambda: AsyncioTransport(factory.buildProtocol(None)),
-        host,
-        port,
+        sock=bind(host, port),
         backlog=LISTEN_BACKLOG,
     )
 
--- a/flamingohead/tests/test_path.py
+++ b/flamingohead/tests/test_path.py
@@ -4,7 +4,9 @@
 
 import http.client
 import json
+import os
 import time
+from pathlib import Path
 
 import psutil
 import pytest
@@ -86,6 +88,12 @@
         assert len({answer[2] for answer in answers}) == 1
         assert read_runs(mesh).count("hand-over-1") == 1
 
+    def test_daemon_opens_no_io_uring(self, mesh):
+        for daemon in mesh.daemons.values():
+            descriptors = Path(f"/proc/{daemon.process.popen.pid}/fd")
+            targets = [os.readlink(entry) for entry in descriptors.iterdir()]
+            assert not [target for target in targets if "io_uring" in target]
+
     def test_daemon_runs_on_one_thread(self, mesh):
         for daemon in mesh.daemons.values():
             process = psutil.Process(daemon.process.popen.pid)
