Import only what the deployment installs

Cause: the daemon for the platform's hosts took its exit codes from the package of the command line, whose library (click) deploy/requirements.txt doesn't name. It started only where another program had installed click; a clean host would have got no daemon at all. Found by reading the imports for the start's processor time. Beside it: a GET of the path of key scopes asked for a service that such a daemon lacks, which ended the connection.

Change: exit codes and the form of addresses have modules of their own, so that neither the command line nor the settings of the product's daemon are imported. A daemon that reads no keys takes the path of key scopes for an ordinary one.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -21,7 +21,7 @@
 import psutil
 
 from benchmarks.results import ROOT, Row, register_benchmark
-from flamingohead.settings import split_address
+from flamingohead.addresses import split_address
 from flamingohead.testing.processes import TOKEN, LocalMesh
 
 PATH = "/ledger/lookup"
--- /dev/null
+++ b/flamingohead/addresses.py
@@ -0,0 +1,24 @@
+"""Addresses of the form ``IP:PORT``."""
+
+from __future__ import annotations
+
+import re
+
+_ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
+
+
+def check_address(value: str) -> str:
+    """Return ``value``; raise ``ValueError`` unless it is IPv4:PORT."""
+    match = _ADDRESS.fullmatch(value)
+    if match is None:
+        raise ValueError("expected IP:PORT, such as 10.0.0.7:8080")
+    *octets, port = (int(part) for part in match.groups())
+    if max(octets) > 255 or not 0 < port < 65536:
+        raise ValueError("expected octets up to 255 and a port from 1 to 65535")
+    return value
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/flamingohead/commands/daemon.py
+++ b/flamingohead/commands/daemon.py
@@ -8,7 +8,7 @@
 from click.core import ParameterSource
 from pydantic import ValidationError
 
-from flamingohead.commands.exits import ExitCode
+from flamingohead.exits import ExitCode
 from flamingohead.services.reactor import install_reactor, run_until_stopped
 from flamingohead.settings import (
     SECRET_SETTINGS,
--- a/flamingohead/commands/sessions.py
+++ b/flamingohead/commands/sessions.py
@@ -7,7 +7,7 @@
 
 import click
 
-from flamingohead.commands.exits import ExitCode
+from flamingohead.exits import ExitCode
 from flamingohead.services.reactor import install_reactor, run_until_stopped
 
 if TYPE_CHECKING:
--- a/flamingohead/commands/versions.py
+++ b/flamingohead/commands/versions.py
@@ -8,12 +8,12 @@
 
 import click
 
-from flamingohead.commands.exits import ExitCode
 from flamingohead.commands.sessions import (
     add_control_options,
     report_refusal,
     run_session,
 )
+from flamingohead.exits import ExitCode
 
 if TYPE_CHECKING:
     from flamingohead.control import ControlClient
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -8,8 +8,8 @@
 import signal
 from typing import TYPE_CHECKING
 
-from flamingohead.commands.exits import ExitCode
 from flamingohead.events import Event, log_event
+from flamingohead.exits import ExitCode
 from flamingohead.kernel import Kernel, StartError
 from flamingohead.logs import configure_logging
 from flamingohead.services.reactor import install_reactor
--- a/flamingohead/platform/__main__.py
+++ b/flamingohead/platform/__main__.py
@@ -6,8 +6,8 @@
 import os
 import sys
 
-from flamingohead.commands.exits import ExitCode
 from flamingohead.events import Event, log_event
+from flamingohead.exits import ExitCode
 from flamingohead.logs import configure_output
 from flamingohead.platform.boot import (
     DEFAULT_SETTINGS_PATH,
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -16,8 +16,8 @@
     ValidationError,
 )
 
+from flamingohead.addresses import check_address
 from flamingohead.platform.durations import Milliseconds
-from flamingohead.settings import check_address
 
 METRICS_VARIABLE = "FLAMINGOHEAD_METRICS_PORT"
 HIGHEST_PORT = 65535
--- a/flamingohead/services/announcements.py
+++ b/flamingohead/services/announcements.py
@@ -10,10 +10,11 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 from twisted.internet import reactor
 
+from flamingohead.addresses import check_address, split_address
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import Announcement
 from flamingohead.services.bounded_site import BoundedSite
-from flamingohead.settings import Name, check_address, split_address
+from flamingohead.settings import Name
 
 if TYPE_CHECKING:
     from flamingohead.kernel import Kernel
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -9,6 +9,7 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError, field_validator
 
+from flamingohead.addresses import check_address
 from flamingohead.core.bootstrap import (
     Bootstrap,
     DeleteRow,
@@ -21,7 +22,6 @@
 from flamingohead.core.errors import Refusal
 from flamingohead.events import Event, log_event
 from flamingohead.services.ticks import Ticks
-from flamingohead.settings import check_address
 
 if TYPE_CHECKING:
     from flamingohead.kernel import Kernel
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from flamingohead.addresses import split_address
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import qualify_refusal
@@ -18,6 +19,7 @@
 from flamingohead.events import Event, log_event
 from flamingohead.services.call_requests import build_call, qualify, read_host
 from flamingohead.services.dialects import PRODUCT_DIALECT
+from flamingohead.services.http_messages import SCOPE_PATH
 from flamingohead.services.http_parser import ReadLimits
 from flamingohead.services.http_server import HttpServerFactory, ServerLimits
 from flamingohead.services.relay import (
@@ -28,9 +30,7 @@
     encode_load,
     read_relayed_call,
 )
-from flamingohead.services.scopes import SCOPE_PATH
 from flamingohead.services.transport import listen
-from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
     from flamingohead.core.resources import ClientLimits
@@ -187,7 +187,8 @@
         self, request: IncomingRequest, response: ServerResponse
     ) -> None:
         routes = self._kernel.get("configuration").routes
-        if request.method == "GET" and request.target == SCOPE_PATH:
+        asks_scope = request.method == "GET" and request.target == SCOPE_PATH
+        if asks_scope and self._dialect.reads_keys:
             refusal = self._kernel.get("scopes").send_scope(response)
             self._conclude(response, refusal)
             return
--- a/flamingohead/services/channels.py
+++ b/flamingohead/services/channels.py
@@ -9,7 +9,7 @@
 from grpclib.client import Channel
 from grpclib.config import Configuration
 
-from flamingohead.settings import split_address
+from flamingohead.addresses import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/flamingohead/services/endpoint.py
+++ b/flamingohead/services/endpoint.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from flamingohead.addresses import split_address
 from flamingohead.services.http_server import HttpServerFactory
 from flamingohead.services.transport import listen
-from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
     import asyncio
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -10,12 +10,12 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import DatagramProtocol
 
+from flamingohead.addresses import split_address
 from flamingohead.core.membership import Membership, SendDatagram
 from flamingohead.core.messages import Body, News
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec
 from flamingohead.services.ticks import Ticks
-from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
     from flamingohead.core.members import Member, UpstreamStatus
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -7,11 +7,11 @@
 import time
 from typing import TYPE_CHECKING
 
+from flamingohead.addresses import split_address
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.services.http_connection import ClientConnection
 from flamingohead.services.http_messages import OutgoingRequest
 from flamingohead.services.transport import connect
-from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -13,6 +13,8 @@
 KEY_HEADER = b"idempotency-key"
 KEY_ATTEMPT_HEADER = b"idempotency-attempt"
 TIMEOUT_HEADER = b"request-timeout-ms"
+# Where callers ask for a scope of their keys.
+SCOPE_PATH = b"/.flamingohead/key-scope"
 # Between daemons: the answer repeats the value of its request.
 EXCHANGE_HEADER = b"flamingohead-exchange"
 
--- a/flamingohead/services/metrics.py
+++ b/flamingohead/services/metrics.py
@@ -7,7 +7,7 @@
 
 from statsd import StatsClient
 
-from flamingohead.settings import split_address
+from flamingohead.addresses import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/flamingohead/services/operators.py
+++ b/flamingohead/services/operators.py
@@ -16,6 +16,7 @@
 from twisted.internet.defer import Deferred
 from werkzeug.exceptions import HTTPException
 
+from flamingohead.addresses import split_address
 from flamingohead.core.changes import compute_change
 from flamingohead.core.comparison import LegacyRoute, LegacyState
 from flamingohead.core.differences import describe_change
@@ -24,7 +25,7 @@
 from flamingohead.events import Event, log_event
 from flamingohead.services.bounded_site import BoundedSite
 from flamingohead.services.history import MAX_LISTED
-from flamingohead.settings import Name, split_address
+from flamingohead.settings import Name
 
 if TYPE_CHECKING:
     from flamingohead.core.resources import Resource
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -9,6 +9,7 @@
 
 from grpclib.server import Server
 
+from flamingohead.addresses import split_address
 from flamingohead.core.bootstrap import JoinAdmission, JoinOutcome
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.events import Event, log_event
@@ -16,7 +17,6 @@
 from flamingohead.protocol.peers_grpc import PeersBase, PeersStub
 from flamingohead.services.channels import ChannelPool, PooledChannel
 from flamingohead.services.transport import bind
-from flamingohead.settings import split_address
 
 if TYPE_CHECKING:
     from flamingohead.kernel import Kernel
--- a/flamingohead/services/scopes.py
+++ b/flamingohead/services/scopes.py
@@ -36,7 +36,6 @@
 
 logger = logging.getLogger(__name__)
 
-SCOPE_PATH = b"/.flamingohead/key-scope"
 EXPIRY_PERIOD = 1.0
 
 # Entries outlive their scope, in seconds, so that late retries get their answer.
--- a/flamingohead/settings.py
+++ b/flamingohead/settings.py
@@ -14,6 +14,8 @@
     model_validator,
 )
 
+from flamingohead.addresses import check_address
+
 ENVIRONMENT_PREFIX = "FLAMINGOHEAD_"
 SECRET_SETTINGS = frozenset(("control_token", "key_scope_secret"))
 ADDRESS_SETTINGS = (
@@ -25,21 +27,9 @@
 )
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 LOG_FORMATS = ("text", "json")
-_ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
 _URL = re.compile(r"(http|store)://[^/\s]+(/\S*)?")
 
 
-def check_address(value: str) -> str:
-    """Return ``value``; raise ``ValueError`` unless it is IPv4:PORT."""
-    match = _ADDRESS.fullmatch(value)
-    if match is None:
-        raise ValueError("expected IP:PORT, such as 10.0.0.7:8080")
-    *octets, port = (int(part) for part in match.groups())
-    if max(octets) > 255 or not 0 < port < 65536:
-        raise ValueError("expected octets up to 255 and a port from 1 to 65535")
-    return value
-
-
 def _check_optional_address(value: str) -> str:
     return check_address(value) if value else value
 
@@ -143,12 +133,6 @@
         return [seed.strip() for seed in self.seeds.split(",") if seed.strip()]
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of ``IP:PORT``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def get_flag(setting: str) -> str:
     """Return the flag of a setting."""
     return "--" + setting.replace("_", "-")
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -8,12 +8,12 @@
 import time
 from dataclasses import dataclass, field
 
+from flamingohead.addresses import split_address
 from flamingohead.core.errors import Refusal
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.http_messages import OutgoingRequest
 from flamingohead.services.http_server import HttpServerFactory
 from flamingohead.services.transport import listen
-from flamingohead.settings import split_address
 
 logger = logging.getLogger(__name__)
 
--- a/flamingohead/standins/platform.py
+++ b/flamingohead/standins/platform.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
-from flamingohead.settings import split_address
+from flamingohead.addresses import split_address
 from flamingohead.standins.faults import FaultInjector, FaultSettings
 
 MAX_SCAN_LIMIT = 1000
--- a/flamingohead/standins/upstream.py
+++ b/flamingohead/standins/upstream.py
@@ -13,8 +13,8 @@
 from pydantic import BaseModel, ConfigDict, Field
 from twisted.internet import reactor
 
+from flamingohead.addresses import split_address
 from flamingohead.services.http_server import HttpServerFactory
-from flamingohead.settings import split_address
 
 logger = logging.getLogger(__name__)
 
--- a/flamingohead/tests/test_docs.py
+++ b/flamingohead/tests/test_docs.py
@@ -5,7 +5,7 @@
 import re
 
 from flamingohead.commands import changes, daemon, state, versions
-from flamingohead.commands.exits import ExitCode
+from flamingohead.exits import ExitCode
 from flamingohead.settings import DaemonSettings, get_environment_name, get_flag
 from flamingohead.testing.processes import ROOT
 
--- a/flamingohead/tests/test_hop.py
+++ b/flamingohead/tests/test_hop.py
@@ -14,8 +14,8 @@
 import pytest
 
 from benchmarks.load import LoadGenerator, Stream
+from flamingohead.addresses import split_address
 from flamingohead.services.reactor import install_reactor
-from flamingohead.settings import split_address
 from flamingohead.testing.processes import ROOT, TOKEN, LocalMesh
 
 SHEET = ROOT / "examples" / "kente-mirror.csv"
--- a/flamingohead/tests/test_kernel.py
+++ b/flamingohead/tests/test_kernel.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from flamingohead.commands.exits import ExitCode
 from flamingohead.daemon import EXIT_NOT_STARTED
+from flamingohead.exits import ExitCode
 from flamingohead.kernel import Kernel, StartError
 from flamingohead.services.reactor import install_reactor
 from flamingohead.testing.processes import LocalMesh
--- a/flamingohead/tests/test_platform_processes.py
+++ b/flamingohead/tests/test_platform_processes.py
@@ -90,6 +90,10 @@
         assert ask(mesh.hosts["h0"], "/nothing/", "r-3")[0] == 404
         assert ask(mesh.hosts["h0"], "/ledger", "r-4")[0] == 404
 
+    def test_path_of_key_scopes_is_an_ordinary_path(self, mesh):
+        answer = ask(mesh.hosts["h0"], "/.flamingohead/key-scope", "r-scope")
+        assert answer[0] == 404
+
     def test_unsafe_request_runs_once(self, mesh):
         status, _, body = ask(
             mesh.hosts["h2"], "/unsafe/x", "r-5", method="POST", body=b"!"
