--- a/flamingohead/tests/test_docs.py
+++ b/flamingohead/tests/test_docs.py
@@ -4,24 +4,24 @@
 
 import re
 
-from flamingohead.commands import changes, daemon, state, versions
+from flamingohead.commands import changes, daemon, explain, state, versions
 from flamingohead.exits import ExitCode
 from flamingohead.settings import DaemonSettings, get_environment_name, get_flag
 from flamingohead.testing.processes import ROOT
 
 DOCS = ROOT / "docs"
+MODULES = (changes, daemon, explain, state, versions)
 
 
 class TestCommandsPage:
     def test_commands_agree(self):
         text = (DOCS / "commands.md").read_text()
         listed = set(re.findall(r"^\| `([a-z]+)[ `]", text, re.MULTILINE))
-        modules = (changes, daemon, state, versions)
-        defined = {command.name for module in modules for command in module.COMMANDS}
+        defined = {command.name for module in MODULES for command in module.COMMANDS}
         assert listed == defined
 
     def test_every_command_has_help_with_an_example(self):
-        for module in (changes, daemon, state, versions):
+        for module in MODULES:
             for command in module.COMMANDS:
                 assert f"Example: flamingohead {command.name}" in command.help
 
