Soak real processes under random faults, and check the promises from outside

Change: python -m soak runs the platform's daemon, upstreams and the stand-in of the store as processes, disturbs them by signals and loopback proxies in series that overlap, changes versions and upstreams meanwhile, and checks nine promises on what callers, upstreams and a probe of versions saw.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 READY = $(VENV)/.flamingohead-ready
-SOURCES = flamingohead properties benchmarks conftest.py
+SOURCES = flamingohead properties benchmarks soak conftest.py
 
 export PYTHONPATH := $(CURDIR)
 export PYTHONHASHSEED := 0
--- a/flamingohead/standins/__main__.py
+++ b/flamingohead/standins/__main__.py
@@ -75,12 +75,36 @@
 @click.option("--name", required=True)
 @click.option("--service", required=True)
 @click.option("--control", required=True, help="address for heartbeats")
+@click.option("--announced", default="", help="address in heartbeats, if another")
 @click.option("--slots", default=4, show_default=True)
-def instance(listen: str, name: str, service: str, control: str, slots: int) -> None:
+@click.option("--journal", default="", help="file to note runs and leaves in")
+@click.option("--clock-offset-ms", default=0, show_default=True)
+@click.option("--drain-seconds", default=0.0, show_default=True)
+def instance(
+    listen: str,
+    name: str,
+    service: str,
+    control: str,
+    announced: str,
+    slots: int,
+    journal: str,
+    clock_offset_ms: int,
+    drain_seconds: float,
+) -> None:
     """Run one upstream that speaks the platform's messages."""
     from flamingohead.standins.instance import InstanceStandin
 
-    standin = InstanceStandin(name, service, listen, control, slots)
+    standin = InstanceStandin(
+        name,
+        service,
+        listen,
+        control,
+        slots,
+        announced=announced or listen,
+        journal=journal,
+        clock_offset_ms=clock_offset_ms,
+        drain_seconds=drain_seconds,
+    )
 
     async def start(stopping: asyncio.Event) -> None:
         await standin.start()
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -46,10 +46,18 @@
     control_address: str
     slots: int = 4
     work_seconds: float = 0.02
+    # How long it serves on after its leave.
+    drain_seconds: float = 0.0
+    announced: str = ""
+    journal: str = ""
+    clock_offset_ms: int = 0
     runs: list[dict] = field(default_factory=list)
     _sequence: int = 0
     _in_use: int = 0
-    _born: int = field(default_factory=lambda: int(time.time() * 1000))
+    _born: int = 0
+
+    def __post_init__(self) -> None:
+        self._born = int(time.time() * 1000) + self.clock_offset_ms
 
     async def start(self) -> None:
         """Listen for requests."""
@@ -66,16 +74,18 @@
                 await asyncio.wait_for(stopping.wait(), BEAT_PERIOD)
             except TimeoutError:
                 pass
-        await self._beat(client, "draining")
+        if await self._beat(client, "draining"):
+            self._note("left")
+        await asyncio.sleep(self.drain_seconds)
         while self._in_use:
             await asyncio.sleep(0.02)
         await self._send(client, "DELETE", b"")
 
-    async def _beat(self, client: HttpClientService, state: str) -> None:
+    async def _beat(self, client: HttpClientService, state: str) -> bool:
         self._sequence += 1
         body = {
             "service": self.service,
-            "address": self.address,
+            "address": self.announced or self.address,
             "zone": "",
             "version": "v1",
             "slots": self.slots,
@@ -84,15 +94,26 @@
             "seq": self._sequence,
             "born": self._born,
         }
-        await self._send(client, "PUT", json.dumps(body).encode())
+        return await self._send(client, "PUT", json.dumps(body).encode())
 
-    async def _send(self, client: HttpClientService, method: str, body: bytes) -> None:
+    async def _send(self, client: HttpClientService, method: str, body: bytes) -> bool:
         path = f"/v1/instances/{self.name}".encode()
         deadline = time.monotonic() + 1.0
         request = OutgoingRequest(method, path, (), body, deadline)
-        refusal = await client.send(self.control_address, request, _Ignored())
+        answer = _Ignored()
+        refusal = await client.send(self.control_address, request, answer)
         if isinstance(refusal, Refusal):
             logger.debug("heartbeat not taken: %s", refusal.detail)
+        return refusal is None and answer.status == 200
+
+    def _note(self, event: str, request_id: str = "") -> None:
+        """Add a line to the journal; the page cache outlasts a kill."""
+        if not self.journal:
+            return
+        entry = {"event": event, "id": request_id, "upstream": self.name}
+        entry["at"] = time.monotonic()
+        with open(self.journal, "a") as journal:
+            journal.write(json.dumps(entry) + "\n")
 
     def _handle(self, request, response) -> None:
         if request.target == STATUS_PATH:
@@ -111,6 +132,7 @@
             response.send(503, [(b"not-executed", b"1")], b"")
             return
         self._in_use += 1
+        self._note("run", (request.get_header(b"request-id") or b"").decode())
         self.runs.append(
             {
                 "id": (request.get_header(b"request-id") or b"").decode(),
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -36,6 +36,8 @@
     upstream: str
     settings_path: Path
     metrics: str = ""
+    # Where the upstream listens, if not at the address that it announces.
+    listen: str = ""
     daemon: Process | None = None
     instance: Process | None = None
 
@@ -127,14 +129,22 @@
 
     def add_host(self, name: str, service: str, *, slots: int = 4) -> Host:
         """Start a daemon and the upstream beside it."""
+        host = self.add_daemon(name, service)
+        self.start_instance(host, f"i-{name}", slots=slots)
+        return host
+
+    def add_daemon(
+        self, name: str, service: str, *, store: str = "", upstream: str = ""
+    ) -> Host:
+        """Start a daemon; other addresses of the store and the upstream may be set."""
         addresses = [choose_address() for _ in range(5)]
         path = self.directory / f"{name}.yaml"
         host = Host(name, service, *addresses, path, choose_address())
+        host.upstream = upstream or host.upstream
         peer_port = int(choose_address().rpartition(":")[2])
-        path.write_text(build_settings(host, self.store, peer_port))
+        path.write_text(build_settings(host, store or self.store, peer_port))
         self.hosts[name] = host
         self.start_daemon(host)
-        self.start_instance(host, f"i-{name}", slots=slots)
         return host
 
     def start_daemon(self, host: Host) -> None:
@@ -146,12 +156,25 @@
             FLAMINGOHEAD_METRICS_PORT=host.metrics.rpartition(":")[2],
         )
 
-    def start_instance(self, host: Host, name: str, *, slots: int = 4) -> None:
-        """Start the upstream of a host."""
+    def start_instance(
+        self,
+        host: Host,
+        name: str,
+        *,
+        slots: int = 4,
+        journal: Path | None = None,
+        clock_offset_ms: int = 0,
+        drain_seconds: float = 0.0,
+    ) -> None:
+        """Start the upstream of a host; it may note what it runs in a journal."""
         arguments = ["-m", "flamingohead.standins", "instance"]
-        arguments += ["--listen", host.upstream, "--name", name]
+        arguments += ["--listen", host.listen or host.upstream, "--name", name]
+        arguments += ["--announced", host.upstream, "--slots", str(slots)]
         arguments += ["--service", host.service, "--control", host.control]
-        arguments += ["--slots", str(slots)]
+        arguments += ["--clock-offset-ms", str(clock_offset_ms)]
+        arguments += ["--drain-seconds", str(drain_seconds)]
+        if journal is not None:
+            arguments += ["--journal", str(journal)]
         host.instance = self.start_process(f"instance-{host.name}", arguments)
 
     def start_process(
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on real processes, with the promises checked from outside."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,131 @@
+"""Callers and probes, each a thread with a connection that it keeps."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from soak.records import NO_ANSWER, Outcome, Sighting
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from flamingohead.testing.hosts import Host
+    from soak.records import Records
+
+HOST_NAME = "ledger.example"
+DEADLINE_MS = 1000
+# A caller waits a little longer than it says.
+PATIENCE_SECONDS = DEADLINE_MS / 1000 + 0.5
+LONGEST_PAUSE_SECONDS = 0.12
+# Of the requests, those that must not run twice, and those on new connections.
+UNSAFE_SHARE = 0.5
+FRESH_SHARE = 0.1
+PROBE_PERIOD_SECONDS = 0.1
+# Versions that a probe asks for beside the newest.
+PROBED_VERSIONS = 3
+
+
+class Caller(threading.Thread):
+    """Send requests to one host until told to stop."""
+
+    def __init__(self, host: Host, name: str, records: Records, random: Random) -> None:
+        super().__init__(daemon=True)
+        self._host = host
+        self._prefix = name
+        self._records = records
+        self._random = random
+        self._connection: http.client.HTTPConnection | None = None
+        self._number = 0
+        self.stopping = threading.Event()
+
+    def run(self) -> None:
+        while not self.stopping.is_set():
+            self.take_turn()
+        self.drop()
+
+    def take_turn(self) -> None:
+        """Send one request and wait for a moment."""
+        if self._random.random() < FRESH_SHARE:
+            self.drop()
+        safe = self._random.random() >= UNSAFE_SHARE
+        service = self._random.choice(("ledger", "archive"))
+        path = f"/{service}/x" if safe else f"/unsafe-{service}/x"
+        self.send(path, safe=safe)
+        self.stopping.wait(self._random.uniform(0, LONGEST_PAUSE_SECONDS))
+
+    def send(self, path: str, *, safe: bool) -> Outcome:
+        """Make one request, and record how it ended."""
+        self._number += 1
+        request_id = f"{self._prefix}-{self._number}"
+        headers = {
+            "Host": HOST_NAME,
+            "Request-Id": request_id,
+            "Request-Deadline": str(DEADLINE_MS),
+        }
+        sent_at = time.monotonic()
+        status, body, stamp, gave_up = NO_ANSWER, b"", "", False
+        try:
+            connection = self._connection or self._connect()
+            connection.request("GET" if safe else "POST", path, headers=headers)
+            response = connection.getresponse()
+            body = response.read()
+            status, stamp = response.status, response.getheader("Response-Stamp", "")
+            if response.will_close:
+                self.drop()
+        except TimeoutError:
+            gave_up = True
+            self.drop()
+        except (OSError, http.client.HTTPException):
+            self.drop()
+        outcome = Outcome(
+            request_id,
+            self._host.name,
+            safe,
+            sent_at,
+            time.monotonic(),
+            status,
+            body,
+            stamp,
+            gave_up,
+        )
+        self._records.outcomes.append(outcome)
+        return outcome
+
+    def drop(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _connect(self) -> http.client.HTTPConnection:
+        self._connection = http.client.HTTPConnection(
+            self._host.ingress, timeout=PATIENCE_SECONDS
+        )
+        return self._connection
+
+
+class VersionProbe(Caller):
+    """Ask one host which versions are in force."""
+
+    def take_turn(self) -> None:
+        versions = sorted(self._records.versions)
+        process = self._host.daemon.popen.pid
+        if versions:
+            version = self._random.choice(versions[-PROBED_VERSIONS:])
+            outcome = self.send(f"/v{version}/x", safe=True)
+            # A daemon that knows no version refuses; only a 404 speaks of routes.
+            speaks = outcome.status in (200, 404)
+            if speaks and process == self._host.daemon.popen.pid:
+                self._records.sightings.append(
+                    Sighting(
+                        self._host.name,
+                        process,
+                        outcome.sent_at,
+                        version,
+                        outcome.status == 200,
+                    )
+                )
+        self.stopping.wait(PROBE_PERIOD_SECONDS)
--- /dev/null
+++ b/soak/mesh.py
@@ -0,0 +1,80 @@
+"""A mesh whose links to the store and to the upstreams go through proxies."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from flamingohead.testing.hosts import HostMesh, build_document
+from flamingohead.testing.processes import choose_address
+from soak.proxy import LinkProxy
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from flamingohead.testing.hosts import Host
+    from soak.records import Records
+
+SLOTS = 8
+# An upstream serves on longer than the bound after its leave, to show late requests.
+DRAIN_SECONDS = 2.5
+ROUTES = {
+    "/ledger/": "ledger",
+    "/archive/": "archive",
+    "/unsafe-ledger/": "ledger",
+    "/unsafe-archive/": "archive",
+}
+
+
+class SoakMesh(HostMesh):
+    """Start hosts whose links can be disturbed, and change their configuration."""
+
+    def __init__(self, directory: Path, records: Records) -> None:
+        super().__init__(directory)
+        self._records = records
+        self._incarnations: dict[str, int] = {}
+        self.store_links: dict[str, LinkProxy] = {}
+        self.upstream_links: dict[str, LinkProxy] = {}
+        self.version = 0
+
+    async def add_disturbed_host(self, name: str, service: str) -> None:
+        """Start a host behind two proxies."""
+        store, upstream, listen = (choose_address() for _ in range(3))
+        self.store_links[name] = LinkProxy(store, self.store)
+        self.upstream_links[name] = LinkProxy(upstream, listen)
+        for links in (self.store_links, self.upstream_links):
+            await links[name].start()
+        host = self.add_daemon(name, service, store=store, upstream=upstream)
+        host.listen = listen
+        self.start_next_instance(host)
+
+    async def stop_links(self) -> None:
+        """Close the proxies."""
+        for links in (self.store_links, self.upstream_links):
+            for proxy in links.values():
+                await proxy.stop()
+
+    def start_next_instance(self, host: Host, *, clock_offset_ms: int = 0) -> None:
+        """Start a new incarnation of the upstream of a host."""
+        number = self._incarnations.get(host.name, 0) + 1
+        self._incarnations[host.name] = number
+        self.start_instance(
+            host,
+            f"i-{host.name}-{number}",
+            slots=SLOTS,
+            journal=self.get_journal(host),
+            clock_offset_ms=clock_offset_ms,
+            drain_seconds=DRAIN_SECONDS,
+        )
+
+    def get_journal(self, host: Host) -> Path:
+        """Return the file in which the upstreams of a host note what they run."""
+        return self.directory / f"journal-{host.name}.jsonl"
+
+    def change_configuration(self) -> None:
+        """Write the next version, with a route of its own."""
+        self.version += 1
+        routes = {f"/v{n}/": "ledger" for n in range(1, self.version + 1)}
+        document = build_document(self.version, {**ROUTES, **routes})
+        self.write_row("op", "config", document)
+        self._records.versions[self.version] = time.monotonic()
--- /dev/null
+++ b/soak/test_promises.py
@@ -0,0 +1,105 @@
+"""Each promise is found broken where it is."""
+
+from __future__ import annotations
+
+import pytest
+
+from soak.promises import PROMISES, check_promises
+from soak.records import Disturbance, Outcome, Records, Run, Sighting
+
+
+def build_records():
+    """Return the records of a run that keeps every promise."""
+    return Records(
+        outcomes=[build_outcome("a"), build_outcome("b", safe=True, sent_at=9.0)],
+        sightings=[Sighting("h0", 1, 5.0, 1, True), Sighting("h0", 1, 5.1, 2, True)],
+        disturbances=[],
+        versions={1: 1.0, 2: 4.0},
+        runs=[Run("a", "i-1", 2.0), Run("b", "i-1", 9.0)],
+        leaves={"i-1": 8.0},
+        calm_from=8.5,
+    )
+
+
+def build_outcome(request_id, *, safe=False, sent_at=2.0, status=200, **changes):
+    fields = {
+        "body": f"answer to {request_id}".encode(),
+        "stamp": "i-1",
+        "ended_at": sent_at + 0.1,
+        **changes,
+    }
+    return Outcome(request_id, "h0", safe, sent_at, status=status, **fields)
+
+
+def find_broken(records):
+    return {case.partition(":")[0] for case in check_promises(records)}
+
+
+class TestPromises:
+    def test_sound_run_breaks_none(self):
+        assert check_promises(build_records()) == []
+
+    def test_every_promise_has_a_case_here(self):
+        cases = TestPromises.test_broken_promise_is_found.pytestmark[0].args[1]
+        assert {name for name, _ in cases} == set(PROMISES)
+
+    @pytest.mark.parametrize(
+        "name, spoil",
+        [
+            (
+                "an unsafe request runs at most once",
+                lambda r: r.runs.append(Run("a", "i-2", 2.1)),
+            ),
+            (
+                "a request said not to have run has not run",
+                lambda r: r.outcomes.append(build_outcome("a", status=503)),
+            ),
+            (
+                "an answer is that of the upstream that ran the request",
+                lambda r: r.outcomes.append(build_outcome("b", stamp="i-2")),
+            ),
+            (
+                "only requests of callers run",
+                lambda r: r.runs.append(Run("made-up", "i-1", 2.0)),
+            ),
+            (
+                "a process never goes back to an older version",
+                lambda r: r.sightings.append(Sighting("h0", 1, 5.2, 1, False)),
+            ),
+            (
+                "a version is in force in time",
+                lambda r: r.sightings.append(Sighting("h1", 1, 6.1, 2, False)),
+            ),
+            (
+                "an upstream gets no request long after its leave",
+                lambda r: r.runs.append(Run("b", "i-1", 10.1)),
+            ),
+            (
+                "a calm host answers by the deadline",
+                lambda r: r.outcomes.append(
+                    build_outcome("c", status=0, gave_up=True, sent_at=9.1)
+                ),
+            ),
+            (
+                "every host serves again after the faults",
+                lambda r: r.outcomes.append(
+                    build_outcome("d", status=503, sent_at=9.1)
+                ),
+            ),
+        ],
+    )
+    def test_broken_promise_is_found(self, name, spoil):
+        records = build_records()
+        spoil(records)
+        assert name in find_broken(records)
+
+    def test_late_version_is_excused_beside_a_fault_of_its_host(self):
+        records = build_records()
+        records.sightings.append(Sighting("h1", 1, 6.1, 2, False))
+        records.disturbances.append(Disturbance("pause", "h1", 4.5, 5.0))
+        assert find_broken(records) == set()
+
+    def test_new_process_may_know_less_than_the_one_before(self):
+        records = build_records()
+        records.sightings.append(Sighting("h0", 2, 5.2, 2, False))
+        assert find_broken(records) == set()
