Tell a reset from an end when it comes with data

Ruled out: resets that come alone, which uvloop reports (trial, 0 and 0.2 s after the data); the framing of the answer, which is unchanged.

Change: at an end the socket is read once more; an error there, or further data, makes the end a loss.

Tests: ends and resets, with and without data in one wake-up; the reset with data was taken for an end before.

--- a/flamingohead/services/transport.py
+++ b/flamingohead/services/transport.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,7 @@
         self._transport: asyncio.Transport | None = None
         self._producer = None
         self._reading = True
+        self._reset: OSError | None = None
         self.data_received = protocol.dataReceived
 
     # asyncio
@@ -46,9 +48,18 @@
         self._protocol.makeConnection(self)
 
     def eof_received(self) -> bool:
+        # libuv takes data that was followed by a reset for the end of the stream; the
+        # error is still there to be read.
+        try:
+            rest = os.read(self._transport.get_extra_info("socket").fileno(), 1)
+        except OSError as error:
+            self._reset = error
+        else:
+            self._reset = OSError("data behind the end") if rest else None
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
+        error = error or self._reset
         reason = ConnectionDone() if error is None else ConnectionLost(str(error))
         self._protocol.connectionLost(Failure(reason))
 
--- /dev/null
+++ b/flamingohead/tests/test_transport.py
@@ -0,0 +1,66 @@
+"""Connections on the loop of the daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+
+import pytest
+import uvloop
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.protocol import Protocol
+
+from flamingohead.services.transport import connect
+
+STALL_SECONDS = 0.1
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class FakeReader(Protocol):
+    """Note what arrives and how the connection ends."""
+
+    def __init__(self, ended):
+        self.data = b""
+        self.ended = ended
+
+    def dataReceived(self, data):
+        self.data += data
+
+    def connectionLost(self, reason):
+        self.ended.set_result(reason)
+
+
+async def receive(*, resets, stalls):
+    """Return the data and the end of a connection of which both may come at once."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    reader = FakeReader(asyncio.get_running_loop().create_future())
+    await connect(reader, *listener.getsockname())
+    connection, _ = listener.accept()
+    connection.send(b"part")
+    if not stalls:
+        await asyncio.sleep(STALL_SECONDS)
+    if resets:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    connection.close()
+    if stalls:
+        time.sleep(STALL_SECONDS)
+    reason = await reader.ended
+    listener.close()
+    return reader.data, reason
+
+
+class TestEnds:
+    @pytest.mark.parametrize("stalls", [False, True])
+    @pytest.mark.parametrize("resets", [False, True])
+    def test_reset_is_told_from_an_end_also_with_data_before_it(self, resets, stalls):
+        loop = uvloop.new_event_loop()
+        try:
+            data, reason = loop.run_until_complete(
+                receive(resets=resets, stalls=stalls)
+            )
+        finally:
+            loop.close()
+        assert data == b"part"
+        assert reason.check(ConnectionLost if resets else ConnectionDone)
