Survive a reload during the start of a daemon

The platform sends one whenever the settings change.

Ruled out: a port in use and the store, which refused at the time: the log of the second life is empty, and the others came back.

Change: SIGHUP is ignored from the first lines of the program on; all that is slow is imported after it. The settings are read later, and a change after that is found by the watch without a signal.

Tests: a process test sends SIGHUP before the daemon listens; it failed before.

--- a/flamingohead/platform/__main__.py
+++ b/flamingohead/platform/__main__.py
@@ -2,37 +2,18 @@
 
 from __future__ import annotations
 
-import logging
-import os
+import signal
 import sys
 
-from flamingohead.events import Event, log_event
-from flamingohead.exits import ExitCode
-from flamingohead.logs import configure_output
-from flamingohead.platform.boot import (
-    DEFAULT_SETTINGS_PATH,
-    SETTINGS_VARIABLE,
-    BootError,
-    read_settings,
-)
-from flamingohead.services.reactor import install_reactor, run_until_stopped
-
-logger = logging.getLogger("flamingohead.platform")
-
 
 def main() -> int:
     """Run the daemon of this host; return the exit code."""
-    configure_output()
-    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
-    try:
-        settings = read_settings(path)
-    except (BootError, OSError) as error:
-        log_event(logger, Event.DAEMON_NOT_STARTED, settings=path, reason=error)
-        return int(ExitCode.USAGE)
-    install_reactor()
-    from flamingohead.platform.daemon import run_daemon
+    # Until the settings are watched, a reload would end the process; the start reads
+    # them anyway. Everything slow is imported after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from flamingohead.platform.start import run
 
-    return run_until_stopped(lambda: run_daemon(settings, path))
+    return run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/flamingohead/platform/start.py
@@ -0,0 +1,34 @@
+"""The start of a daemon from its settings file."""
+
+from __future__ import annotations
+
+import logging
+import os
+
+from flamingohead.events import Event, log_event
+from flamingohead.exits import ExitCode
+from flamingohead.logs import configure_output
+from flamingohead.platform.boot import (
+    DEFAULT_SETTINGS_PATH,
+    SETTINGS_VARIABLE,
+    BootError,
+    read_settings,
+)
+from flamingohead.services.reactor import install_reactor, run_until_stopped
+
+logger = logging.getLogger("flamingohead.platform")
+
+
+def run() -> int:
+    """Run the daemon of this host; return the exit code."""
+    configure_output()
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
+    try:
+        settings = read_settings(path)
+    except (BootError, OSError) as error:
+        log_event(logger, Event.DAEMON_NOT_STARTED, settings=path, reason=error)
+        return int(ExitCode.USAGE)
+    install_reactor()
+    from flamingohead.platform.daemon import run_daemon
+
+    return run_until_stopped(lambda: run_daemon(settings, path))
--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -87,6 +87,15 @@
     popen: subprocess.Popen
     log_path: Path
 
+    def handles(self, number: int) -> bool:
+        """Tell whether a signal is ignored or caught, and so doesn't end it."""
+        fields = {}
+        for line in Path(f"/proc/{self.popen.pid}/status").read_text().splitlines():
+            name, _, value = line.partition(":")
+            fields[name] = value.strip()
+        masks = (int(fields.get(name, "0"), 16) for name in ("SigIgn", "SigCgt"))
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def kill(self) -> None:
         """Kill without a chance to clean up."""
         self.popen.kill()
--- a/flamingohead/tests/test_deployment.py
+++ b/flamingohead/tests/test_deployment.py
@@ -39,6 +39,7 @@
 
 install_reactor()
 import flamingohead.platform.daemon
+import flamingohead.platform.start
 assert "click" in hidden
 """
 
--- a/flamingohead/tests/test_platform_processes.py
+++ b/flamingohead/tests/test_platform_processes.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import json
+import signal
+import socket
 import time
 
 import pytest
 
+from flamingohead.addresses import split_address
 from flamingohead.testing.hosts import (
     HOST,
     HostMesh,
@@ -45,6 +48,14 @@
     return send_request(host.ready, "GET", "/v1/ready")[0] == 200
 
 
+def is_listening(address):
+    try:
+        socket.create_connection(split_address(address), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
+
+
 def read_runs(host):
     return json.loads(send_request(host.upstream, "GET", "/standin/runs")[2])
 
@@ -184,6 +195,21 @@
         assert "platform.address" in process.log_path.read_text()
 
 
+class TestStart:
+    def test_reload_during_the_start_does_not_end_it(self, mesh):
+        host = mesh.hosts["h1"]
+        host.daemon.kill()
+        mesh.start_daemon(host)
+        was_told_early = False
+        while not was_told_early and not is_listening(host.ready):
+            if host.daemon.handles(signal.SIGHUP) and not is_listening(host.ready):
+                host.daemon.popen.send_signal(signal.SIGHUP)
+                was_told_early = True
+        assert was_told_early, "only handled once the daemon was listening"
+        assert wait_until(lambda: is_ready(host))
+        assert host.daemon.popen.poll() is None
+
+
 class TestStops:
     def test_stopped_daemon_cuts_nothing_and_its_leaving_upstream_gets_no_work(
         self, mesh
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from soak.proxy import Link
@@ -15,7 +16,7 @@
     from flamingohead.testing.hosts import Host
     from soak.mesh import SoakMesh
 
-    Fault = Callable[[SoakMesh, Host, Random], Awaitable[None]]
+    FaultFunction = Callable[[SoakMesh, Host, Random], Awaitable[None]]
 
 LONGEST_PAUSE_SECONDS = 2.5
 LONGEST_LINK_SECONDS = 2.5
@@ -25,21 +26,32 @@
 LATE_BEAT_SECONDS = 6.0
 
 FAULTS: dict[str, Fault] = {}
-# Faults that every host feels.
-COMMON_FAULTS = frozenset(("store", "kill_all"))
 
 
-def register_fault(name: str):
+@dataclass(frozen=True)
+class Fault:
+    """Hold a fault: what it uses alone while it lasts, and whether all hosts feel it.
+
+    Faults that use different things overlap on one host.
+    """
+
+    name: str
+    run: FaultFunction
+    uses: str
+    is_common: bool
+
+
+def register_fault(name: str, *, uses: str, is_common: bool = False):
     """Register a coroutine function that begins and ends a fault on a host."""
 
-    def decorate(fault: Fault):
-        FAULTS[name] = fault
-        return fault
+    def decorate(run: FaultFunction):
+        FAULTS[name] = Fault(name, run, uses, is_common)
+        return run
 
     return decorate
 
 
-@register_fault("pause")
+@register_fault("pause", uses="pause")
 async def _pause(mesh: SoakMesh, host: Host, random: Random) -> None:
     process = host.daemon.popen
     process.send_signal(signal.SIGSTOP)
@@ -47,14 +59,14 @@
     process.send_signal(signal.SIGCONT)
 
 
-@register_fault("kill")
+@register_fault("kill", uses="daemon")
 async def _kill(mesh: SoakMesh, host: Host, random: Random) -> None:
     host.daemon.kill()
     await asyncio.sleep(RESTART_SECONDS)
     mesh.start_daemon(host)
 
 
-@register_fault("kill_all")
+@register_fault("kill_all", uses="daemon", is_common=True)
 async def _kill_all(mesh: SoakMesh, host: Host, random: Random) -> None:
     for each in mesh.hosts.values():
         each.daemon.kill()
@@ -63,7 +75,7 @@
         mesh.start_daemon(each)
 
 
-@register_fault("stop")
+@register_fault("stop", uses="daemon")
 async def _stop(mesh: SoakMesh, host: Host, random: Random) -> None:
     host.daemon.terminate()
     if random.random() < 0.3:
@@ -74,14 +86,17 @@
     mesh.start_daemon(host)
 
 
-@register_fault("reload")
+@register_fault("reload", uses="reload")
 async def _reload(mesh: SoakMesh, host: Host, random: Random) -> None:
     for _ in range(random.randint(1, 3)):
-        host.daemon.popen.send_signal(signal.SIGHUP)
+        daemon = host.daemon
+        # In the first moments of an interpreter any signal ends it.
+        if daemon.popen.poll() is None and daemon.handles(signal.SIGHUP):
+            daemon.popen.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.1)
 
 
-@register_fault("store")
+@register_fault("store", uses="store", is_common=True)
 async def _disturb_store(mesh: SoakMesh, host: Host, random: Random) -> None:
     choices = ({"refuse": 503}, {"refuse": 429}, {"silent": True}, {"lose_writes": 3})
     await asyncio.to_thread(mesh.set_faults, **random.choice(choices))
@@ -99,17 +114,17 @@
     proxy.set_link(Link.SOUND)
 
 
-@register_fault("store_link")
+@register_fault("store_link", uses="store_link")
 async def _disturb_store_link(mesh: SoakMesh, host: Host, random: Random) -> None:
     await _disturb_link(mesh.store_links[host.name], random)
 
 
-@register_fault("upstream_link")
+@register_fault("upstream_link", uses="upstream_link")
 async def _disturb_upstream_link(mesh: SoakMesh, host: Host, random: Random) -> None:
     await _disturb_link(mesh.upstream_links[host.name], random)
 
 
-@register_fault("replace_upstream")
+@register_fault("replace_upstream", uses="upstream")
 async def _replace_upstream(mesh: SoakMesh, host: Host, random: Random) -> None:
     """End an upstream with or without its leave; its clock may be wrong after it."""
     if random.random() < 0.5:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -144,3 +144,8 @@
         if not statuses or served < RECOVERY_SHARE * len(statuses):
             cases.append(f"{host} served {served} of {len(statuses)}")
     return cases
+
+
+@register_promise("no daemon ends by itself")
+def _check_ends(records: Records) -> list[str]:
+    return list(records.own_ends)
--- a/soak/records.py
+++ b/soak/records.py
@@ -74,6 +74,8 @@
     # When each upstream got the acknowledgement of its leave.
     leaves: dict[str, float] = field(default_factory=dict)
     calm_from: float = 0.0
+    # Hosts whose daemon ended though nothing had ended it.
+    own_ends: list[str] = field(default_factory=list)
 
     def read_journal(self, path: Path) -> None:
         """Take the lines that an upstream has written."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 
 from flamingohead.testing.hosts import send_request
 from soak.callers import Caller, VersionProbe
-from soak.faults import COMMON_FAULTS, FAULTS
+from soak.faults import FAULTS, Fault
 from soak.mesh import SoakMesh
 from soak.promises import check_promises
 from soak.records import Disturbance, Records
@@ -28,6 +28,7 @@
 RECOVERY_SECONDS = 15.0
 CALM_SECONDS = 3.0
 READY_PERIOD_SECONDS = 0.1
+WATCH_PERIOD_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -50,7 +51,8 @@
         self._mesh = SoakMesh(directory, self._records)
         self._callers: list[Caller] = []
         self._tasks: set[asyncio.Task] = set()
-        self._busy: set[str] = set()
+        # What each fault in force uses, by host.
+        self._busy: set[tuple[str, str]] = set()
 
     async def run(self) -> list[str]:
         """Return one line for each broken promise."""
@@ -58,9 +60,11 @@
             try:
                 await self._start()
                 changes = asyncio.create_task(self._change_configuration())
+                ends = asyncio.create_task(self._watch_ends())
                 await self._disturb()
                 changes.cancel()
                 await self._recover()
+                ends.cancel()
             finally:
                 for caller in self._callers:
                     caller.stopping.set()
@@ -114,42 +118,51 @@
             await asyncio.sleep(self._random.uniform(0.3, LONGEST_CHANGE_GAP_SECONDS))
             await asyncio.to_thread(self._mesh.change_configuration)
 
+    async def _watch_ends(self) -> None:
+        """Start a daemon that has ended by itself again, as the platform does."""
+        while True:
+            for host in self._mesh.hosts.values():
+                is_ended = host.daemon.popen.poll() is not None
+                if is_ended and ("daemon", host.name) not in self._busy:
+                    self._records.own_ends.append(host.name)
+                    self._mesh.start_daemon(host)
+            await asyncio.sleep(WATCH_PERIOD_SECONDS)
+
     async def _disturb(self) -> None:
         ends_at = time.monotonic() + self._settings.seconds
         random = self._random
-        names = sorted(FAULTS)
         while time.monotonic() < ends_at:
-            name = random.choice(names)
+            fault = FAULTS[random.choice(sorted(FAULTS))]
             host = random.choice(sorted(self._mesh.hosts))
             seed = random.random()
-            if self._is_free(name, host):
-                task = asyncio.create_task(self._run_fault(name, host, Random(seed)))
+            used = self._list_used(fault, host)
+            if not used & self._busy:
+                task = asyncio.create_task(
+                    self._run_fault(fault, host, used, Random(seed))
+                )
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(random.uniform(0.0, LONGEST_GAP_SECONDS))
         await asyncio.gather(*self._tasks)
 
-    def _is_free(self, name: str, host: str) -> bool:
-        """Tell whether no fault that is in force restarts the same processes."""
-        if name in COMMON_FAULTS:
-            return not self._busy
-        return not self._busy & {host, ""}
+    def _list_used(self, fault: Fault, host: str) -> set[tuple[str, str]]:
+        hosts = self._mesh.hosts if fault.is_common else (host,)
+        return {(fault.uses, name) for name in hosts}
 
-    async def _run_fault(self, name: str, host: str, random: Random) -> None:
-        felt_by = "" if name in COMMON_FAULTS else host
+    async def _run_fault(
+        self, fault: Fault, host: str, used: set[tuple[str, str]], random: Random
+    ) -> None:
         began_at = time.monotonic()
-        self._busy.add(felt_by)
+        self._busy |= used
         try:
-            await FAULTS[name](self._mesh, self._mesh.hosts[host], random)
-            if felt_by == "":
-                for each in self._mesh.hosts.values():
-                    await self._wait_until_ready(each, RECOVERY_SECONDS)
-            else:
-                await self._wait_until_ready(self._mesh.hosts[host], RECOVERY_SECONDS)
+            await fault.run(self._mesh, self._mesh.hosts[host], random)
+            for _, name in used:
+                await self._wait_until_ready(self._mesh.hosts[name], RECOVERY_SECONDS)
         finally:
-            self._busy.discard(felt_by)
+            self._busy -= used
+            felt_by = "" if fault.is_common else host
             self._records.disturbances.append(
-                Disturbance(name, felt_by, began_at, time.monotonic())
+                Disturbance(fault.name, felt_by, began_at, time.monotonic())
             )
 
     async def _recover(self) -> None:
--- a/soak/test_promises.py
+++ b/soak/test_promises.py
@@ -86,6 +86,7 @@
                     build_outcome("d", status=503, sent_at=9.1)
                 ),
             ),
+            ("no daemon ends by itself", lambda r: r.own_ends.append("h0")),
         ],
     )
     def test_broken_promise_is_found(self, name, spoil):
