Check a configuration document of the platform on the command line

Cause: flamingohead check knew sheets only; what a daemon would refuse of a document was seen once it had been written to the store.

Change: a .json file is decoded and validated as a daemon does, and its problems are named with their values.

--- a/flamingohead/commands/changes.py
+++ b/flamingohead/commands/changes.py
@@ -17,13 +17,17 @@
     report_refusal,
     run_session,
 )
+from flamingohead.core.errors import Refusal
 from flamingohead.core.sheets import check_sheet
+from flamingohead.core.validation import validate_snapshot
 from flamingohead.exits import ExitCode
+from flamingohead.platform.documents import decode_document
 
 if TYPE_CHECKING:
     from flamingohead.control import ControlClient
 
 WAIT_PERIOD = 0.2
+DOCUMENT_SUFFIX = ".json"
 INCOMPLETE = "failure domains can't be listed while the table is away"
 
 
@@ -72,15 +76,32 @@
 
 
 @click.command()
-@click.argument("sheet", type=click.Path(exists=True, dir_okay=False))
-def check(sheet: str) -> None:
-    """Check SHEET without asking a daemon.
+@click.argument("path", type=click.Path(exists=True, dir_okay=False))
+def check(path: str) -> None:
+    """Check a sheet, or a configuration document (.json), without asking a daemon.
 
     Example: flamingohead check examples/kente-mirror.csv
     """
-    text = _read_checked(sheet)
-    count = len(check_sheet(text).resources)
-    click.echo(f"{sheet}: {count} resources, no problem")
+    if path.endswith(DOCUMENT_SUFFIX):
+        count = _count_document_resources(path)
+    else:
+        count = len(check_sheet(_read_checked(path)).resources)
+    click.echo(f"{path}: {count} resources, no problem")
+
+
+def _count_document_resources(path: str) -> int:
+    """Return the number of resources; exit if a daemon would not take them."""
+    with open(path, "rb") as file:
+        snapshot = decode_document(file.read())
+    if isinstance(snapshot, Refusal):
+        problems = [snapshot.detail]
+    else:
+        problems = [str(problem) for problem in validate_snapshot(snapshot)]
+    for problem in problems:
+        click.echo(f"{path}: {problem}", err=True)
+    if problems:
+        sys.exit(ExitCode.REFUSED)
+    return len(snapshot.resources)
 
 
 @click.command()
