Give the table and the objects over the platform's store their store

Both kept the kernel, an optional store and a property to choose between them, though each is built where its store is at hand; and three writes turned the outcome of a commit into the same answer. Behaviour is unchanged.

--- a/flamingohead/assembly.py
+++ b/flamingohead/assembly.py
@@ -95,12 +95,12 @@
 
 @register_client("store", "table")
 def _create_store_table(kernel: Kernel, address: str) -> StoreTable:
-    return StoreTable(kernel, StoreClient(kernel, address))
+    return StoreTable(StoreClient(kernel, address))
 
 
 @register_client("store", "objects")
 def _create_store_objects(kernel: Kernel, address: str) -> StoreObjects:
-    return StoreObjects(kernel, StoreClient(kernel, address))
+    return StoreObjects(StoreClient(kernel, address))
 
 
 def _add_mesh(
--- a/flamingohead/platform/tables.py
+++ b/flamingohead/platform/tables.py
@@ -9,7 +9,6 @@
 from flamingohead.platform.store import MAX_ROWS, RowKey, StoredRow
 
 if TYPE_CHECKING:
-    from flamingohead.kernel import Kernel
     from flamingohead.platform.store import StoreClient
 
 TABLE = "flamingohead"
@@ -20,19 +19,9 @@
     return RowKey(TABLE, key.partition("/")[0], key)
 
 
-class StoreTable:
-    """Read and write rows by key, with the version of a row as its tag.
-
-    Without a store of its own it uses that of the kernel.
-    """
-
-    def __init__(self, kernel: Kernel, store: StoreClient | None = None) -> None:
-        self._kernel = kernel
-        self._given = store
-
-    @property
-    def _store(self) -> StoreClient:
-        return self._given or self._kernel.get("store")
+class _StoreUser:
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
 
     async def start(self) -> None:
         pass
@@ -40,6 +29,10 @@
     async def stop(self) -> None:
         pass
 
+
+class StoreTable(_StoreUser):
+    """Read and write rows by key, with the version of a row as its tag."""
+
     async def read(self, key: str) -> Row | None | Refusal:
         """Return a row, or ``None`` if it does not exist."""
         rows = await self._read(key, 1)
@@ -57,15 +50,13 @@
 
     async def replace(self, key: str, value: bytes) -> bool | Refusal:
         """Write a row, whatever it held before."""
-        result = await self._store.commit(values={_locate(key): value})
-        return result if isinstance(result, Refusal) else result is not None
+        return await self._commit(values={_locate(key): value})
 
     async def delete(self, key: str, tag: str | None = None) -> bool | Refusal:
         """Delete a row; return whether there was one to delete."""
         place = _locate(key)
         expected = {} if tag is None else {place: int(tag)}
-        result = await self._store.commit(expected=expected, removed=(place,))
-        return result if isinstance(result, Refusal) else result is not None
+        return await self._commit(expected=expected, removed=(place,))
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 100
@@ -93,29 +84,17 @@
 
     async def _write(self, key: str, value: bytes, version: int) -> bool | Refusal:
         place = _locate(key)
-        result = await self._store.commit(
-            expected={place: version}, values={place: value}
-        )
+        return await self._commit(expected={place: version}, values={place: value})
+
+    async def _commit(self, **changes) -> bool | Refusal:
+        """Apply changes; return whether the rows had the expected versions."""
+        result = await self._store.commit(**changes)
         return result if isinstance(result, Refusal) else result is not None
 
 
-class StoreObjects:
+class StoreObjects(_StoreUser):
     """Read and write immutable objects."""
 
-    def __init__(self, kernel: Kernel, store: StoreClient | None = None) -> None:
-        self._kernel = kernel
-        self._given = store
-
-    @property
-    def _store(self) -> StoreClient:
-        return self._given or self._kernel.get("store")
-
-    async def start(self) -> None:
-        pass
-
-    async def stop(self) -> None:
-        pass
-
     async def read(self, key: str) -> bytes | None | Refusal:
         """Return an object, or ``None`` if it does not exist."""
         return await self._store.read_object(key)
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -192,8 +192,9 @@
     kernel = Kernel()
     kernel.add("metrics", MetricsService())
     kernel.add("http_client", FakeHttp(*answers))
-    kernel.add("store", StoreClient(kernel, "127.0.0.1:9"))
-    kernel.add("table", StoreTable(kernel))
+    store = StoreClient(kernel, "127.0.0.1:9")
+    kernel.add("store", store)
+    kernel.add("table", StoreTable(store))
     return kernel
 
 
