Add the services between daemons in one place for both kinds of daemon

Both assemblies built the member, its membership, gossip, summaries, peers and bootstrap in the same way but for settings. flamingohead/mesh.py does it for both; the group of the summaries is the member's own. The order in which services start and stop is unchanged.

--- a/flamingohead/assembly.py
+++ b/flamingohead/assembly.py
@@ -6,25 +6,20 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import TYPE_CHECKING
 
 from flamingohead.core.balancing import Balancer
-from flamingohead.core.bootstrap import Bootstrap
 from flamingohead.core.dissemination import Dissemination
 from flamingohead.core.ledger import MEBIBYTE, LedgerSettings
-from flamingohead.core.members import Member
-from flamingohead.core.membership import Membership
 from flamingohead.core.overflow import Overflow
 from flamingohead.core.versions import Replica
+from flamingohead.mesh import add_bootstrap, add_mesh
 from flamingohead.platform.store import StoreClient
 from flamingohead.platform.tables import StoreObjects, StoreTable
 from flamingohead.services.announcements import AnnouncementService
 from flamingohead.services.attempts import AttemptService
-from flamingohead.services.bootstrap import BootstrapService
 from flamingohead.services.calls import CallService
 from flamingohead.services.configuration import ConfigurationService
-from flamingohead.services.gossip import GossipService
 from flamingohead.services.history import HistoryService
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.keys import KeyService
@@ -32,12 +27,10 @@
 from flamingohead.services.observation import ObservationService
 from flamingohead.services.operators import OperatorService
 from flamingohead.services.outcomes import OutcomeService
-from flamingohead.services.peers import PeersService
 from flamingohead.services.platform import ObjectClient, TableClient
 from flamingohead.services.scopes import ScopeService
 from flamingohead.services.slots import SlotService
 from flamingohead.services.status import StatusService
-from flamingohead.services.summaries import SummaryService
 from flamingohead.services.upstreams import UpstreamService
 
 if TYPE_CHECKING:
@@ -53,11 +46,11 @@
     kernel.add("metrics", MetricsService(settings.statsd_address))
     _add_platform(kernel, settings)
     kernel.add("http_client", HttpClientService())
-    _add_mesh(kernel, settings, generator)
+    add_mesh(kernel, settings, generator)
     _add_keys(kernel, settings, generator)
     _add_requests(kernel, settings, generator)
     _add_operators(kernel, settings)
-    kernel.add("bootstrap", _create_bootstrap(kernel, settings, generator))
+    add_bootstrap(kernel, settings, generator, seeds=settings.list_seeds())
 
 
 def _add_platform(kernel: Kernel, settings: DaemonSettings) -> None:
@@ -103,25 +96,6 @@
     return StoreObjects(StoreClient(kernel, address))
 
 
-def _add_mesh(
-    kernel: Kernel, settings: DaemonSettings, generator: random.Random
-) -> None:
-    myself = Member(
-        host_id=settings.host_id,
-        failure_domain=settings.failure_domain,
-        peer_address=settings.peer_address,
-        relay_address=settings.relay_address,
-        incarnation=int(time.time() * 1000),
-    )
-    membership = Membership(myself, random=generator)
-    kernel.add("gossip", GossipService(kernel, membership, settings.peer_address))
-    kernel.add(
-        "summaries",
-        SummaryService(kernel, settings.failure_domain, random=generator),
-    )
-    kernel.add("peers", PeersService(kernel, settings.peer_address))
-
-
 def _add_keys(
     kernel: Kernel, settings: DaemonSettings, generator: random.Random
 ) -> None:
@@ -183,15 +157,3 @@
         "operators",
         OperatorService(kernel, settings.control_address, settings.control_token),
     )
-
-
-def _create_bootstrap(
-    kernel: Kernel, settings: DaemonSettings, generator: random.Random
-) -> BootstrapService:
-    bootstrap = Bootstrap(
-        settings.host_id,
-        settings.peer_address,
-        settings.list_seeds(),
-        random=generator,
-    )
-    return BootstrapService(kernel, bootstrap)
--- /dev/null
+++ b/flamingohead/mesh.py
@@ -0,0 +1,77 @@
+"""The services by which a daemon knows the others, in every kind of daemon.
+
+Import this module only after the reactor has been installed.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Protocol
+
+from flamingohead.core.bootstrap import Bootstrap, BootstrapSettings
+from flamingohead.core.members import Member
+from flamingohead.core.membership import Membership, MembershipSettings
+from flamingohead.services.bootstrap import BootstrapService
+from flamingohead.services.gossip import GossipService
+from flamingohead.services.peers import PeersService
+from flamingohead.services.summaries import SummaryService
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from flamingohead.kernel import Kernel
+
+
+class HostIdentity(Protocol):
+    """Name a daemon, its place and the addresses for other daemons."""
+
+    host_id: str
+    failure_domain: str
+    peer_address: str
+    relay_address: str
+
+
+def add_mesh(
+    kernel: Kernel,
+    identity: HostIdentity,
+    random: Random,
+    *,
+    group: str = "",
+    settings: MembershipSettings = MembershipSettings(),
+) -> None:
+    """Add membership, summaries and calls between daemons.
+
+    Without a ``group`` the daemons of a failure domain know each other singly.
+    """
+    myself = Member(
+        host_id=identity.host_id,
+        failure_domain=identity.failure_domain,
+        peer_address=identity.peer_address,
+        relay_address=identity.relay_address,
+        incarnation=int(time.time() * 1000),
+        group=group,
+    )
+    membership = Membership(myself, random=random, settings=settings)
+    kernel.add("gossip", GossipService(kernel, membership, myself.peer_address))
+    kernel.add("summaries", SummaryService(kernel, myself.gossip_group, random=random))
+    kernel.add("peers", PeersService(kernel, myself.peer_address))
+
+
+def add_bootstrap(
+    kernel: Kernel,
+    identity: HostIdentity,
+    random: Random,
+    *,
+    seeds: Iterable[str] = (),
+    settings: BootstrapSettings = BootstrapSettings(),
+) -> None:
+    """Add what finds the first other daemons."""
+    bootstrap = Bootstrap(
+        identity.host_id,
+        identity.peer_address,
+        seeds,
+        random=random,
+        settings=settings,
+    )
+    kernel.add("bootstrap", BootstrapService(kernel, bootstrap))
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -6,17 +6,16 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import TYPE_CHECKING
 
-from flamingohead.core.bootstrap import Bootstrap, BootstrapSettings
+from flamingohead.core.bootstrap import BootstrapSettings
 from flamingohead.core.dissemination import Dissemination, DisseminationSettings
-from flamingohead.core.members import Member
-from flamingohead.core.membership import Membership, MembershipSettings
+from flamingohead.core.membership import MembershipSettings
 from flamingohead.core.placement import Placement
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
 from flamingohead.core.upstreams import UpstreamSettings
 from flamingohead.core.versions import Replica
+from flamingohead.mesh import add_bootstrap, add_mesh
 from flamingohead.platform.departures import Departures
 from flamingohead.platform.dialect import PLATFORM_DIALECT
 from flamingohead.platform.endpoints import InstanceEndpoint, ReadyEndpoint
@@ -25,17 +24,13 @@
 from flamingohead.platform.store import StoreClient
 from flamingohead.platform.tables import StoreObjects, StoreTable
 from flamingohead.platform.watch import SettingsWatch
-from flamingohead.services.bootstrap import BootstrapService
 from flamingohead.services.calls import CallService
 from flamingohead.services.configuration import ConfigurationService
-from flamingohead.services.gossip import GossipService
 from flamingohead.services.group_attempts import GroupAttemptService
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.metrics_page import MetricsPage
-from flamingohead.services.peers import PeersService
 from flamingohead.services.slots import SlotService
-from flamingohead.services.summaries import SummaryService
 from flamingohead.services.upstreams import UpstreamService
 
 if TYPE_CHECKING:
@@ -74,9 +69,9 @@
     kernel.add("store", store)
     kernel.add("table", StoreTable(store))
     kernel.add("objects", StoreObjects(store))
-    _add_mesh(kernel, settings, generator)
+    add_mesh(kernel, settings, generator, group=GROUP, settings=MEMBERSHIP)
     _add_requests(kernel, settings, generator)
-    kernel.add("bootstrap", _create_bootstrap(kernel, settings, generator))
+    add_bootstrap(kernel, settings, generator, settings=BOOTSTRAP)
     kernel.add("feed", ConfigurationFeed(kernel))
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
     if settings.metrics_address:
@@ -85,21 +80,6 @@
     kernel.add("watch", SettingsWatch(kernel, settings, path))
 
 
-def _add_mesh(kernel: Kernel, settings: HostSettings, generator: random.Random) -> None:
-    myself = Member(
-        host_id=settings.host_id,
-        failure_domain=settings.failure_domain,
-        peer_address=settings.peer_address,
-        relay_address=settings.relay_address,
-        incarnation=int(time.time() * 1000),
-        group=GROUP,
-    )
-    membership = Membership(myself, random=generator, settings=MEMBERSHIP)
-    kernel.add("gossip", GossipService(kernel, membership, settings.peer_address))
-    kernel.add("summaries", SummaryService(kernel, GROUP, random=generator))
-    kernel.add("peers", PeersService(kernel, settings.peer_address))
-
-
 def _add_requests(
     kernel: Kernel, settings: HostSettings, generator: random.Random
 ) -> None:
@@ -131,16 +111,3 @@
     kernel.add("upstreams", upstreams)
     kernel.add("departures", Departures(kernel, settings.host_id))
     kernel.add("announcements", InstanceEndpoint(kernel, settings.announce_address))
-
-
-def _create_bootstrap(
-    kernel: Kernel, settings: HostSettings, generator: random.Random
-) -> BootstrapService:
-    bootstrap = Bootstrap(
-        settings.host_id,
-        settings.peer_address,
-        (),
-        random=generator,
-        settings=BOOTSTRAP,
-    )
-    return BootstrapService(kernel, bootstrap)
