--- a/flamingohead/testing/processes.py
+++ b/flamingohead/testing/processes.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import re
 import socket
 import subprocess
 import sys
@@ -89,12 +90,9 @@
 
     def handles(self, number: int) -> bool:
         """Tell whether a signal is ignored or caught, and so doesn't end it."""
-        fields = {}
-        for line in Path(f"/proc/{self.popen.pid}/status").read_text().splitlines():
-            name, _, value = line.partition(":")
-            fields[name] = value.strip()
-        masks = (int(fields.get(name, "0"), 16) for name in ("SigIgn", "SigCgt"))
-        return any(mask >> (number - 1) & 1 for mask in masks)
+        status = Path(f"/proc/{self.popen.pid}/status").read_text()
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)$", status, re.MULTILINE)
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
 
     def kill(self) -> None:
         """Kill without a chance to clean up."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from flamingohead.testing.hosts import HOST
 from soak.records import NO_ANSWER, Outcome, Sighting
 
 if TYPE_CHECKING:
@@ -15,7 +16,6 @@
     from flamingohead.testing.hosts import Host
     from soak.records import Records
 
-HOST_NAME = "ledger.example"
 DEADLINE_MS = 1000
 # A caller waits a little longer than it says.
 PATIENCE_SECONDS = DEADLINE_MS / 1000 + 0.5
@@ -61,7 +61,7 @@
         self._number += 1
         request_id = f"{self._prefix}-{self._number}"
         headers = {
-            "Host": HOST_NAME,
+            "Host": HOST,
             "Request-Id": request_id,
             "Request-Deadline": str(DEADLINE_MS),
         }
--- a/soak/mesh.py
+++ b/soak/mesh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from flamingohead.testing.hosts import HostMesh, build_document
@@ -34,10 +35,9 @@
     def __init__(self, directory: Path, records: Records) -> None:
         super().__init__(directory)
         self._records = records
-        self._incarnations: dict[str, int] = {}
+        self._incarnations: Counter[str] = Counter()
         self.store_links: dict[str, LinkProxy] = {}
         self.upstream_links: dict[str, LinkProxy] = {}
-        self.version = 0
 
     async def add_disturbed_host(self, name: str, service: str) -> None:
         """Start a host behind two proxies."""
@@ -58,11 +58,10 @@
 
     def start_next_instance(self, host: Host, *, clock_offset_ms: int = 0) -> None:
         """Start a new incarnation of the upstream of a host."""
-        number = self._incarnations.get(host.name, 0) + 1
-        self._incarnations[host.name] = number
+        self._incarnations[host.name] += 1
         self.start_instance(
             host,
-            f"i-{host.name}-{number}",
+            f"i-{host.name}-{self._incarnations[host.name]}",
             slots=SLOTS,
             journal=self.get_journal(host),
             clock_offset_ms=clock_offset_ms,
@@ -76,8 +75,8 @@
 
     def change_configuration(self) -> None:
         """Write the next version, with a route of its own."""
-        self.version += 1
-        routes = {f"/v{n}/": "ledger" for n in range(1, self.version + 1)}
-        document = build_document(self.version, {**ROUTES, **routes})
+        version = len(self._records.versions) + 1
+        routes = {f"/v{n}/": "ledger" for n in range(1, version + 1)}
+        document = build_document(version, {**ROUTES, **routes})
         self.write_row("op", "config", document)
-        self._records.versions[self.version] = time.monotonic()
+        self._records.versions[version] = time.monotonic()
