Keep the units of the capacity pages in one module

Both modules of roles defined the same units and the share of datagrams lost, and two factors were bare numbers. The page comes out unchanged.

--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -4,12 +4,18 @@
 
 from benchmarks.capacity import (
     BYTES_LIMIT,
+    BYTES_PER_KB,
+    BYTES_PER_MB,
     CHANGES_PER_DAY,
     CHANGES_PER_SECOND,
     DAEMONS,
     DOMAINS,
+    FULL_LOSS,
     HERD,
     IN_FORCE_LIMIT,
+    MICROSECONDS,
+    MILLISECONDS_PER_SECOND,
+    PERCENT,
     SERVICES,
     TABLE_READ_LIMIT,
     TABLE_WRITE_LIMIT,
@@ -20,13 +26,7 @@
 )
 from flamingohead.core.pulls import SNAPSHOT_RATE
 
-MICROSECONDS = 1e-6
-PERCENT = 100
-MILLISECONDS_PER_SECOND = 1000
-BYTES_PER_MB = 1e6
-BYTES_PER_KB = 1e3
 DOMAIN_SIZE = 613
-FULL_LOSS = 0.1
 KEPT_RECORDS = 256
 
 
--- a/benchmarks/capacity_requests.py
+++ b/benchmarks/capacity_requests.py
@@ -4,11 +4,17 @@
 
 from benchmarks.capacity import (
     ADDED_LIMIT,
+    BYTES_PER_KB,
+    BYTES_PER_MB,
     CALLS_PER_DAEMON,
     CHANGES_PER_DAY,
     DAEMONS,
     DAY_SECONDS,
     DOMAINS,
+    FULL_LOSS,
+    MICROSECONDS,
+    MILLISECONDS_PER_SECOND,
+    PERCENT,
     SERVICES,
     TABLE_READ_LIMIT,
     TABLE_WRITE_LIMIT,
@@ -19,10 +25,6 @@
 )
 from flamingohead.core.acceptance import SNAPSHOT_PERIOD
 
-MICROSECONDS = 1e-6
-PERCENT = 100
-BYTES_PER_MB = 1e6
-FULL_LOSS = 0.1
 KEPT_ANSWERS = 10_000
 
 
@@ -166,7 +168,7 @@
     return [
         scale_row(
             answer,
-            MICROSECONDS * 1000,
+            MICROSECONDS * MILLISECONDS_PER_SECOND,
             role=role,
             what="processor time of one status answer, 613 members",
             unit="ms",
@@ -175,7 +177,7 @@
         ),
         scale_row(
             sent,
-            1 / 1000,
+            1 / BYTES_PER_KB,
             role=role,
             what="one status answer, 613 members",
             unit="KB",
