Bound by bytes what a peer may send that is no answer

Cause: an answer collected whole had no bound (2.0 GB in 3 s from a health page in chunks), one trailer without an end filled 108 MB, and chunk extensions kept the processor busy until the deadline. The same holds for the body of an answer that states that nothing ran, for the body of a daemon's refusal, and for chunk extensions and trailers of a caller. Ruled out: heads and interim answers, which were cut at 64 KiB already; answers that are held back for another attempt, which pass on above 64 KiB. Change: services/byte_bounds.py counts bodies that are collected or dropped, and the bytes behind a head that are not of the body (64 KiB and eight times the body, since a chunk of one byte has five bytes of framing). The connection is dropped; an upstream that did so counts as malformed. Conclusion: every read of a daemon over HTTP has a bound of bytes as well as of time.

--- a/flamingohead/platform/probe.py
+++ b/flamingohead/platform/probe.py
@@ -28,6 +28,8 @@
 # A probe waits for a slot like any request.
 PROBE_TIMEOUT_SECONDS = 1.0
 WAIT_SECONDS = 0.02
+# What counts of a health page is in its head.
+MAX_HEALTH_BYTES = 64 * 1024
 OK = 200
 
 
@@ -63,7 +65,7 @@
         deadline = time.monotonic() + PROBE_TIMEOUT_SECONDS
         path = pool.health_path.encode()
         request = OutgoingRequest("GET", path, (), b"", deadline)
-        sink = CollectedAnswer()
+        sink = CollectedAnswer(MAX_HEALTH_BYTES)
         refusal = await self._kernel.get("http_client").send(
             settings.upstream_address, request, sink, fresh=True
         )
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -26,6 +26,10 @@
 REQUEST_TIMEOUT_SECONDS = 2.0
 # What an answer of the feed may take beyond the time that the request asked to wait.
 FEED_SLACK_SECONDS = 1.0
+# A page holds at most 1 MB of rows, a third more in base64, and their keys.
+MAX_PAGE_BYTES = 2 * 1024 * 1024
+# The platform states 8 MiB for an object.
+MAX_OBJECT_BYTES = 8 * 1024 * 1024
 # The store answers with at most so many rows at once.
 MAX_ROWS = 500
 
@@ -181,7 +185,8 @@
 
     async def read_object(self, name: str) -> bytes | None | Refusal:
         """Return an object, or ``None`` if there is none of that name."""
-        sink = await self._call("GET", f"/v1/blob-get/{quote(name, safe='')}")
+        path = f"/v1/blob-get/{quote(name, safe='')}"
+        sink = await self._call("GET", path, limit=MAX_OBJECT_BYTES)
         if isinstance(sink, Refusal):
             return sink
         if sink.status == NOT_FOUND:
@@ -209,13 +214,14 @@
         body: bytes = b"",
         *,
         timeout: float = REQUEST_TIMEOUT_SECONDS,
+        limit: int = MAX_PAGE_BYTES,
     ) -> CollectedAnswer | Refusal:
         """Make a call; a refusal by the store or the network is a ``Refusal``."""
         call = path.partition("?")[0].split("/")[2]
         self._kernel.get("metrics").count(f"store.{call}")
         headers = ((b"content-type", b"application/json"),) if body else ()
         deadline = time.monotonic() + timeout
-        sink = CollectedAnswer()
+        sink = CollectedAnswer(limit)
         request = OutgoingRequest(method, path.encode(), headers, body, deadline)
         refusal = await self._kernel.get("http_client").send(
             self._address, request, sink
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.byte_bounds import MAX_DROPPED_BYTES, ByteBound
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.http_messages import RELAY_PREFIX, OutgoingRequest
 
@@ -35,6 +36,7 @@
         self.not_executed = False
         self.whole = False
         self.dispatched = False
+        self._dropped = ByteBound(MAX_DROPPED_BYTES)
 
     @property
     def started(self) -> bool:
@@ -61,6 +63,7 @@
 
     def write(self, data: bytes) -> None:
         if self.not_executed:
+            self._dropped.add(len(data))
             return
         self._response.write(data)
 
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -9,6 +9,7 @@
 
 from flamingohead.addresses import split_address
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.byte_bounds import ByteBound
 from flamingohead.services.http_connection import ClientConnection
 from flamingohead.services.http_messages import OutgoingRequest
 from flamingohead.services.transport import connect
@@ -33,11 +34,12 @@
 
 
 class CollectedAnswer:
-    """Take an answer whole; it must be known to be small."""
+    """Take an answer whole, of at most ``limit`` bytes of body."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int) -> None:
         self.status = 0
         self.headers: Headers = []
+        self._bound = ByteBound(limit)
         self._parts: list[bytes] = []
 
     @property
@@ -49,6 +51,7 @@
         self.headers = headers
 
     def write(self, data: bytes) -> None:
+        self._bound.add(len(data))
         self._parts.append(data)
 
     def finish(self) -> None:
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -10,6 +10,7 @@
 
 from flamingohead.core.calls import REQUEST_ID_HEADER
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.byte_bounds import FramingMeter
 from flamingohead.services.http_messages import (
     EXCHANGE_HEADER,
     drop_hop_headers,
@@ -55,6 +56,8 @@
         self.idle_seconds: float | None = None
         self._head_bytes = 0
         self._in_head = False
+        self._framing = FramingMeter()
+        self._body_bytes = 0
         self._method = ""
         self._ends_with_connection = False
         self._allows_unframed = False
@@ -73,6 +76,7 @@
         self._headers = []
         self._head_bytes = 0
         self._in_head = True
+        self._framing = FramingMeter()
         self._method = request.method
         self._ends_with_connection = False
         self._allows_unframed = request.allows_unframed_answer
@@ -112,20 +116,22 @@
             # Nothing was asked, so what follows can't be matched to a request.
             self.close()
             return
-        if self._in_head:
+        was_in_head, self._body_bytes = self._in_head, 0
+        if was_in_head:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             refusal = self._refusal
             if refusal is None:
-                detail = f"answer not understood: {error}"
+                detail = f"answer not understood: {error.__context__ or error}"
                 refusal = Refusal(ErrorKind.UPSTREAM_MALFORMED, detail)
             self._fail(refusal)
             return
-        if self._in_head and self._head_bytes > MAX_ANSWER_HEAD_BYTES:
-            detail = f"head of the answer over {MAX_ANSWER_HEAD_BYTES} bytes"
-            self._fail(Refusal(ErrorKind.UPSTREAM_MALFORMED, detail))
+        if not was_in_head:
+            self._framing.add(len(data), self._body_bytes)
+        if self._sink is not None:
+            self._check_bounds()
 
     def connectionLost(self, reason=connectionDone) -> None:  # noqa: N802
         closed_in_order = reason is connectionDone or reason.check(ConnectionDone)
@@ -165,6 +171,7 @@
             self._finish(reusable=False)
 
     def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
         if self._sink is not None:
             self._sink.write(body)
 
@@ -175,6 +182,15 @@
 
     # Checks
 
+    def _check_bounds(self) -> None:
+        if self._in_head and self._head_bytes > MAX_ANSWER_HEAD_BYTES:
+            detail = f"head of the answer over {MAX_ANSWER_HEAD_BYTES} bytes"
+        elif self._framing.is_exceeded:
+            detail = "more framing than body in the answer"
+        else:
+            return
+        self._fail(Refusal(ErrorKind.UPSTREAM_MALFORMED, detail))
+
     def _find_length(self) -> int | None:
         """Return the length; refuse an answer whose end can't be told from a cut.
 
--- a/flamingohead/services/http_parser.py
+++ b/flamingohead/services/http_parser.py
@@ -8,6 +8,7 @@
 import httptools
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.services.byte_bounds import FramingMeter
 from flamingohead.services.http_messages import (
     UNDROPPABLE_HEADERS,
     IncomingRequest,
@@ -59,6 +60,7 @@
         self._request: IncomingRequest | None = None
         self._in_head = False
         self._head_bytes = 0
+        self._framing = FramingMeter()
         self._budget = budget
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -76,6 +78,8 @@
             return self._refusal
         if self._in_head:
             self._head_bytes += len(data)
+        request, body_bytes = self._request, self._body_bytes
+        was_in_body = request is not None and not self._in_head
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -84,6 +88,9 @@
                 self._refusal = Refusal(ErrorKind.MALFORMED_REQUEST, str(error))
         if self._refusal is None and self._in_head:
             self._check_head_bytes()
+        if self._refusal is None and was_in_body and self._request is request:
+            self._framing.add(len(data), self._body_bytes - body_bytes)
+            self._check_framing()
         return self._refusal
 
     def discard(self) -> None:
@@ -103,6 +110,7 @@
         self._request = IncomingRequest("", b"")
         self._in_head = True
         self._head_bytes = 0
+        self._framing = FramingMeter()
         self._body = []
         self._body_bytes = 0
         self._take_begin()
@@ -180,6 +188,11 @@
         if self._head_bytes > self.limits.head_bytes:
             self._refusal = self._refuse_head()
 
+    def _check_framing(self) -> None:
+        if self._framing.is_exceeded:
+            detail = "more framing than body in the request"
+            self._refusal = Refusal(ErrorKind.REQUEST_TOO_LARGE, detail)
+
     def _reject_head(self) -> None:
         self._refusal = self._refuse_head()
         raise ValueError(self._refusal.detail)
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -10,6 +10,7 @@
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.idempotency import FIRST_ATTEMPT, UNMARKED
 from flamingohead.core.placement import LoadReport
+from flamingohead.services.byte_bounds import MAX_DROPPED_BYTES, ByteBound
 from flamingohead.services.http_messages import (
     CHECKED_HEADER,
     EXCHANGE_HEADER,
@@ -65,6 +66,7 @@
         self._take_load = take_load
         self.refusal: Refusal | None = None
         self.lacks_nested = False
+        self._dropped = ByteBound(MAX_DROPPED_BYTES)
 
     @property
     def started(self) -> bool:
@@ -88,6 +90,8 @@
     def write(self, data: bytes) -> None:
         if self.refusal is None:
             self._response.write(data)
+        else:
+            self._dropped.add(len(data))
 
     def finish(self) -> None:
         if self.refusal is None:
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -20,6 +20,7 @@
 
 BEAT_PERIOD = 0.3
 STATUS_PATH = b"/standin/runs"
+MAX_ANSWER_BYTES = 4096
 
 
 @dataclass
@@ -88,7 +89,7 @@
         path = f"/v1/instances/{self.name}".encode()
         deadline = time.monotonic() + 1.0
         request = OutgoingRequest(method, path, (), body, deadline)
-        answer = CollectedAnswer()
+        answer = CollectedAnswer(MAX_ANSWER_BYTES)
         refusal = await client.send(self.control_address, request, answer)
         if isinstance(refusal, Refusal):
             logger.debug("heartbeat not taken: %s", refusal.detail)
