Keep requests in their failure domain while it has room

Ruled out: a cost that also holds where the request has to wait: there the shorter queue serves the caller sooner than the shorter way. Change: leaving costs half of the time of an answer, and nearly nothing where the request has to wait; a host that is likely to be full costs more than leaving, so that a request goes straight to a free slot elsewhere. The check that a small answer may leave a host with one free slot contradicts this and now asks that it leaves a full one, always; that a large one stays is checked at the full host too.

--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -1,7 +1,8 @@
 """Placement of requests over the upstreams of a group of daemons.
 
-The load it answers: failure domains with equal callers and unequal upstreams, so that
-most requests leave their failure domain; upstreams that differ in speed, start cold,
+The load it answers: failure domains with as many upstreams as their callers need, where
+what leaves takes a longer way and is lost in a cut; failure domains with equal callers
+and unequal upstreams, where much has to leave; upstreams that differ in speed, start cold,
 turn slow or fail part of their requests; and loads near the capacity, where the few
 slots that are free move from host to host faster than any report. So each request
 is first offered to the best hosts without waiting there, which their admission answers
@@ -37,10 +38,15 @@
 FAILURE_COST = 10.0
 # Time after which the part of a report that speaks of other senders counts half.
 REPORT_MEMORY_SECONDS = 0.5
-# Cost of leaving the failure domain, in multiples of the time of an answer: a small
-# answer loses little, a large one takes the links between the failure domains.
-REMOTE_COST = 0.05
+# Cost of leaving the failure domain, in multiples of the time of an answer: more than
+# the upstreams of a service usually differ in speed, and less than a queue.
+REMOTE_COST = 0.5
+# A large answer takes the links between the failure domains as well.
 BULKY_REMOTE_COST = 1.5
+# Where a request has to wait anyway, the shorter queue is worth the longer way.
+QUEUED_REMOTE_COST = 0.05
+# Cost of offering a request to a host that is likely to have no free slot.
+FULL_COST = 5.0
 # Cost of a host that is being stopped; only what finds no other goes there.
 LEAVING_COST = 20.0
 # Two costs closer than this are alike; the choice between them is drawn.
@@ -276,10 +282,19 @@
         cost += FAILURE_COST * view.estimate_failures(now)
         if view.candidate.leaving:
             cost += LEAVING_COST
+        is_full = busy >= slots
+        if is_full and not demand.bulky:
+            cost += FULL_COST
         if view.candidate.failure_domain != self._failure_domain:
-            cost += BULKY_REMOTE_COST if demand.bulky else REMOTE_COST
+            cost += _get_remote_cost(demand, is_full=is_full)
         return cost
 
 
+def _get_remote_cost(demand: Demand, *, is_full: bool) -> float:
+    if demand.bulky:
+        return BULKY_REMOTE_COST
+    return QUEUED_REMOTE_COST if is_full else REMOTE_COST
+
+
 def _compute_memory(age: float) -> float:
     return math.pow(0.5, max(0.0, age) / MEMORY_SECONDS)
