Take a slower upstream nearby where the target leaves time

A trace of the choices shows why: workers nearby 1.5 to 2.6 times as slow as others, for a filing whose target is seven times its work. Ruled out: full hosts (a few in a thousand choices) and failures (a tenth). Change: the cost of leaving is a quarter of the target that is left, in multiples of the usual time of an answer, from 0.5 to 2; a call carries the time of its target.

--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from flamingohead.core.resources import DEFAULT_MAX_ATTEMPTS
@@ -19,7 +20,8 @@
     where another daemon has made sure that its key runs once. ``caller`` names who
     sent it. A call that must not wait is refused unless a slot is free. ``host`` is
     the host that the caller asked, and ``request_id`` the caller's own id. ``parent``
-    is the id of the running request that makes the call, if it is a nested one.
+    is the id of the running request that makes the call, if it is a nested one. An
+    answer after ``target_deadline`` misses the target of the rank.
     """
 
     service: str
@@ -40,6 +42,7 @@
     parent: str = ""
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     host: bytes = b""
+    target_deadline: float = math.inf
 
     @property
     def request_id(self) -> str:
--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -2,9 +2,9 @@
 
 The load it answers: failure domains with as many upstreams as their callers need, where
 what leaves takes a longer way and is lost in a cut; failure domains with equal callers
-and unequal upstreams, where much has to leave; upstreams that differ in speed, start cold,
-turn slow or fail part of their requests; and loads near the capacity, where the few
-slots that are free move from host to host faster than any report. So each request
+and unequal upstreams, where much has to leave; upstreams that differ in speed, start
+cold, turn slow or fail part of their requests; and loads near the capacity, where the
+few slots that are free move from host to host faster than any report. So each request
 is first offered to the best hosts without waiting there, which their admission answers
 exactly, and only then waits, where the wait is likely to be the shortest.
 """
@@ -38,9 +38,12 @@
 FAILURE_COST = 10.0
 # Time after which the part of a report that speaks of other senders counts half.
 REPORT_MEMORY_SECONDS = 0.5
-# Cost of leaving the failure domain, in multiples of the time of an answer: more than
-# the upstreams of a service usually differ in speed, and less than a queue.
+# Cost of leaving the failure domain, in multiples of the time of an answer. Where the
+# target leaves time, a slower upstream nearby still meets it: a quarter of the target
+# is given for staying.
 REMOTE_COST = 0.5
+HIGHEST_REMOTE_COST = 2.0
+REMOTE_TARGET_FRACTION = 0.25
 # A large answer takes the links between the failure domains as well.
 BULKY_REMOTE_COST = 1.5
 # Where a request has to wait anyway, the shorter queue is worth the longer way.
@@ -89,11 +92,12 @@
 
 @dataclass(frozen=True)
 class Demand:
-    """Describe the request to place."""
+    """Describe the request to place; ``target_deadline`` in monotonic seconds."""
 
     service: str
     rank: str
     bulky: bool = False
+    target_deadline: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -286,14 +290,19 @@
         if is_full and not demand.bulky:
             cost += FULL_COST
         if view.candidate.failure_domain != self._failure_domain:
-            cost += _get_remote_cost(demand, is_full=is_full)
+            cost += self._get_remote_cost(demand, now, is_full=is_full)
         return cost
 
-
-def _get_remote_cost(demand: Demand, *, is_full: bool) -> float:
-    if demand.bulky:
-        return BULKY_REMOTE_COST
-    return QUEUED_REMOTE_COST if is_full else REMOTE_COST
+    def _get_remote_cost(self, demand: Demand, now: float, *, is_full: bool) -> float:
+        if demand.bulky:
+            return BULKY_REMOTE_COST
+        if is_full:
+            return QUEUED_REMOTE_COST
+        usual = self._usual_times.get((demand.service, demand.rank))
+        if not usual or demand.target_deadline == math.inf:
+            return REMOTE_COST
+        cost = REMOTE_TARGET_FRACTION * (demand.target_deadline - now) / usual
+        return min(max(cost, REMOTE_COST), HIGHEST_REMOTE_COST)
 
 
 def _compute_memory(age: float) -> float:
--- a/flamingohead/services/call_requests.py
+++ b/flamingohead/services/call_requests.py
@@ -50,6 +50,7 @@
         headers=headers,
         body=request.body,
         deadline=now + timeout_ms / 1000,
+        target_deadline=now + resolved.rank.target_ms / 1000,
         idempotent=route.idempotent,
         bulky=route.bulky,
         max_attempts=route.max_attempts,
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -94,7 +94,7 @@
         if known is not None and not call.parent:
             self._kernel.get("metrics").count("refusal.known")
             return known
-        demand = Demand(call.service, call.rank, call.bulky)
+        demand = Demand(call.service, call.rank, call.bulky, call.target_deadline)
         plan = AttemptPlan(call.idempotent, call.max_attempts, call.deadline)
         failed: HeldResponse | None = None
         while True:
--- a/flamingohead/tests/test_placement.py
+++ b/flamingohead/tests/test_placement.py
@@ -229,6 +229,17 @@
         assert 0.15 < left < 0.4
         assert refused < 0.01
 
+    def test_slower_upstream_nearby_is_taken_if_it_meets_the_target(self):
+        near, far = build_member("a"), build_member("b", "osu")
+        placement = build_placement(near, far, now=-100.0)
+        for _ in range(40):
+            report(placement, "b", 0.0, held_ms=100.0)
+            report(placement, "a", 0.0, held_ms=220.0)
+        patient = Demand(SERVICE, "urgent", target_deadline=0.8)
+        hurried = Demand(SERVICE, "urgent", target_deadline=0.2)
+        assert placement.choose(patient, 0.0).candidate.host_id == "a"
+        assert placement.choose(hurried, 0.0).candidate.host_id == "b"
+
     def test_request_that_has_to_wait_takes_the_shorter_queue(self):
         near, far = build_member("a"), build_member("b", "osu")
         placement = build_placement(near, far, now=-100.0)
