--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -176,9 +176,7 @@
 def measure_heartbeats(size: int) -> list[Row]:
     """Return the cost of all-to-all heartbeats, from one encoded heartbeat."""
     member = create_member(0)
-    datagram = Datagram(
-        member.host_id, member.peer_address, "rc-a", 1, 1, b"d" * 32, Gossip()
-    )
+    datagram = Datagram(member.host_id, member.peer_address, "rc-a", 1, 1, Gossip())
     data = encode_datagram(datagram)
     started_at = time.process_time()
     rounds = 3000
@@ -258,7 +256,7 @@
 
 def decode_copy(member: Member) -> Member:
     """Return a member as it comes from the wire, sharing no strings."""
-    gossip = Datagram("s", "a", "rc-a", 0, 0, b"", Gossip(), (member,))
+    gossip = Datagram("s", "a", "rc-a", 0, 0, Gossip(), (member,))
     return decode_datagram(encode_datagram(gossip)).updates[0]
 
 
--- a/benchmarks/membership_churn.py
+++ b/benchmarks/membership_churn.py
@@ -251,7 +251,5 @@
 
 def measure_size(body) -> int:
     member = create_member(0)
-    datagram = Datagram(
-        member.host_id, member.peer_address, "rc-a", 2**32, 9999, b"d" * 32, body
-    )
+    datagram = Datagram(member.host_id, member.peer_address, "rc-a", 2**32, 9999, body)
     return len(encode_datagram(datagram)) + HEADER_BYTES
--- a/flamingohead/core/datagrams.py
+++ b/flamingohead/core/datagrams.py
@@ -33,7 +33,6 @@
 
     def __init__(self, members: MemberList, sequence: int) -> None:
         self.version = 0
-        self.digest = b""
         self._list = members
         self._sequence = sequence
 
@@ -65,7 +64,6 @@
             failure_domain=myself.gossip_group,
             sequence=sequence,
             version=self.version,
-            digest=self.digest,
             body=body,
             updates=self._choose_updates(used, first),
         )
--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -175,9 +175,9 @@
         return effects
 
     def receive_snapshot(
-        self, snapshot: Snapshot, digest: bytes, now: float
+        self, snapshot: Snapshot, digest: bytes | None, now: float
     ) -> list[DisseminationEffect]:
-        """Take a whole snapshot from a peer or from the object store."""
+        """Take a whole snapshot from a peer, the object store or its source."""
         held = self.replica.version
         result = self.replica.take_snapshot(snapshot, digest)
         if isinstance(result, Refusal):
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -129,10 +129,9 @@
 
     # Events
 
-    def set_version(self, version: int, digest: bytes) -> None:
+    def set_version(self, version: int) -> None:
         """Set the configuration version that datagrams advertise."""
         self._datagrams.version = version
-        self._datagrams.digest = digest
 
     def set_upstreams(self, upstreams: Iterable[UpstreamState]) -> None:
         """Announce new states of the upstreams on this host."""
--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -98,6 +98,5 @@
     failure_domain: str
     sequence: int
     version: int
-    digest: bytes
     body: Body
     updates: tuple[Member, ...] = ()
--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -4,12 +4,14 @@
 
 import hashlib
 import json
+from collections import defaultdict
 from dataclasses import dataclass, field
+from functools import cached_property
 from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Iterator, Mapping
 
 EMPTY_DIGEST = b""
 ANY_METHOD = ("*",)
@@ -166,18 +168,39 @@
     return resource.key
 
 
+def _list_differing(
+    mine: Mapping[ResourceKey, Resource], others: Mapping[ResourceKey, Resource]
+) -> Iterator[tuple[ResourceKey, Resource]]:
+    """Yield what is not the same in ``others``."""
+    for key, resource in mine.items():
+        other = others.get(key)
+        if other is not resource and other != resource:
+            yield key, resource
+
+
+@dataclass(frozen=True)
+class SnapshotDifference:
+    """Hold the resources of two snapshots that are not the same in both."""
+
+    before: tuple[Resource, ...]
+    after: tuple[Resource, ...]
+
+
 @dataclass(frozen=True)
 class Snapshot:
     """Hold every resource of one configuration version.
 
     The digest covers one digest for each service, so that a change costs the
-    services it touches and not the whole configuration.
+    services it touches and not the whole configuration. Digests are computed when
+    they are first asked for: a daemon that takes its configuration whole from its
+    source may never need them.
     """
 
     version: int
     resources: Mapping[ResourceKey, Resource]
-    service_digests: Mapping[str, bytes] = field(repr=False, compare=False)
-    digest: bytes = EMPTY_DIGEST
+    inherited_digests: Mapping[str, bytes] = field(
+        default_factory=dict, repr=False, compare=False
+    )
 
     @classmethod
     def build(
@@ -186,37 +209,53 @@
         resources: Mapping[ResourceKey, Resource],
         *,
         base: Snapshot | None = None,
-        touched_services: Iterable[str] | None = None,
+        touched_services: Iterable[str] = (),
     ) -> Snapshot:
-        """Return a snapshot with its digests computed.
+        """Return a snapshot.
 
-        With ``base`` and ``touched_services``, the digests of the other services
-        are taken over from ``base``.
+        With a ``base``, the digests of all services but ``touched_services`` are taken
+        over from it, if it has any.
         """
-        if base is None or touched_services is None:
-            digests: dict[str, bytes] = {}
-            touched = {key.service for key in resources}
-        else:
-            digests = dict(base.service_digests)
-            touched = set(touched_services)
-        groups: dict[str, list[Resource]] = {name: [] for name in touched}
-        for key, resource in resources.items():
-            if key.service in groups:
+        inherited: dict[str, bytes] = {}
+        if base is not None and base.has_digests:
+            inherited = dict(base.service_digests)
+            for name in touched_services:
+                inherited.pop(name, None)
+        return cls(
+            version, MappingProxyType(dict(resources)), MappingProxyType(inherited)
+        )
+
+    @property
+    def has_digests(self) -> bool:
+        """Tell whether the digests have been computed."""
+        return "service_digests" in vars(self)
+
+    @cached_property
+    def service_digests(self) -> Mapping[str, bytes]:
+        """Return the digest of each service that owns a resource."""
+        groups: dict[str, list[Resource]] = defaultdict(list)
+        for key, resource in self.resources.items():
+            if key.service not in self.inherited_digests:
                 groups[key.service].append(resource)
-        for name, members in groups.items():
-            if members:
-                digests[name] = _hash_resources(members)
-            else:
-                digests.pop(name, None)
-        total = hashlib.sha256(version.to_bytes(8, "big"))
-        for name in sorted(digests):
+        digests = {name: _hash_resources(owned) for name, owned in groups.items()}
+        return MappingProxyType({**self.inherited_digests, **digests})
+
+    @cached_property
+    def digest(self) -> bytes:
+        """Return the digest of the version and all its resources."""
+        if not self.version:
+            return EMPTY_DIGEST
+        total = hashlib.sha256(self.version.to_bytes(8, "big"))
+        for name in sorted(self.service_digests):
             total.update(name.encode())
-            total.update(digests[name])
-        return cls(
-            version,
-            MappingProxyType(dict(resources)),
-            MappingProxyType(digests),
-            total.digest(),
+            total.update(self.service_digests[name])
+        return total.digest()
+
+    def compare(self, base: Snapshot) -> SnapshotDifference:
+        """Return what differs from ``base``."""
+        return SnapshotDifference(
+            tuple(r for _, r in _list_differing(base.resources, self.resources)),
+            tuple(r for _, r in _list_differing(self.resources, base.resources)),
         )
 
     def get_service(self, name: str) -> Service | None:
@@ -237,4 +276,4 @@
         return [r for key, r in self.resources.items() if key.kind == kind]
 
 
-EMPTY_SNAPSHOT = Snapshot(0, MappingProxyType({}), MappingProxyType({}), EMPTY_DIGEST)
+EMPTY_SNAPSHOT = Snapshot(0, MappingProxyType({}))
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -13,16 +13,15 @@
     CLIENT_LIMITS_KEY,
     Pool,
     Rank,
+    ResourceKey,
     Route,
+    Service,
 )
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import (
-        ClientLimits,
-        Resource,
-        Service,
-        Snapshot,
-    )
+    from collections.abc import Iterable
+
+    from flamingohead.core.resources import ClientLimits, Resource, Snapshot
 
 # Host, method and path prefix; the host is empty for routes of every host.
 RouteMatch = tuple[str, str, str]
@@ -59,23 +58,33 @@
     def build_next(self, snapshot: Snapshot) -> RouteTable:
         """Return the table of another snapshot; this one stays as it is.
 
-        Only the services that differ are compiled again, unless a pool was added,
-        moved or removed, which may concern the routes of any service.
+        Only the routes that differ are compiled again, and those whose service or
+        rank does, unless a pool was added, changed or removed.
         """
-        changed = snapshot.list_changed_services(self.snapshot)
-        before = self.snapshot.list_owned(changed)
-        after = snapshot.list_owned(changed)
-        if _select_pools(before) != _select_pools(after):
+        difference = snapshot.compare(self.snapshot)
+        resources = (*difference.before, *difference.after)
+        if any(isinstance(resource, Pool) for resource in resources):
             return RouteTable(snapshot)
         table = copy.copy(self)
         table.snapshot = snapshot
         table._routes = dict(self._routes)
-        table._ranks = {n: r for n, r in self._ranks.items() if n not in changed}
-        table._remove_routes(before)
-        table._add_resources(after)
+        table._ranks = dict(self._ranks)
+        replaced = {
+            resource.key.service
+            for resource in difference.before
+            if isinstance(resource, Service | Rank)
+        }
+        ranked = {r.service for r in resources if isinstance(r, Rank)}
+        table._remove_routes([*difference.before, *self.snapshot.list_owned(replaced)])
+        table._add_resources(
+            [*difference.after, *snapshot.list_owned(replaced | ranked)]
+        )
+        for service in replaced:
+            if not any(rank.service == service for rank in snapshot.list_kind("rank")):
+                table._ranks.pop(service, None)
         return table
 
-    def _add_resources(self, resources: list[Resource]) -> None:
+    def _add_resources(self, resources: Iterable[Resource]) -> None:
         ranks: dict[str, dict[str, Rank]] = defaultdict(dict)
         for resource in resources:
             if isinstance(resource, Pool):
@@ -87,20 +96,21 @@
             self._ranks[service] = tuple(ordered)
         for route in resources:
             if isinstance(route, Route):
-                self._add_route(route, ranks[route.service][route.rank])
+                self._add_route(route)
 
-    def _add_route(self, route: Route, rank: Rank) -> None:
+    def _add_route(self, route: Route) -> None:
         service = self.snapshot.get_service(route.service)
+        rank = self.snapshot.resources[ResourceKey("rank", route.service, route.rank)]
         pools = tuple(self._pools[name] for name in route.list_pools())
         resolved = ResolvedRoute(route, service, pools[0], rank, pools)
         for match in _list_matches(route):
             self._routes[match] = resolved
 
-    def _remove_routes(self, resources: list[Resource]) -> None:
+    def _remove_routes(self, resources: Iterable[Resource]) -> None:
         for route in resources:
             if isinstance(route, Route):
                 for match in _list_matches(route):
-                    del self._routes[match]
+                    self._routes.pop(match, None)
 
     @property
     def client_limits(self) -> ClientLimits | None:
@@ -160,10 +170,6 @@
     return [(route.host, method, prefix) for method in route.methods]
 
 
-def _select_pools(resources: list[Resource]) -> set[Pool]:
-    return {resource for resource in resources if isinstance(resource, Pool)}
-
-
 def _check_mode(resolved: ResolvedRoute) -> ResolvedRoute | Refusal:
     if resolved.service.mode == "enforce":
         return resolved
--- a/flamingohead/core/validation.py
+++ b/flamingohead/core/validation.py
@@ -6,16 +6,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from flamingohead.core.resources import CLIENT_LIMITS_KEY, Pool, Rank, Route
+from flamingohead.core.resources import (
+    CLIENT_LIMITS_KEY,
+    Pool,
+    Rank,
+    ResourceKey,
+    Route,
+)
 from flamingohead.core.routing import get_prefix
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import (
-        ClientLimits,
-        Resource,
-        ResourceKey,
-        Snapshot,
-    )
+    from collections.abc import Iterable
+
+    from flamingohead.core.resources import ClientLimits, Resource, Snapshot
 
 MODES = ("observe", "enforce")
 
@@ -48,6 +51,10 @@
 
 def _select_affected(snapshot: Snapshot, base: Snapshot) -> list[Resource]:
     """Return the resources whose validity may differ from that in ``base``."""
+    difference = snapshot.compare(base)
+    removed = [r for r in difference.before if r.key not in snapshot.resources]
+    if all(isinstance(resource, Route) for resource in removed):
+        return _add_ranks(snapshot, difference.after)
     changed = snapshot.list_changed_services(base)
     resources = snapshot.list_owned(changed)
     if _name_pools(base.list_owned(changed)) <= _name_pools(resources):
@@ -55,6 +62,16 @@
     return list(snapshot.resources.values())
 
 
+def _add_ranks(snapshot: Snapshot, resources: Iterable[Resource]) -> list[Resource]:
+    """Return resources with the other ranks of each service that has one of them."""
+    affected = {resource.key: resource for resource in resources}
+    services = {r.service for r in affected.values() if isinstance(r, Rank)}
+    for rank in snapshot.list_kind("rank") if services else ():
+        if rank.service in services:
+            affected[rank.key] = rank
+    return list(affected.values())
+
+
 def _name_pools(resources: list[Resource]) -> set[str]:
     return {resource.name for resource in resources if isinstance(resource, Pool)}
 
@@ -103,7 +120,6 @@
 def _check_routes(snapshot: Snapshot, resources: list[Resource]) -> list[Problem]:
     problems = []
     pools = {pool.name for pool in snapshot.list_kind("pool")}
-    ranks = {(r.service, r.name) for r in resources if isinstance(r, Rank)}
     routes = [resource for resource in resources if isinstance(resource, Route)]
     for route in routes:
         problems += [
@@ -112,7 +128,7 @@
             if pool not in pools
         ]
         problems += _check_parts(route)
-        if (route.service, route.rank) not in ranks:
+        if ResourceKey("rank", route.service, route.rank) not in snapshot.resources:
             problems.append(
                 Problem(route.key, "rank", f"rank {route.rank!r} does not exist")
             )
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -96,14 +96,17 @@
         self.snapshot = snapshot
         return snapshot
 
-    def take_snapshot(self, snapshot: Snapshot, digest: bytes) -> Snapshot | Refusal:
+    def take_snapshot(
+        self, snapshot: Snapshot, digest: bytes | None = None
+    ) -> Snapshot | Refusal:
         """Replace the snapshot by a newer whole one.
 
-        An older or equal snapshot leaves the one held in force.
+        An older or equal snapshot leaves the one held in force. One that comes from its
+        source itself needs no ``digest``.
         """
         if snapshot.version <= self.version:
             return self.snapshot
-        refusal = check_snapshot(snapshot, digest)
+        refusal = check_snapshot(snapshot, digest, base=self.snapshot)
         if refusal is not None:
             return refusal
         self.records.clear()
@@ -128,10 +131,10 @@
 
 
 def check_snapshot(
-    snapshot: Snapshot, digest: bytes, *, base: Snapshot | None = None
+    snapshot: Snapshot, digest: bytes | None, *, base: Snapshot | None = None
 ) -> Refusal | None:
     """Return why a snapshot can't be taken, or ``None``; ``base`` is a valid one."""
-    if snapshot.digest != digest:
+    if digest is not None and snapshot.digest != digest:
         return Refusal(
             ErrorKind.INVALID_CONFIGURATION,
             f"version {snapshot.version} does not match its digest",
--- a/flamingohead/daemon.py
+++ b/flamingohead/daemon.py
@@ -12,7 +12,6 @@
 from flamingohead.exits import ExitCode
 from flamingohead.kernel import Kernel, StartError
 from flamingohead.logs import configure_logging
-from flamingohead.services.reactor import install_reactor
 
 if TYPE_CHECKING:
     from flamingohead.settings import DaemonSettings
@@ -26,6 +25,8 @@
 
 def build_kernel(settings: DaemonSettings) -> Kernel:
     """Return a kernel with every service of a daemon, not yet started."""
+    from flamingohead.services.reactor import install_reactor
+
     install_reactor()
     from flamingohead.assembly import add_services
 
@@ -60,6 +61,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*COLLECTION_THRESHOLDS)
+    gc.enable()
     log_event(logger, Event.DAEMON_STARTED, **identity)
     await stopping.wait()
     log_event(logger, Event.DAEMON_STOPPING, **identity)
--- a/flamingohead/mesh.py
+++ b/flamingohead/mesh.py
@@ -1,7 +1,4 @@
-"""The services by which a daemon knows the others, in every kind of daemon.
-
-Import this module only after the reactor has been installed.
-"""
+"""The services by which a daemon knows the others, in every kind of daemon."""
 
 from __future__ import annotations
 
--- a/flamingohead/platform/__main__.py
+++ b/flamingohead/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 
@@ -11,6 +12,8 @@
     # Until the settings are watched, a reload would end the process; the start reads
     # them anyway. Everything slow is imported after this.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Collections over the modules that are being imported find nothing.
+    gc.disable()
     from flamingohead.platform.start import run
 
     return run()
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -1,7 +1,4 @@
-"""The services of a daemon on the platform's hosts.
-
-Import this module only after the reactor has been installed.
-"""
+"""The services of a daemon on the platform's hosts."""
 
 from __future__ import annotations
 
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -5,73 +5,57 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
-import yaml
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    ConfigDict,
-    Field,
-    ValidationError,
-)
+import msgspec
+from msgspec import Meta
 
 from flamingohead.addresses import check_address
-from flamingohead.platform.durations import Milliseconds
+from flamingohead.platform.durations import DurationText, parse_milliseconds
+from flamingohead.platform.messages import UNREADABLE, Message, describe_problem
 
 METRICS_VARIABLE = "FLAMINGOHEAD_METRICS_PORT"
 HIGHEST_PORT = 65535
 SETTINGS_VARIABLE = "FLAMINGOHEAD_SETTINGS"
 DEFAULT_SETTINGS_PATH = "/etc/flamingohead/boot.yaml"
 
-Address = Annotated[str, AfterValidator(check_address)]
+Text = Annotated[str, Meta(min_length=1)]
+Positive = Annotated[float, Meta(ge=0)]
 
 
 class BootError(ValueError):
     """Report a settings file that can't be used; the message names each problem."""
 
 
-class _Message(BaseModel):
-    model_config = ConfigDict(
-        extra="ignore", alias_generator=lambda name: name.replace("_", "-")
-    )
-
-
-class _Listen(_Message):
-    outbound: Address
-    inbound: Address
-    ready: Address
-    control: Address
-
-
-class _Limits(_Message):
-    memory_mb: float = 0.0
+class _Listen(Message):
+    outbound: str
+    inbound: str
+    ready: str
+    control: str
 
 
-class _Bounds(_Message):
-    drain: Milliseconds = 2000.0
-    grace: Milliseconds = 6000.0
-    retry_budget_ratio: float = Field(0.2, ge=0)
-    budget_window: Milliseconds = 10_000.0
-    budget_slack: float = Field(0.0, ge=0)
+class _Bounds(Message):
+    grace: DurationText = "6s"
+    retry_budget_ratio: Positive = 0.2
+    budget_window: DurationText = "10s"
+    budget_slack: Positive = 0.0
 
 
-class _Store(_Message):
-    address: Address
+class _Store(Message):
+    address: str
 
 
-class _Boot(_Message):
-    node: str = Field(min_length=1)
+class _Boot(Message):
+    node: Text
     ip: str
-    zone: str = Field(min_length=1)
+    zone: Text
     listen: _Listen
     internal_ports: tuple[int, int]
-    limits: _Limits = _Limits()
-    heartbeat: Milliseconds = 1500.0
-    bounds: _Bounds = _Bounds()
-    app_addr: Address
-    service: str = Field(min_length=1)
+    app_addr: str
+    service: Text
     platform: _Store
+    heartbeat: DurationText = "1500ms"
+    bounds: _Bounds = _Bounds()
 
 
 @dataclass(frozen=True)
@@ -106,12 +90,30 @@
     Metrics are served at ``metrics_port`` of the host, or nowhere if it is 0.
     """
     try:
-        boot = _Boot.model_validate(yaml.safe_load(text))
+        fields = _parse_text(text)
+        boot = msgspec.convert(fields, _Boot)
+    except msgspec.ValidationError as error:
+        raise BootError(describe_problem(error, fields, _return_same)) from error
+    return _decode(boot, metrics_port)
+
+
+def _parse_text(text: str) -> Any:
+    """Return the fields of a text in JSON, or in YAML, which takes longer to load."""
+    if text.startswith("{"):
+        try:
+            return msgspec.json.decode(text)
+        except UNREADABLE as error:
+            raise BootError(f"not JSON: {error}") from error
+    import yaml
+
+    try:
+        return yaml.safe_load(text)
     except yaml.YAMLError as error:
         raise BootError(f"not YAML: {error}") from error
-    except ValidationError as error:
-        raise BootError("; ".join(_describe(p) for p in error.errors())) from error
-    return _decode(boot, metrics_port)
+
+
+def _return_same(fields: Any) -> Any:
+    return fields
 
 
 def read_settings(path: str) -> HostSettings:
@@ -122,29 +124,36 @@
     return parse_settings(Path(path).read_text(), metrics_port=int(port))
 
 
-def _describe(problem) -> str:
-    name = ".".join(str(part) for part in problem["loc"]) or "file"
-    message = problem["msg"].removeprefix("Value error, ")
-    return f"{name}: found {problem['input']!r}: {message}"
+def _check_address(name: str, value: str) -> str:
+    """Return a checked address; raise ``BootError``."""
+    try:
+        return check_address(value)
+    except ValueError as error:
+        raise BootError(f"{name}: found {value!r}: {error}") from error
+
+
+def _convert_seconds(text: str) -> float:
+    return parse_milliseconds(text) / 1000
 
 
 def _decode(boot: _Boot, metrics_port: int) -> HostSettings:
     first_port, _ = boot.internal_ports
+    listen = boot.listen
     return HostSettings(
         host_id=boot.node,
         failure_domain=boot.zone,
-        ingress_address=boot.listen.outbound,
-        relay_address=boot.listen.inbound,
-        ready_address=boot.listen.ready,
-        announce_address=boot.listen.control,
+        ingress_address=_check_address("listen.outbound", listen.outbound),
+        relay_address=_check_address("listen.inbound", listen.inbound),
+        ready_address=_check_address("listen.ready", listen.ready),
+        announce_address=_check_address("listen.control", listen.control),
         peer_address=f"{boot.ip}:{first_port}",
         metrics_address=f"{boot.ip}:{metrics_port}" if metrics_port else "",
-        store_address=boot.platform.address,
-        upstream_address=boot.app_addr,
+        store_address=_check_address("platform.address", boot.platform.address),
+        upstream_address=_check_address("app-addr", boot.app_addr),
         service=boot.service,
-        announcement_period=boot.heartbeat / 1000,
-        stop_timeout=boot.bounds.grace / 1000,
+        announcement_period=_convert_seconds(boot.heartbeat),
+        stop_timeout=_convert_seconds(boot.bounds.grace),
         retry_ratio=boot.bounds.retry_budget_ratio,
-        retry_window=boot.bounds.budget_window / 1000,
+        retry_window=_convert_seconds(boot.bounds.budget_window),
         retry_slack=boot.bounds.budget_slack,
     )
--- a/flamingohead/platform/documents.py
+++ b/flamingohead/platform/documents.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Literal
+import itertools
+from typing import TYPE_CHECKING, Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec import Meta
 
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.resources import (
@@ -17,143 +19,176 @@
     Snapshot,
     WeightedPool,
 )
-from flamingohead.platform.durations import Milliseconds
+from flamingohead.platform.durations import DurationText, parse_milliseconds
+from flamingohead.platform.messages import UNREADABLE, Message, describe_problem
 
 if TYPE_CHECKING:
-    from flamingohead.core.resources import Resource, ResourceKey
+    from collections.abc import Iterator
 
-MAX_PROBLEMS_TOLD = 3
+    from flamingohead.core.resources import Resource, ResourceKey
 
+    # A message that stands for itself, with the host of its listener.
+    Part = tuple[str, Message]
+    Resources = tuple[tuple[ResourceKey, Resource], ...]
 
-class _Message(BaseModel):
-    model_config = ConfigDict(
-        extra="ignore", alias_generator=lambda name: name.replace("_", "-")
-    )
+Text = Annotated[str, Meta(min_length=1)]
+Count = Annotated[int, Meta(ge=0)]
+Positive = Annotated[int, Meta(ge=1)]
 
 
-class _Part(_Message):
+class _Part(Message):
     service: str
-    weight: int = Field(ge=0)
+    weight: Count
 
 
-class _Match(_Message):
-    prefix: str = Field(pattern=r"^/(.*/)?$")
+class _Match(Message):
+    prefix: Annotated[str, Meta(pattern=r"^/(.*/)?$")]
 
 
-class _Action(_Message):
+class _Action(Message):
+    timeout: DurationText
+    max_attempts: Positive
     service: str = ""
-    split: list[_Part] = []
-    timeout: Milliseconds
-    max_attempts: int = Field(ge=1)
+    split: tuple[_Part, ...] = ()
 
 
-class _Rule(_Message):
-    name: str = Field(min_length=1)
+class _Rule(Message):
+    name: Text
     kind: Literal["safe", "unsafe", "download"]
     # The time within which an answer is worth its full credit.
-    target_latency: Milliseconds
+    target_latency: DurationText
     # 0 is the most urgent.
-    priority: int = Field(ge=0)
+    priority: Count
     match: _Match
     action: _Action
 
 
-class _Listener(_Message):
-    host: str = Field(min_length=1)
-    route_rules: list[_Rule]
+class _Listener(Message):
+    host: Text
+    route_rules: tuple[_Rule, ...]
 
 
-class _Cluster(_Message):
-    name: str = Field(min_length=1)
+class _Cluster(Message):
+    name: Text
     health_path: str = ""
 
 
-class _Limits(_Message):
-    max_header_bytes: int = Field(ge=1)
-    max_body_bytes: int = Field(ge=1)
-    header_timeout: Milliseconds
-    idle_timeout: Milliseconds
+class _Limits(Message):
+    max_header_bytes: Positive
+    max_body_bytes: Positive
+    header_timeout: DurationText
+    idle_timeout: DurationText
 
 
-class _Document(_Message):
-    version: int = Field(ge=1)
+class _Document(Message):
+    version: Positive
     limits: _Limits
-    listeners: list[_Listener]
-    clusters: list[_Cluster]
+    listeners: tuple[_Listener, ...]
+    clusters: tuple[_Cluster, ...]
+
+
+_DOCUMENTS = msgspec.json.Decoder(_Document)
 
 
 def decode_document(data: bytes) -> Snapshot | Refusal:
     """Return the snapshot that a whole configuration document describes."""
-    try:
-        document = _Document.model_validate_json(data)
-    except ValidationError as error:
-        problems = error.errors()[:MAX_PROBLEMS_TOLD]
-        detail = "; ".join(
-            f"{'.'.join(map(str, problem['loc']))}: "
-            f"found {str(problem['input'])[:60]!r}: {problem['msg']}"
-            for problem in problems
-        )
-        return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
-    resources = _DocumentReader(document).resources
-    return Snapshot.build(document.version, resources)
+    return DocumentReader().read(data)
 
 
-class _DocumentReader:
-    """Collect the resources of a document.
+class DocumentReader:
+    """Turn configuration documents, one after another, into snapshots.
+
+    What a document has in common with the one before keeps its resources, so that a
+    change costs what it changes.
 
     The platform knows no ranks: routes of the same priority and target latency share
     one, in each service that they lead to.
     """
 
-    def __init__(self, document: _Document) -> None:
-        self.resources: dict[ResourceKey, Resource] = {}
-        for cluster in document.clusters:
-            self._add(Service(cluster.name))
-            self._add(Pool(cluster.name, cluster.name, cluster.health_path))
-        limits = document.limits
-        self._add(
-            ClientLimits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                round(limits.header_timeout),
-                round(limits.idle_timeout),
-            )
-        )
-        for listener in document.listeners:
-            for rule in listener.route_rules:
-                self._add_route(listener.host.lower(), rule)
-
-    def _add(self, resource: Resource) -> None:
-        self.resources[resource.key] = resource
-
-    def _add_route(self, host: str, rule: _Rule) -> None:
-        action = rule.action
-        split = tuple(WeightedPool(p.service, p.weight) for p in action.split)
-        service = split[0].pool if split else action.service
-        rank = f"{rule.priority}-{rule.target_latency:g}ms"
-        route = Route(
-            name=f"{host}{rule.match.prefix} {rule.name}",
-            service=service,
-            path=rule.match.prefix,
-            methods=ANY_METHOD,
-            pool=service,
-            rank=rank,
-            timeout_ms=round(action.timeout),
-            idempotent=rule.kind != "unsafe",
-            host=host,
-            split=split,
-            bulky=rule.kind == "download",
-            max_attempts=action.max_attempts,
+    def __init__(self) -> None:
+        self._parts: dict[Part, Resources] = {}
+
+    def read(self, data: bytes) -> Snapshot | Refusal:
+        """Return the snapshot of the next document; a refusal changes nothing."""
+        try:
+            document = _DOCUMENTS.decode(data)
+        except UNREADABLE as error:
+            detail = describe_problem(error, data)
+            return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
+        parts = {part: self._read_part(part) for part in _list_parts(document)}
+        resources = dict(itertools.chain.from_iterable(parts.values()))
+        self._parts = parts
+        return Snapshot.build(document.version, resources)
+
+    def _read_part(self, part: Part) -> Resources:
+        known = self._parts.get(part)
+        if known is not None:
+            return known
+        host, message = part
+        resources = _BUILDERS[type(message)](host, message)
+        return tuple((resource.key, resource) for resource in resources)
+
+
+def _list_parts(document: _Document) -> Iterator[Part]:
+    """Yield the parts of a document that stand for themselves."""
+    for cluster in document.clusters:
+        yield "", cluster
+    yield "", document.limits
+    for listener in document.listeners:
+        host = listener.host.lower()
+        for rule in listener.route_rules:
+            yield host, rule
+
+
+def _build_pool(_: str, cluster: _Cluster) -> tuple[Resource, ...]:
+    pool = Pool(cluster.name, cluster.name, cluster.health_path)
+    return Service(cluster.name), pool
+
+
+def _build_limits(_: str, limits: _Limits) -> tuple[Resource, ...]:
+    return (
+        ClientLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            round(parse_milliseconds(limits.header_timeout)),
+            round(parse_milliseconds(limits.idle_timeout)),
+        ),
+    )
+
+
+def _build_route(host: str, rule: _Rule) -> tuple[Resource, ...]:
+    """Return a route and its rank in each service that it leads to."""
+    action = rule.action
+    split = tuple(WeightedPool(p.service, p.weight) for p in action.split)
+    service = split[0].pool if split else action.service
+    target_ms = parse_milliseconds(rule.target_latency)
+    rank = f"{rule.priority}-{target_ms:g}ms"
+    route = Route(
+        name=f"{host}{rule.match.prefix} {rule.name}",
+        service=service,
+        path=rule.match.prefix,
+        methods=ANY_METHOD,
+        pool=service,
+        rank=rank,
+        timeout_ms=round(parse_milliseconds(action.timeout)),
+        idempotent=rule.kind != "unsafe",
+        host=host,
+        split=split,
+        bulky=rule.kind == "download",
+        max_attempts=action.max_attempts,
+    )
+    ranks = (
+        Rank(
+            name=rank,
+            service=pool,
+            order=rule.priority,
+            target_ms=round(target_ms),
+            worth=1.0,
+            share=0.0,
         )
-        self._add(route)
-        for pool in route.list_pools():
-            self._add(
-                Rank(
-                    name=rank,
-                    service=pool,
-                    order=rule.priority,
-                    target_ms=round(rule.target_latency),
-                    worth=1.0,
-                    share=0.0,
-                )
-            )
+        for pool in route.list_pools()
+    )
+    return route, *ranks
+
+
+_BUILDERS = {_Cluster: _build_pool, _Limits: _build_limits, _Rule: _build_route}
--- a/flamingohead/platform/durations.py
+++ b/flamingohead/platform/durations.py
@@ -5,11 +5,14 @@
 import re
 from typing import Annotated, Any
 
-from pydantic import BeforeValidator
+from msgspec import Meta
 
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 MILLISECONDS = {"ms": 1.0, "s": 1000.0}
 
+# The text of a time in a message.
+DurationText = Annotated[str, Meta(pattern=rf"^{_DURATION.pattern}$")]
+
 
 def parse_milliseconds(value: Any) -> float:
     """Return the milliseconds of a text such as ``1500ms``; raise ``ValueError``."""
@@ -17,6 +20,3 @@
     if match is None:
         raise ValueError(f"found {value!r}, expected a time such as 1500ms or 2.5s")
     return float(match[1]) * MILLISECONDS[match[2]]
-
-
-Milliseconds = Annotated[float, BeforeValidator(parse_milliseconds)]
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -5,14 +5,16 @@
 import asyncio
 import json
 import logging
-from typing import TYPE_CHECKING, Literal
+from typing import TYPE_CHECKING, Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec import Meta
 
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import Announcement
 from flamingohead.events import Event, log_event
-from flamingohead.platform.durations import Milliseconds
+from flamingohead.platform.durations import DurationText
+from flamingohead.platform.messages import UNREADABLE, Message, describe_problem
 from flamingohead.services.endpoint import Endpoint
 
 if TYPE_CHECKING:
@@ -27,28 +29,28 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
-class _Beat(BaseModel):
-    model_config = ConfigDict(
-        extra="ignore",
-        strict=True,
-        alias_generator=lambda name: name.replace("_", "-"),
-    )
-
-    service: str = Field(min_length=1)
+class _Beat(Message):
+    service: Annotated[str, Meta(min_length=1)]
     address: str
-    slots: int = Field(ge=1)
+    slots: Annotated[int, Meta(ge=1)]
     state: Literal["ready", "draining"]
-    # How much longer the upstream stays slow after its start.
-    cold_remaining: Milliseconds = 0.0
     # Grows with each message of one start.
-    seq: int = Field(ge=0)
+    seq: Annotated[int, Meta(ge=0)]
+    # How much longer the upstream stays slow after its start.
+    cold_remaining: DurationText = "0ms"
     # Unix milliseconds of the start.
-    born: int = Field(0, ge=0)
+    born: Annotated[int, Meta(ge=0)] = 0
+
+
+_BEATS = msgspec.json.Decoder(_Beat)
 
 
 def decode_beat(name: str, data: bytes) -> Announcement:
-    """Return the announcement in a heartbeat; raise ``ValidationError``."""
-    beat = _Beat.model_validate_json(data)
+    """Return the announcement in a heartbeat; raise ``ValueError``."""
+    try:
+        beat = _BEATS.decode(data)
+    except UNREADABLE as error:
+        raise ValueError(describe_problem(error, data)) from error
     return Announcement(
         name,
         beat.service,
@@ -98,7 +100,7 @@
     ) -> None:
         try:
             announcement = decode_beat(name, request.body)
-        except (ValidationError, ValueError) as error:
+        except ValueError as error:
             self._kernel.get("metrics").count("beat.malformed")
             log_event(logger, Event.BEAT_MALFORMED, upstream=name, error=error)
             response.send(400, JSON_HEADERS, b'{"error":"not a heartbeat"}')
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import Refusal
-from flamingohead.platform.documents import decode_document
+from flamingohead.platform.documents import DocumentReader
 from flamingohead.platform.store import HistoryDropped, StoredRow
 
 if TYPE_CHECKING:
@@ -31,6 +31,7 @@
         self._kernel = kernel
         self._task: asyncio.Task | None = None
         self._retry_wait = FIRST_RETRY_SECONDS
+        self._documents = DocumentReader()
 
     async def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -75,7 +76,7 @@
         values = [r for r in rows if r.key == CONFIGURATION_KEY and r.value is not None]
         if values:
             row = values[-1]
-            snapshot = decode_document(row.value)
+            snapshot = self._documents.read(row.value)
             if isinstance(snapshot, Refusal):
                 configuration.reject_document(
                     configuration.replica.version + 1, snapshot
--- a/flamingohead/platform/start.py
+++ b/flamingohead/platform/start.py
@@ -14,7 +14,7 @@
     BootError,
     read_settings,
 )
-from flamingohead.services.reactor import install_reactor, run_until_stopped
+from flamingohead.services.reactor import run_on_loop
 
 logger = logging.getLogger("flamingohead.platform")
 
@@ -28,7 +28,6 @@
     except (BootError, OSError) as error:
         log_event(logger, Event.DAEMON_NOT_STARTED, settings=path, reason=error)
         return int(ExitCode.USAGE)
-    install_reactor()
     from flamingohead.platform.daemon import run_daemon
 
-    return run_until_stopped(lambda: run_daemon(settings, path))
+    return run_on_loop(lambda: run_daemon(settings, path))
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -7,13 +7,14 @@
 import logging
 import time
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 from urllib.parse import quote, urlencode
 
-from pydantic import Base64Bytes, BaseModel, ConfigDict, Field, ValidationError
+import msgspec
 
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.events import Event, log_event
+from flamingohead.platform.messages import UNREADABLE, Message
 from flamingohead.services.http_client import CollectedAnswer
 from flamingohead.services.http_messages import OutgoingRequest
 
@@ -73,30 +74,29 @@
     """State that the store no longer has the changes asked for."""
 
 
-class _WireRow(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
+class _WireRow(Message):
     key: str
-    value: Base64Bytes | None = None
+    # In base64, which the decoder undoes.
+    value: bytes | None = None
     ver: int = 0
     # Whether the row was dropped.
     deleted: bool = False
 
 
-class _WirePage(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-    rows: list[_WireRow] = []
+class _WirePage(Message):
     # The store's newest version, not that of a row.
     ver: int
+    rows: tuple[_WireRow, ...] = ()
     # More rows follow those given.
     truncated: bool = False
 
 
-class _WireCommit(BaseModel):
-    model_config = ConfigDict(extra="ignore")
+class _WireCommit(Message):
+    ver: Annotated[int, msgspec.Meta(ge=0)]
+
 
-    ver: int = Field(ge=0)
+_PAGES = msgspec.json.Decoder(_WirePage)
+_COMMITS = msgspec.json.Decoder(_WireCommit)
 
 
 class StoreClient:
@@ -179,8 +179,8 @@
         if sink.status != OK:
             return self._refuse(f"transaction answered with {sink.status}")
         try:
-            return _WireCommit.model_validate_json(sink.body).ver
-        except ValidationError as error:
+            return _COMMITS.decode(sink.body).ver
+        except UNREADABLE as error:
             return self._refuse(f"transaction not understood: {error}")
 
     async def read_object(self, name: str) -> bytes | None | Refusal:
@@ -239,8 +239,8 @@
         if sink.status != OK:
             return self._refuse(f"rows answered with {sink.status}")
         try:
-            page = _WirePage.model_validate_json(sink.body)
-        except ValidationError as error:
+            page = _PAGES.decode(sink.body)
+        except UNREADABLE as error:
             return self._refuse(f"rows not understood: {error}")
         rows = tuple(
             StoredRow(row.key, None if row.deleted else row.value or b"", row.ver)
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -300,7 +300,6 @@
         failure_domain=datagram.failure_domain,
         sequence=datagram.sequence,
         version=datagram.version,
-        digest=datagram.digest,
         updates=[encode_member(member) for member in datagram.updates],
     )
     body = datagram.body
@@ -332,7 +331,6 @@
         failure_domain=message.failure_domain,
         sequence=message.sequence,
         version=message.version,
-        digest=message.digest,
         body=_decode_body(message),
         updates=tuple(decode_member(member) for member in message.updates),
     )
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from pydantic import BaseModel, ConfigDict, ValidationError, field_validator
+import msgspec
 
 from flamingohead.addresses import check_address
 from flamingohead.core.bootstrap import (
@@ -35,19 +35,17 @@
 STOP_TIMEOUT_SECONDS = 0.2
 
 
-class HostRowBody(BaseModel):
-    """Hold one checked host row; ``written_at`` is wall-clock time."""
-
-    model_config = ConfigDict(extra="ignore")
+class HostRowBody(msgspec.Struct):
+    """Hold one host row; ``written_at`` is wall-clock time."""
 
     peer_address: str
     written_at: float = 0.0
 
-    @field_validator("peer_address")
-    @classmethod
-    def _check_address(cls, value: str) -> str:
-        check_address(value)
-        return value
+    def __post_init__(self) -> None:
+        check_address(self.peer_address)
+
+
+_ROWS = msgspec.json.Decoder(HostRowBody)
 
 
 class BootstrapService:
@@ -135,8 +133,8 @@
         for row in found:
             parts = row.key.split("/")
             try:
-                body = HostRowBody.model_validate_json(row.value)
-            except ValidationError:
+                body = _ROWS.decode(row.value)
+            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
                 self._kernel.get("metrics").count("host_row.malformed")
                 continue
             if parts[1] == group:
@@ -149,7 +147,7 @@
     async def _write_row(self) -> None:
         myself = self._get_membership().myself
         body = HostRowBody(peer_address=myself.peer_address, written_at=time.time())
-        value = body.model_dump_json().encode()
+        value = msgspec.json.encode(body)
         table = self._kernel.get("table")
         key = self._get_row_key(myself.host_id)
         self._kernel.get("metrics").count("host_row.written")
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -105,7 +105,7 @@
 
     def receive_document(self, snapshot: Snapshot) -> None:
         """Take a whole configuration from its source."""
-        self._take_snapshot(snapshot, snapshot.digest)
+        self._take_snapshot(snapshot, None)
 
     def reject_document(self, version: int, refusal: Refusal) -> None:
         """Report a configuration of the source that can't be used."""
@@ -157,7 +157,7 @@
     def _activate(self, snapshot: Snapshot) -> None:
         self.activated_at = time.time()
         membership = self._kernel.get("gossip").membership
-        membership.set_version(snapshot.version, snapshot.digest)
+        membership.set_version(snapshot.version)
         self._kernel.get("metrics").set_gauge("version", snapshot.version)
         if self.is_ready:
             self._publish_routes()
@@ -253,7 +253,7 @@
         self._run(self._dissemination.receive_records(records, now))
         return self.replica.version
 
-    def _take_snapshot(self, snapshot: Snapshot, digest: bytes) -> int:
+    def _take_snapshot(self, snapshot: Snapshot, digest: bytes | None) -> int:
         now = time.monotonic()
         self._run(self._dissemination.receive_snapshot(snapshot, digest, now))
         return self.replica.version
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -7,7 +7,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from twisted.internet import reactor
 from twisted.internet.protocol import DatagramProtocol
 
 from flamingohead.addresses import split_address
@@ -16,6 +15,7 @@
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec
 from flamingohead.services.ticks import Ticks
+from flamingohead.services.transport import AsyncioDatagrams, listen_datagrams
 
 if TYPE_CHECKING:
     from flamingohead.core.members import Member, UpstreamStatus
@@ -36,7 +36,7 @@
         self.membership = membership
         self._kernel = kernel
         self._address = address
-        self._port = None
+        self._port: AsyncioDatagrams | None = None
         self._left = False
         self._changed = False
         self._next_publish_at = 0.0
@@ -44,13 +44,13 @@
 
     async def start(self) -> None:
         host, port = split_address(self._address)
-        self._port = reactor.listenUDP(port, self, interface=host)
+        self._port = await listen_datagrams(self, host, port)
         self._ticks.start(TICK_PERIOD, now=False)
 
     async def stop(self) -> None:
         self.leave()
         self._ticks.stop()
-        await self._port.stopListening().asFuture(reactor._asyncioEventloop)
+        self._port.close()
 
     def leave(self) -> None:
         """Tell the other members, once, that this one leaves."""
@@ -139,6 +139,9 @@
             configuration.receive_record(datagram.body.record)
         configuration.receive_peer_version(datagram.sender_address, datagram.version)
 
+    def connectionRefused(self) -> None:  # noqa: N802
+        self._kernel.get("metrics").count("datagram.refused")
+
     def _tick(self) -> None:
         now = time.monotonic()
         self._run(self.membership.tick(now))
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import time
 from collections import deque
@@ -19,7 +20,6 @@
     RequestReader,
 )
 from flamingohead.services.http_response import ServerResponse
-from flamingohead.services.reactor import install_reactor
 from flamingohead.services.ticks import Ticks
 
 if TYPE_CHECKING:
@@ -289,7 +289,10 @@
         self.limits = ServerLimits()
         self.sends_fractional_retry_after = sends_fractional_retry_after
         self.clock = time.monotonic
-        self.call_soon = install_reactor().call_soon
+
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Call back in the next turn of the loop."""
+        asyncio.get_running_loop().call_soon(callback)
 
     def startFactory(self) -> None:  # noqa: N802
         self._sweeps.start(SWEEP_PERIOD)
--- a/flamingohead/services/metrics.py
+++ b/flamingohead/services/metrics.py
@@ -5,13 +5,13 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from statsd import StatsClient
-
 from flamingohead.addresses import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from statsd import StatsClient
+
     from flamingohead.core.errors import Refusal
 
 PREFIX = "flamingohead"
@@ -37,6 +37,8 @@
 
     async def start(self) -> None:
         if self._address:
+            from statsd import StatsClient
+
             host, port = split_address(self._address)
             self._client = StatsClient(host, port, prefix=PREFIX)
 
--- a/flamingohead/services/reactor.py
+++ b/flamingohead/services/reactor.py
@@ -1,4 +1,4 @@
-"""Installation of the one event loop that Twisted and grpclib share."""
+"""The one event loop that Twisted and grpclib share."""
 
 from __future__ import annotations
 
@@ -12,15 +12,33 @@
 IO_URING_VARIABLE = "UV_USE_IO_URING"
 
 
+def build_loop() -> asyncio.AbstractEventLoop:
+    """Return a new event loop, set as that of this thread."""
+    os.environ[IO_URING_VARIABLE] = "0"
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    return loop
+
+
+def run_on_loop(main) -> int:
+    """Run the coroutine function ``main`` without a reactor; return its exit code.
+
+    Twisted's protocols run on the loop's own transports. A reactor costs a start more
+    than the time of a heartbeat, and only the operators' endpoint needs one.
+    """
+    loop = build_loop()
+    try:
+        return loop.run_until_complete(main())
+    finally:
+        loop.close()
+
+
 def install_reactor() -> asyncio.AbstractEventLoop:
     """Install Twisted's asyncio reactor once and return its loop."""
     if "twisted.internet.reactor" not in sys.modules:
         from twisted.internet import asyncioreactor
 
-        os.environ[IO_URING_VARIABLE] = "0"
-        loop = uvloop.new_event_loop()
-        asyncio.set_event_loop(loop)
-        asyncioreactor.install(loop)
+        asyncioreactor.install(build_loop())
     from twisted.internet import reactor
 
     return reactor._asyncioEventloop
--- a/flamingohead/services/transport.py
+++ b/flamingohead/services/transport.py
@@ -16,7 +16,7 @@
 from twisted.python.failure import Failure
 
 if TYPE_CHECKING:
-    from twisted.internet.protocol import Factory, Protocol
+    from twisted.internet.protocol import DatagramProtocol, Factory, Protocol
 
 LISTEN_BACKLOG = 512
 WRITE_HIGH_WATER_BYTES = 64 * 1024
@@ -109,6 +109,35 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, int(enabled))
 
 
+class AsyncioDatagrams(asyncio.DatagramProtocol):
+    """Give a Twisted datagram protocol the transport that it writes to."""
+
+    def __init__(self, protocol: DatagramProtocol) -> None:
+        self._protocol = protocol
+        self._transport: asyncio.DatagramTransport | None = None
+
+    # asyncio
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self._transport = transport
+        self._protocol.makeConnection(self)
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        self._protocol.datagramReceived(data, address)
+
+    def error_received(self, error: OSError) -> None:
+        self._protocol.connectionRefused()
+
+    # Twisted
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        if not self._transport.is_closing():
+            self._transport.sendto(data, address)
+
+    def close(self) -> None:
+        self._transport.close()
+
+
 def bind(host: str, port: int) -> socket.socket:
     """Return a listening socket; raise ``OSError``.
 
@@ -129,6 +158,24 @@
     )
 
 
+async def listen_datagrams(
+    protocol: DatagramProtocol, host: str, port: int
+) -> AsyncioDatagrams:
+    """Receive datagrams at an address; raise ``OSError``."""
+    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        receiver.bind((host, port))
+    except OSError as error:
+        receiver.close()
+        detail = f"{error.strerror} (datagrams at {host}:{port})"
+        raise OSError(error.errno, detail) from error
+    receiver.setblocking(False)
+    _, datagrams = await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: AsyncioDatagrams(protocol), sock=receiver
+    )
+    return datagrams
+
+
 async def connect(protocol: Protocol, host: str, port: int) -> None:
     """Connect a protocol; raise ``OSError``."""
     transport, _ = await asyncio.get_running_loop().create_connection(
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
 from flamingohead.core.members import UpstreamStatus
+from flamingohead.core.routing import RouteTable
 from flamingohead.core.upstreams import (
     LAST_SEQUENCE,
     Announcement,
@@ -19,7 +20,7 @@
 from flamingohead.kernel import Kernel
 from flamingohead.platform.boot import BootError, parse_settings, read_settings
 from flamingohead.platform.dialect import PLATFORM_DIALECT, find_parent
-from flamingohead.platform.documents import decode_document
+from flamingohead.platform.documents import DocumentReader, decode_document
 from flamingohead.platform.durations import parse_milliseconds
 from flamingohead.platform.endpoints import decode_beat
 from flamingohead.platform.store import HistoryDropped, RowKey, StoreClient
@@ -289,3 +290,52 @@
         registry.announce(leave, 0.1)
         assert registry.announce(self.BEAT, 0.2) == []
         assert registry.get_stage("i-1") is UpstreamStage.GONE
+
+
+class TestDocumentsInSeries:
+    """Replay a storm of changes on a configuration of many routes."""
+
+    def read(self, reader, version, prefixes):
+        routes = {prefix: "x" for prefix in prefixes}
+        return reader.read(build_document(version, routes))
+
+    def test_change_builds_only_what_it_changes(self):
+        reader = DocumentReader()
+        prefixes = [f"/r{number}/" for number in range(300)]
+        before = self.read(reader, 1, prefixes)
+        after = self.read(reader, 2, [*prefixes[:-1], "/new/"])
+        fresh = [
+            resource
+            for key, resource in after.resources.items()
+            if key.kind != "rank" and before.resources.get(key) is not resource
+        ]
+        assert [route.path for route in fresh] == ["/new/"]
+        assert after.compare(before).after == tuple(fresh)
+        assert after.digest == self.read(DocumentReader(), 2, after_paths(after)).digest
+
+    def test_table_of_a_change_keeps_the_other_routes(self):
+        reader = DocumentReader()
+        prefixes = [f"/r{number}/" for number in range(300)]
+        table = RouteTable(self.read(reader, 1, prefixes))
+        held = table.match("GET", "/r7/x", "ledger.example")
+        table = table.build_next(self.read(reader, 2, prefixes[:-1]))
+        assert table.match("GET", "/r7/x", "ledger.example") is held
+        assert isinstance(table.match("GET", "/r299/x", "ledger.example"), Refusal)
+
+    def test_document_that_is_refused_changes_nothing(self):
+        reader = DocumentReader()
+        before = self.read(reader, 1, ["/a/"])
+        assert isinstance(reader.read(b"{}"), Refusal)
+        after = self.read(reader, 2, ["/a/", "/b/"])
+        kept = [key for key in before.resources if key.kind != "rank"]
+        assert all(after.resources[k] is before.resources[k] for k in kept)
+
+    def test_problem_names_its_place_and_value(self):
+        data = build_document(7, {"/a/": "x"}).replace(b'"1200ms"', b'"soon"')
+        refusal = DocumentReader().read(data)
+        assert "found 'soon'" in refusal.detail
+        assert "listeners[0].route-rules[0]" in refusal.detail
+
+
+def after_paths(snapshot):
+    return [route.path for route in snapshot.list_kind("route")]
--- a/properties/test_membership_swim.py
+++ b/properties/test_membership_swim.py
@@ -255,7 +255,7 @@
         ]
         myself = Member("m" * 63, "d" * 63, "3" * 21, "4" * 21, 2**60)
         membership = Membership(myself, random=Random(1))
-        membership.set_version(2**60, b"d" * 32)
+        membership.set_version(2**60)
         membership.merge([replace(myself, host_id="first")], 0.0)
         membership.merge(members, 0.0)
         for tenth in range(60):
