Read host rows at a common rate, and pace the questions to the configuration's source

Ruled out: the feed's wait as the guard against silent connections: keep-alive probes end those within three seconds. A question stays open for 25 s in place of 10.

--- a/flamingohead/core/bootstrap.py
+++ b/flamingohead/core/bootstrap.py
@@ -200,8 +200,7 @@
         if now >= self._busy_until and now >= self._next_attempt_at:
             effects += self._attempt(now, members)
         if self.phase is Phase.JOINED and now >= self._next_row_check_at:
-            shared = (1 + len(members)) / self._settings.row_read_rate
-            period = max(self._settings.row_period, shared)
+            period = max(self._settings.row_period, self._share_reads(members))
             self._next_row_check_at = now + self._random.uniform(0.5, 1.5) * period
             effects.append(ReadRows())
         return effects
@@ -269,7 +268,9 @@
     def _note_joined(self, now: float, learned: int) -> None:
         if self.phase is not Phase.JOINED:
             self._tried.clear()
-            spread = self._settings.first_row_spread
+            # A daemon that just met a large group has as many states to learn.
+            shared = learned / self._settings.row_read_rate
+            spread = max(self._settings.first_row_spread, shared)
             self._next_row_check_at = now + self._random.uniform(0, spread)
         self._machine.join()
         self._attempts = 0
@@ -328,7 +329,7 @@
             for row in rows
             if row.host_id not in members and row.host_id != self._host_id
         ]
-        effects += self._try_rows(unknown, now)
+        effects += self._try_rows(unknown, members, now)
         owned = {row.host_id for row in unknown if self._owns(row.host_id, members)}
         if not self._tried:
             for host_id in owned & self._doubtful:
@@ -339,16 +340,23 @@
     def _owns(self, host_id: str, members: Iterable[str]) -> bool:
         return choose_owner(host_id, [self._host_id, *members]) == self._host_id
 
-    def _try_rows(self, unknown: list[HostRow], now: float) -> list[BootstrapEffect]:
+    def _share_reads(self, members: Mapping[str, Member]) -> float:
+        """Return the time between two reads of one daemon at the rate of all."""
+        return (1 + len(members)) / self._settings.row_read_rate
+
+    def _try_rows(
+        self, unknown: list[HostRow], members: Mapping[str, Member], now: float
+    ) -> list[BootstrapEffect]:
         """Join some rows of unknown hosts, the newest first, and soon the others.
 
         They may live in a part of the failure domain that was cut off for long, or
         that formed by itself while everyone started.
         """
         untried = [row for row in unknown if row.host_id not in self._tried]
-        wait = self._random.uniform(0.5, 1.5) * self._settings.next_rows_wait
+        # One member that finds them is enough: it tells both sides of each other.
+        wait = max(self._settings.next_rows_wait, self._share_reads(members))
         if unknown:
-            self._next_row_check_at = now + wait
+            self._next_row_check_at = now + self._random.uniform(0.5, 1.5) * wait
         if not untried:
             self._tried.clear()
             return []
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -48,13 +48,15 @@
     first_row_spread=3.0,
     next_rows_wait=2.0,
     row_period=15.0,
+    row_read_rate=5.0,
     cleanup_spread=20.0,
 )
 # All daemons of a deployment know each other singly: any failure domain may serve.
 GROUP = "mesh"
 # Failure domains that were cut off meet again within a second or two.
 MEMBERSHIP = MembershipSettings(dead_probe_period=1.0)
-DISSEMINATION = DisseminationSettings(polls_table=False, pull_delay=0.6)
+# Longer than the pause between two questions to the store in a storm of changes.
+DISSEMINATION = DisseminationSettings(polls_table=False, pull_delay=1.0)
 
 
 def add_services(kernel: Kernel, settings: HostSettings, path: str) -> None:
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -5,9 +5,11 @@
 import asyncio
 import logging
 import random
+import time
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import Refusal
+from flamingohead.core.following import FollowPace
 from flamingohead.platform.documents import DocumentReader
 from flamingohead.platform.store import HistoryDropped, StoredRow
 
@@ -18,8 +20,9 @@
 
 TABLE = "op"
 CONFIGURATION_KEY = "config"
-# A connection that has gone silent is noticed after this time and the client's slack.
-FEED_WAIT_SECONDS = 10.0
+# The platform allows 30 s. A connection that has gone silent is noticed before, by its
+# keep-alive probes.
+FEED_WAIT_SECONDS = 25.0
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 
@@ -32,6 +35,7 @@
         self._task: asyncio.Task | None = None
         self._retry_wait = FIRST_RETRY_SECONDS
         self._documents = DocumentReader()
+        self._pace = FollowPace()
 
     async def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -58,6 +62,7 @@
         return page.version
 
     async def _follow(self, version: int) -> int | None:
+        asked_at = time.monotonic()
         page = await self._kernel.get("store").follow_rows(
             TABLE, version, wait=FEED_WAIT_SECONDS
         )
@@ -66,11 +71,15 @@
         if isinstance(page, Refusal):
             self._kernel.get("configuration").finish_source_read(succeeded=False)
             return None
-        self._take_rows(page.rows)
+        changed = self._take_rows(page.rows)
+        now = time.monotonic()
+        next_at = self._pace.note_answer(asked_at=asked_at, now=now, changed=changed)
+        if next_at > now:
+            await asyncio.sleep(next_at - now)
         return page.version
 
-    def _take_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take the newest configuration among the rows."""
+    def _take_rows(self, rows: tuple[StoredRow, ...]) -> bool:
+        """Take the newest configuration among the rows; tell whether there was one."""
         self._retry_wait = FIRST_RETRY_SECONDS
         configuration = self._kernel.get("configuration")
         values = [r for r in rows if r.key == CONFIGURATION_KEY and r.value is not None]
@@ -85,6 +94,7 @@
                 configuration.receive_document(snapshot)
         if values or configuration.replica.version:
             configuration.finish_source_read(succeeded=True)
+        return bool(values)
 
     async def _wait(self) -> None:
         await asyncio.sleep(random.uniform(0.5, 1.0) * self._retry_wait)
--- a/flamingohead/tests/test_bootstrap_rows.py
+++ b/flamingohead/tests/test_bootstrap_rows.py
@@ -7,6 +7,8 @@
 from flamingohead.core.bootstrap import (
     Bootstrap,
     BootstrapSettings,
+    HostRow,
+    JoinOutcome,
     JoinPeers,
     ReadRows,
 )
@@ -72,6 +74,51 @@
         assert reads / 20 <= 600 / (601 / 2.0 * 0.5) + 1
 
 
+class TestRowReadsOfLargeGroups:
+    """Replay a group of 200 daemons with rows of hosts that none of them knows."""
+
+    SETTINGS = BootstrapSettings(
+        row_period=15.0, row_read_rate=5.0, next_rows_wait=2.0, first_row_spread=3.0
+    )
+
+    def count_reads(self, size, *, seconds):
+        """Return the reads of one member while the rows lead nowhere."""
+        bootstrap = Bootstrap(
+            "h", "p", (), random=random.Random(1), settings=self.SETTINGS
+        )
+        members = {
+            f"m{n}": Member(f"m{n}", "makola", f"10.0.0.2:{n}", "relay", 1)
+            for n in range(size - 1)
+        }
+        rows = [HostRow(f"gone{n}", f"10.0.1.2:{n}", 0.0) for n in range(16)]
+        reads = 0
+        for step in range(10 * seconds):
+            now = step / 10
+            for effect in bootstrap.tick(now, members):
+                if isinstance(effect, ReadRows):
+                    reads += 1
+                    bootstrap.receive_rows(rows, members, now)
+                elif isinstance(effect, JoinPeers):
+                    bootstrap.finish_join([JoinOutcome(False)], now)
+        return reads
+
+    def test_rows_that_lead_nowhere_are_read_at_a_common_rate(self):
+        assert self.count_reads(200, seconds=60) <= 60 * 5.0 / 200 + 2
+
+    def test_small_group_looks_for_the_others_soon(self):
+        assert self.count_reads(8, seconds=60) > 20
+
+    def test_first_look_after_a_join_is_spread_by_the_size_of_the_group(self):
+        waits = []
+        for seed in range(40):
+            bootstrap = Bootstrap(
+                "h", "p", (), random=random.Random(seed), settings=self.SETTINGS
+            )
+            bootstrap.finish_join([JoinOutcome(True, learned=200)], 0.0)
+            waits.append(bootstrap._next_row_check_at)
+        assert max(waits) > 30.0
+
+
 class TestServingReadiness:
     def test_daemon_without_peers_is_not_ready_at_once(self):
         readiness = ServingReadiness(grace=2.0)
