Let a few daemons of each failure domain follow the configuration for the others

Ruled out: pulling from peers, whole or by records: 62 pulls of a whole document at once take a small host's link for seconds, and records between versions that another daemon never held don't chain. Digests on such records: the store gives out one document for each version, and hashing 700 routes costs as much as decoding them. Change: core/subscription.py chooses three daemons of each failure domain by the hash of their names. The first of them tells the others of its failure domain what changed, in one datagram each, as a record that applies to the version that it held itself. Whoever misses it, or hears of a change too large for a datagram, reads the store once, 0.3 s later. The others check twice a second that one of the three is alive and reaches the store, and ask it themselves 1.4 s after the last good answer; a daemon that met nobody does the same.

--- a/flamingohead/core/datagrams.py
+++ b/flamingohead/core/datagrams.py
@@ -33,6 +33,7 @@
 
     def __init__(self, members: MemberList, sequence: int) -> None:
         self.version = 0
+        self.follows_source = False
         self._list = members
         self._sequence = sequence
 
@@ -66,6 +67,7 @@
             version=self.version,
             body=body,
             updates=self._choose_updates(used, first),
+            follows_source=self.follows_source,
         )
         return SendDatagram(address, datagram)
 
--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -27,7 +27,8 @@
 
     Without ``polls_table`` the configuration comes from a source that tells of each
     change by itself; while that source answers, a peer that is ahead is asked only
-    after ``pull_delay``.
+    after ``pull_delay``. A daemon that relies on others for the source reads it after
+    ``read_delay``, at most once in ``read_period``.
     """
 
     domain_poll_rate: float = 4.0
@@ -38,6 +39,8 @@
     push_fanout: int = 3
     polls_table: bool = True
     pull_delay: float = 0.0
+    read_delay: float = 0.3
+    read_period: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -47,6 +50,11 @@
     version: int
 
 
+@dataclass(frozen=True)
+class ReadSource:
+    """Read the newest version from the source, once."""
+
+
 @dataclass(frozen=True)
 class PullFromPeer:
     """Pull the records after ``version`` from the peer at ``address``."""
@@ -92,6 +100,7 @@
 
 DisseminationEffect = (
     ReadTable
+    | ReadSource
     | PullFromPeer
     | AskSample
     | PushRecord
@@ -114,11 +123,13 @@
         self.replica = replica
         self.readiness = Readiness()
         self.rejections = RejectionLog()
+        self.follows_source = True
         self._random = random
         self._settings = settings
         self._next_poll_at: float | None = None
         self._next_sample_at = 0.0
         self._next_pull_at = 0.0
+        self._next_read_at = 0.0
         self._members = 1
         self._is_source_current = False
         self._behind_since: float | None = None
@@ -144,6 +155,8 @@
             return effects
         if self._waits_for_source(now):
             return effects
+        if self._is_source_current and not self.follows_source:
+            return [*effects, *self._read_source(version, now)]
         if now < self._next_pull_at or self.rejections.postpones(version, now):
             return effects
         self._next_pull_at = now + self._settings.pull_timeout
@@ -153,9 +166,18 @@
         """Tell whether the source is likely to bring the newer version by itself."""
         if self._behind_since is None:
             self._behind_since = now
-        waits_until = self._behind_since + self._settings.pull_delay
+        delay = self._settings.pull_delay
+        if not self.follows_source:
+            delay = self._settings.read_delay
+        waits_until = self._behind_since + delay
         return self._is_source_current and now < waits_until
 
+    def _read_source(self, version: int, now: float) -> list[DisseminationEffect]:
+        if now < self._next_read_at or self.rejections.postpones(version, now):
+            return []
+        self._next_read_at = now + self._settings.read_period
+        return [ReadSource()]
+
     def receive_records(
         self, records: Iterable[VersionRecord], now: float
     ) -> list[DisseminationEffect]:
@@ -204,10 +226,14 @@
         """Note that a pull ended; ``retry_at`` if the peer refused for now."""
         self._next_pull_at = now if retry_at is None else retry_at
 
-    def finish_table_read(self, now: float) -> list[DisseminationEffect]:
-        """Note that the end of the log is held."""
+    def finish_table_read(
+        self, now: float, *, found: bool = True
+    ) -> list[DisseminationEffect]:
+        """Note that the end of the log is held, or that it was not ``found`` yet."""
         was_ready = self.readiness.is_ready
         self._is_source_current = True
+        if not found:
+            return []
         self.readiness.finish_table_read()
         return self._report_ready(was_ready)
 
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -133,6 +133,10 @@
         """Set the configuration version that datagrams advertise."""
         self._datagrams.version = version
 
+    def set_follows_source(self, follows: bool) -> None:
+        """Set whether datagrams state that this member follows the source."""
+        self._datagrams.follows_source = follows
+
     def set_upstreams(self, upstreams: Iterable[UpstreamState]) -> None:
         """Announce new states of the upstreams on this host."""
         upstreams = tuple(upstreams)
@@ -188,6 +192,15 @@
             for member in self._choose_members(fanout)
         ]
 
+    def build_record(
+        self, record: VersionRecord, members: Iterable[Member], *, size: int
+    ) -> list[SendDatagram]:
+        """Return datagrams that tell some members of a record of ``size`` bytes."""
+        return [
+            self._datagrams.send(member.peer_address, News(record), size=size)
+            for member in members
+        ]
+
     def build_pings(self, host_ids: Iterable[str]) -> list[SendDatagram]:
         """Return pings whose answers tell the versions of some members."""
         members = [self.members[h] for h in host_ids if h in self.members]
--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -91,7 +91,10 @@
 
 @dataclass(frozen=True)
 class Datagram:
-    """Wrap a message with the sender's held version and member updates."""
+    """Wrap a message with the sender's held version and member updates.
+
+    A sender that ``follows_source`` reaches the source of the configuration.
+    """
 
     sender: str
     sender_address: str
@@ -100,3 +103,4 @@
     version: int
     body: Body
     updates: tuple[Member, ...] = ()
+    follows_source: bool = False
--- /dev/null
+++ b/flamingohead/core/subscription.py
@@ -0,0 +1,91 @@
+"""Which daemons ask the source of the configuration, and who relies on them.
+
+The load it answers: hundreds of daemons and a storm of changes. If each asks the
+source, its calls grow with daemons times versions, and every answer brings the whole
+document over the link of a small host. So a few daemons of each failure domain ask,
+and one of them tells the others what changed. The others check twice a second that
+one of the few is alive and reaches the source, and ask it themselves when none does.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from flamingohead.core.members import Member
+
+# Two may be lost at once, or be turned away by the source, without any wait.
+SUBSCRIBERS_PER_DOMAIN = 3
+CHECK_PERIOD = 0.5
+# Three checks without an answer; a change has to be in force within 2 s.
+COVER_SECONDS = 1.4
+
+
+class Subscription:
+    """Decide whether this daemon asks the source; times are monotonic seconds."""
+
+    def __init__(self, host_id: str, failure_domain: str, now: float) -> None:
+        self._host_id = host_id
+        self._failure_domain = failure_domain
+        self._chosen: list[Member] = []
+        self._others: list[Member] = []
+        self._is_alone = True
+        self._checked = 0
+        self._is_answered = True
+        self._next_check_at = now
+        self._covered_until = now + COVER_SECONDS
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Take the usable members of the group, this daemon among them."""
+        domain = [m for m in members if m.failure_domain == self._failure_domain]
+        domain.sort(key=_rank_member)
+        chosen = domain[:SUBSCRIBERS_PER_DOMAIN]
+        if [m.host_id for m in chosen] != [m.host_id for m in self._chosen]:
+            self._checked = 0
+        self._chosen = chosen
+        self._others = domain[SUBSCRIBERS_PER_DOMAIN:]
+        # One that knows no other yet has still to meet them.
+        self._is_alone = len(domain) < 2
+
+    @property
+    def is_chosen(self) -> bool:
+        """Tell whether this daemon is one of the few of its failure domain."""
+        if self._is_alone:
+            return False
+        return any(member.host_id == self._host_id for member in self._chosen)
+
+    def is_needed(self, now: float) -> bool:
+        """Tell whether this daemon has to ask the source itself."""
+        return self.is_chosen or now >= self._covered_until
+
+    def list_receivers(self) -> list[Member]:
+        """Return the members to tell of a change: none unless this daemon is first."""
+        if not self._chosen or self._chosen[0].host_id != self._host_id:
+            return []
+        return self._others
+
+    def choose_check(self, now: float) -> str | None:
+        """Return the host to check now, if it is time to check one."""
+        if self.is_chosen or not self._chosen or now < self._next_check_at:
+            return None
+        self._next_check_at = now + CHECK_PERIOD
+        if not self._is_answered:
+            self._checked += 1
+        self._is_answered = False
+        return self._chosen[self._checked % len(self._chosen)].host_id
+
+    def receive(self, host_id: str, *, is_current: bool, now: float) -> None:
+        """Take a sign of life; ``is_current`` if the host reaches the source."""
+        if not is_current or not self._chosen:
+            return
+        if any(member.host_id == host_id for member in self._chosen):
+            self._is_answered = True
+            self._covered_until = now + COVER_SECONDS
+
+
+def _rank_member(member: Member) -> tuple[int, str]:
+    """Order members so that all daemons agree and no name is preferred."""
+    return zlib.crc32(member.host_id.encode()), member.host_id
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -22,7 +22,8 @@
     in the object store. ``snapshot_object`` is the digest of the object that holds
     the whole snapshot, or empty. With neither a change nor its digest, the version
     is taken from its whole snapshot alone. ``accepted_at`` is in seconds since the
-    epoch.
+    epoch. A record with a ``base_version`` tells what changes with a version that the
+    source numbers itself; the source vouches for it, and there are no digests.
     """
 
     version: int
@@ -34,6 +35,12 @@
     change: Change | None
     change_digest: bytes = b""
     snapshot_object: bytes = b""
+    base_version: int = 0
+
+    @property
+    def applies_to(self) -> int:
+        """Return the version that the change applies to."""
+        return self.base_version or self.version - 1
 
 
 def build_record(
@@ -81,8 +88,12 @@
 
         ``None`` means that the record is old or not the next one.
         """
-        if record.version != self.version + 1 or record.change is None:
+        if record.applies_to != self.version or record.change is None:
+            return None
+        if record.version <= self.version:
             return None
+        if record.base_version:
+            return self._take_source_record(record)
         if record.parent_digest != self.snapshot.digest:
             return Refusal(
                 ErrorKind.INVALID_CONFIGURATION,
@@ -96,6 +107,17 @@
         self.snapshot = snapshot
         return snapshot
 
+    def _take_source_record(self, record: VersionRecord) -> Snapshot | Refusal:
+        """Apply a record of the source; it is not kept, since its digests are not."""
+        snapshot = apply_change(self.snapshot, record.change, version=record.version)
+        refusal = check_snapshot(snapshot, None, base=self.snapshot)
+        if refusal is not None:
+            return refusal
+        self.records.clear()
+        self._kept_resources = 0
+        self.snapshot = snapshot
+        return snapshot
+
     def take_snapshot(
         self, snapshot: Snapshot, digest: bytes | None = None
     ) -> Snapshot | Refusal:
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -31,6 +31,9 @@
     CHANGE_REFUSED = EventKind(203, logging.WARNING, "change refused")
     CONFIGURATION_READY = EventKind(210, logging.INFO, "ready with configuration")
     PULL_MALFORMED = EventKind(211, logging.WARNING, "pulled answer not understood")
+    SUBSCRIPTION_CHANGED = EventKind(
+        212, logging.INFO, "part in following the source changed"
+    )
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -28,6 +28,7 @@
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.metrics_page import MetricsPage
 from flamingohead.services.slots import SlotService
+from flamingohead.services.subscription import SubscriptionService
 from flamingohead.services.upstreams import UpstreamService
 
 if TYPE_CHECKING:
@@ -56,7 +57,8 @@
 # Failure domains that were cut off meet again within a second or two.
 MEMBERSHIP = MembershipSettings(dead_probe_period=1.0)
 # Longer than the pause between two questions to the store in a storm of changes.
-DISSEMINATION = DisseminationSettings(polls_table=False, pull_delay=1.0)
+# Changes are told by one daemon to all others of its failure domain, not passed on.
+DISSEMINATION = DisseminationSettings(polls_table=False, pull_delay=1.0, push_fanout=0)
 
 
 def add_services(kernel: Kernel, settings: HostSettings, path: str) -> None:
@@ -71,6 +73,7 @@
     add_mesh(kernel, settings, generator, group=GROUP, settings=MEMBERSHIP)
     _add_requests(kernel, settings, generator)
     add_bootstrap(kernel, settings, generator, settings=BOOTSTRAP)
+    kernel.add("subscription", SubscriptionService(kernel))
     kernel.add("feed", ConfigurationFeed(kernel))
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
     if settings.metrics_address:
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -47,16 +47,28 @@
         while True:
             version = await self._read()
             while version is not None:
-                version = await self._follow(version)
+                version = await self._follow_if_needed(version)
             await self._wait()
 
+    async def read(self) -> None:
+        """Read the newest configuration once."""
+        await self._read()
+
+    async def _follow_if_needed(self, version: int) -> int | None:
+        """Follow the row, or read it when others no longer do so for this daemon."""
+        subscription = self._kernel.get("subscription")
+        if subscription.is_needed:
+            return await self._follow(version)
+        await subscription.wait_until_needed()
+        return await self._read()
+
     async def _read(self) -> int | None:
         """Read the row; return the store's version, or ``None`` if that failed."""
         page = await self._kernel.get("store").read_rows(
             TABLE, "", first_key=CONFIGURATION_KEY, limit=1
         )
         if isinstance(page, Refusal):
-            self._kernel.get("configuration").finish_source_read(succeeded=False)
+            self._note_failure()
             return None
         self._take_rows(page.rows)
         return page.version
@@ -69,7 +81,7 @@
         if isinstance(page, HistoryDropped):
             return await self._read()
         if isinstance(page, Refusal):
-            self._kernel.get("configuration").finish_source_read(succeeded=False)
+            self._note_failure()
             return None
         changed = self._take_rows(page.rows)
         now = time.monotonic()
@@ -81,6 +93,7 @@
     def _take_rows(self, rows: tuple[StoredRow, ...]) -> bool:
         """Take the newest configuration among the rows; tell whether there was one."""
         self._retry_wait = FIRST_RETRY_SECONDS
+        self._kernel.get("subscription").note_source(reached=True)
         configuration = self._kernel.get("configuration")
         values = [r for r in rows if r.key == CONFIGURATION_KEY and r.value is not None]
         if values:
@@ -91,11 +104,18 @@
                     configuration.replica.version + 1, snapshot
                 )
             else:
+                held = configuration.replica.snapshot
                 configuration.receive_document(snapshot)
-        if values or configuration.replica.version:
-            configuration.finish_source_read(succeeded=True)
+                if configuration.replica.snapshot is snapshot:
+                    self._kernel.get("subscription").spread(held, snapshot)
+        found = bool(values or configuration.replica.version)
+        configuration.finish_source_read(succeeded=True, found=found)
         return bool(values)
 
+    def _note_failure(self) -> None:
+        self._kernel.get("subscription").note_source(reached=False)
+        self._kernel.get("configuration").finish_source_read(succeeded=False)
+
     async def _wait(self) -> None:
         await asyncio.sleep(random.uniform(0.5, 1.0) * self._retry_wait)
         self._retry_wait = min(2 * self._retry_wait, LONGEST_RETRY_SECONDS)
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -181,6 +181,7 @@
         change=change,
         change_digest=record.change_digest,
         snapshot_object=record.snapshot_object,
+        base_version=record.base_version,
     )
 
 
@@ -198,6 +199,7 @@
         change=change,
         change_digest=message.change_digest,
         snapshot_object=message.snapshot_object,
+        base_version=message.base_version,
     )
 
 
@@ -300,6 +302,7 @@
         failure_domain=datagram.failure_domain,
         sequence=datagram.sequence,
         version=datagram.version,
+        follows_source=datagram.follows_source,
         updates=[encode_member(member) for member in datagram.updates],
     )
     body = datagram.body
@@ -333,6 +336,7 @@
         version=message.version,
         body=_decode_body(message),
         updates=tuple(decode_member(member) for member in message.updates),
+        follows_source=message.follows_source,
     )
 
 
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -17,6 +17,7 @@
     Dissemination,
     PullFromPeer,
     PushRecord,
+    ReadSource,
     ReadTable,
     ReportRejected,
 )
@@ -107,16 +108,23 @@
         """Take a whole configuration from its source."""
         self._take_snapshot(snapshot, None)
 
+    def set_source_follower(self, follows: bool) -> None:
+        """Set whether this daemon asks the source, or relies on others."""
+        self._dissemination.follows_source = follows
+
     def reject_document(self, version: int, refusal: Refusal) -> None:
         """Report a configuration of the source that can't be used."""
         now = time.monotonic()
         self._run(self._dissemination.report_rejected(version, refusal, now))
 
-    def finish_source_read(self, *, succeeded: bool) -> None:
-        """Note whether the newest configuration of the source is held."""
+    def finish_source_read(self, *, succeeded: bool, found: bool = True) -> None:
+        """Note whether the newest configuration of the source is held.
+
+        A source that was read may have none yet, so that it was not ``found``.
+        """
         now = time.monotonic()
         if succeeded:
-            self._run(self._dissemination.finish_table_read(now))
+            self._run(self._dissemination.finish_table_read(now, found=found))
         else:
             self._run(self._dissemination.fail_table_read(now))
 
@@ -130,6 +138,8 @@
         for effect in effects:
             if isinstance(effect, ReadTable):
                 self._spawn(self.catch_up())
+            elif isinstance(effect, ReadSource):
+                self._spawn(self._kernel.get("feed").read())
             elif isinstance(effect, PullFromPeer):
                 self._spawn(self._pull(effect))
             elif isinstance(effect, AskSample):
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -18,7 +18,11 @@
 from flamingohead.services.transport import AsyncioDatagrams, listen_datagrams
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from flamingohead.core.members import Member, UpstreamStatus
+    from flamingohead.core.messages import Datagram
+    from flamingohead.core.versions import VersionRecord
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
@@ -41,6 +45,8 @@
         self._changed = False
         self._next_publish_at = 0.0
         self._ticks = Ticks(self._tick)
+        # Called with each datagram of the group.
+        self.listeners: list[Callable[[Datagram], None]] = []
 
     async def start(self) -> None:
         host, port = split_address(self._address)
@@ -117,6 +123,15 @@
         for effect in self.membership.build_news(record, fanout, size=size):
             self._send(effect)
 
+    def send_record(self, record: VersionRecord, members: Iterable[Member]) -> None:
+        """Tell some members of a record."""
+        size = codec.encode_record(record).ByteSize()
+        self._run(self.membership.build_record(record, members, size=size))
+
+    def ping(self, host_id: str) -> None:
+        """Ask a member for a sign of life."""
+        self._run(self.membership.build_pings([host_id]))
+
     def send_remote(self, address: str, sequence: int, body: Body) -> None:
         """Send a message to a daemon of another failure domain."""
         self._send(self.membership.build_remote(address, sequence, body))
@@ -132,6 +147,8 @@
         now = time.monotonic()
         if datagram.failure_domain == self.membership.myself.gossip_group:
             self._run(self.membership.receive(datagram, now))
+            for listener in self.listeners:
+                listener(datagram)
         else:
             self._kernel.get("summaries").receive(datagram)
         configuration = self._kernel.get("configuration")
--- /dev/null
+++ b/flamingohead/tests/test_subscription.py
@@ -0,0 +1,318 @@
+"""Daemons that follow the source of the configuration for others."""
+
+from __future__ import annotations
+
+import json
+import random
+import re
+import time
+
+import pytest
+
+from flamingohead.core.changes import Change
+from flamingohead.core.dissemination import (
+    ActivateSnapshot,
+    Dissemination,
+    DisseminationSettings,
+    PullFromPeer,
+    PushRecord,
+    ReadSource,
+)
+from flamingohead.core.members import Member
+from flamingohead.core.resources import Pool, Rank, Route, Service, Snapshot
+from flamingohead.core.subscription import (
+    CHECK_PERIOD,
+    COVER_SECONDS,
+    SUBSCRIBERS_PER_DOMAIN,
+    Subscription,
+)
+from flamingohead.core.versions import Replica, VersionRecord
+from flamingohead.testing.hosts import HostMesh, build_document, send_request
+
+DOMAIN = "makola"
+SETTINGS = DisseminationSettings(polls_table=False, pull_delay=1.0, push_fanout=0)
+
+
+def build_members(count, domain=DOMAIN):
+    return [
+        Member(f"{domain}-{n}", domain, f"10.0.0.1:{n + 1}", "relay", 1, group="g")
+        for n in range(count)
+    ]
+
+
+def build_subscriptions(members, now=0.0):
+    subscriptions = {}
+    for member in members:
+        own = Subscription(member.host_id, member.failure_domain, now)
+        own.set_members(members)
+        subscriptions[member.host_id] = own
+    return subscriptions
+
+
+def list_chosen(subscriptions):
+    return [name for name, own in subscriptions.items() if own.is_chosen]
+
+
+class TestChoice:
+    def test_a_few_of_each_failure_domain_ask_the_source(self):
+        members = [*build_members(39), *build_members(39, "osu")]
+        subscriptions = build_subscriptions(members)
+        chosen = list_chosen(subscriptions)
+        assert len(chosen) == 2 * SUBSCRIBERS_PER_DOMAIN
+        domains = [name.rpartition("-")[0] for name in chosen]
+        assert domains.count(DOMAIN) == SUBSCRIBERS_PER_DOMAIN
+
+    def test_one_tells_all_others_of_its_failure_domain(self):
+        members = [*build_members(39), *build_members(39, "osu")]
+        told = [
+            member.host_id
+            for own in build_subscriptions(members).values()
+            for member in own.list_receivers()
+        ]
+        assert len(told) == len(set(told)) == 78 - 2 * SUBSCRIBERS_PER_DOMAIN
+
+    def test_another_is_chosen_in_place_of_one_that_is_gone(self):
+        members = build_members(39)
+        gone = list_chosen(build_subscriptions(members))[0]
+        left = [member for member in members if member.host_id != gone]
+        chosen = list_chosen(build_subscriptions(left))
+        assert gone not in chosen and len(chosen) == SUBSCRIBERS_PER_DOMAIN
+
+    def test_daemon_that_met_nobody_asks_the_source_after_a_while(self):
+        member = build_members(1)[0]
+        own = build_subscriptions([member])[member.host_id]
+        assert not own.is_needed(COVER_SECONDS - 0.1)
+        assert own.is_needed(COVER_SECONDS)
+
+
+class TestChecks:
+    """Replay the loss of daemons that others rely on."""
+
+    def replay(self, *, answering, current, seconds=10.0):
+        """Return when a daemon that relies on others begins to ask by itself."""
+        members = build_members(39)
+        subscriptions = build_subscriptions(members)
+        chosen = list_chosen(subscriptions)
+        name = next(name for name in subscriptions if name not in chosen)
+        own, now, checks = subscriptions[name], 0.0, 0
+        while now < seconds:
+            checked = own.choose_check(now)
+            if checked is not None:
+                checks += 1
+                order = [m.host_id for m in own._chosen]
+                if order.index(checked) in answering:
+                    is_current = order.index(checked) in current
+                    own.receive(checked, is_current=is_current, now=now)
+            if own.is_needed(now):
+                return now
+            now += 0.1
+        assert checks <= seconds / CHECK_PERIOD + 1
+        return None
+
+    def test_daemon_relies_on_any_that_answers_and_reaches_the_source(self):
+        assert self.replay(answering={0, 1, 2}, current={0, 1, 2}) is None
+        assert self.replay(answering={1, 2}, current={1, 2}) is None
+        assert self.replay(answering={2}, current={2}) is None
+        assert self.replay(answering={0, 1, 2}, current={2}) is None
+
+    @pytest.mark.parametrize("answering", [set(), {0, 1, 2}])
+    def test_daemon_asks_by_itself_when_none_reaches_the_source(self, answering):
+        assert self.replay(answering=answering, current=set()) < COVER_SECONDS + 0.2
+
+    def test_word_of_another_daemon_does_not_count(self):
+        members = build_members(39)
+        subscriptions = build_subscriptions(members)
+        names = [n for n in subscriptions if n not in list_chosen(subscriptions)]
+        own = subscriptions[names[0]]
+        own.receive(names[1], is_current=True, now=1.0)
+        assert own.is_needed(COVER_SECONDS)
+
+
+def build_snapshot(version, *paths):
+    resources = [
+        Service("x"),
+        Pool("x", "x"),
+        Rank("r", "x", 0, 500, 1.0, 0.0),
+        *(Route(p, "x", p, ("*",), "x", "r", 1000, True, "h") for p in paths),
+    ]
+    return Snapshot.build(version, {r.key: r for r in resources})
+
+
+def build_record(base, snapshot):
+    difference = snapshot.compare(base)
+    removed = [r.key for r in difference.before if r.key not in snapshot.resources]
+    change = Change(difference.after, tuple(removed))
+    return VersionRecord(
+        snapshot.version, b"", b"", "", "", 0.0, change, base_version=base.version
+    )
+
+
+class TestRecordsOfTheSource:
+    """Versions of the source have gaps, and their records no digests."""
+
+    def test_record_turns_its_base_into_its_version(self):
+        base, snapshot = build_snapshot(3, "/a/", "/b/"), build_snapshot(
+            9, "/b/", "/c/"
+        )
+        replica = Replica(base)
+        taken = replica.take_record(build_record(base, snapshot))
+        assert taken == snapshot
+        assert replica.version == 9
+        assert replica.list_records_after(3) is None
+
+    def test_record_on_another_base_is_left_alone(self):
+        base, snapshot = build_snapshot(3, "/a/"), build_snapshot(9, "/c/")
+        for held in (build_snapshot(2), build_snapshot(4), build_snapshot(9, "/c/")):
+            replica = Replica(held)
+            assert replica.take_record(build_record(base, snapshot)) is None
+            assert replica.snapshot is held
+
+    def test_record_never_leads_back(self):
+        base, older = build_snapshot(9, "/a/"), build_snapshot(4, "/c/")
+        replica = Replica(base)
+        assert replica.take_record(build_record(base, older)) is None
+        assert replica.version == 9
+
+    def test_record_that_breaks_a_reference_is_refused_whole(self):
+        base = build_snapshot(3, "/a/")
+        lost = tuple(r.key for r in base.resources.values() if isinstance(r, Pool))
+        record = VersionRecord(
+            9, b"", b"", "", "", 0.0, Change((), lost), base_version=3
+        )
+        replica = Replica(base)
+        assert replica.take_record(record).detail
+        assert replica.snapshot is base
+
+
+class TestReadsOfTheSource:
+    def build(self, *, follows, current=True):
+        dissemination = Dissemination(
+            Replica(build_snapshot(3, "/a/")),
+            random=random.Random(1),
+            settings=SETTINGS,
+        )
+        dissemination.follows_source = follows
+        if current:
+            dissemination.finish_table_read(0.0)
+        else:
+            dissemination.fail_table_read(0.0)
+        return dissemination
+
+    def hear(self, dissemination, times, version=9):
+        return [
+            (now, effect)
+            for now in times
+            for effect in dissemination.receive_peer_version("peer", version, now)
+            if isinstance(effect, ReadSource | PullFromPeer)
+        ]
+
+    def test_missed_change_is_read_from_the_source_once_in_a_while(self):
+        heard = self.hear(self.build(follows=False), [n / 10 for n in range(20)])
+        assert all(isinstance(effect, ReadSource) for _, effect in heard)
+        assert heard[0][0] <= 0.4
+        assert len(heard) == 2
+
+    def test_peer_is_asked_where_the_source_is_out_of_reach(self):
+        dissemination = self.build(follows=False, current=False)
+        heard = self.hear(dissemination, [0.0, 0.4])
+        assert isinstance(heard[0][1], PullFromPeer)
+
+    def test_daemon_that_follows_the_source_waits_for_it(self):
+        heard = self.hear(self.build(follows=True), [n / 10 for n in range(15)])
+        assert isinstance(heard[0][1], PullFromPeer) and heard[0][0] >= 1.0
+
+    def test_change_that_is_told_is_in_force_and_not_told_on(self):
+        dissemination = self.build(follows=False)
+        base = dissemination.replica.snapshot
+        record = build_record(base, build_snapshot(9, "/a/", "/c/"))
+        effects = dissemination.receive_records([record], 1.0)
+        assert isinstance(effects[0], ActivateSnapshot)
+        pushed = [e for e in effects if isinstance(e, PushRecord)]
+        assert all(effect.fanout == 0 for effect in pushed)
+        assert not self.hear(dissemination, [1.1, 2.0])
+
+
+def read_counter(host, name):
+    page = send_request(host.metrics, "GET", "/metrics")[2].decode()
+    found = re.search(rf'name="{re.escape(name)}"\}} ([\d.]+)', page)
+    return float(found[1]) if found else 0.0
+
+
+def wait_for_path(hosts, path, *, seconds):
+    """Return whether all hosts serve a path within some seconds."""
+    deadline = time.monotonic() + seconds
+    waiting = list(hosts)
+    while waiting and time.monotonic() < deadline:
+        waiting = [host for host in waiting if ask(host, path) != 200]
+        time.sleep(0.02)
+    return not waiting
+
+
+def ask(host, path):
+    headers = {
+        "Host": "ledger.example",
+        "Request-Id": f"r{time.monotonic_ns()}",
+        "Request-Deadline": "1000",
+    }
+    try:
+        return send_request(host.ingress, "GET", path, headers=headers)[0]
+    except OSError:
+        return 0
+
+
+def read_changes(host):
+    """Return what a daemon logged of its part in following the source."""
+    lines = host.daemon.log_path.read_text().splitlines()
+    return [json.loads(line)["fields"] for line in lines if '"event": 212' in line]
+
+
+def list_askers(mesh):
+    return [
+        host
+        for host in mesh.hosts.values()
+        if (read_changes(host) or [{}])[-1].get("asks_source") == "True"
+    ]
+
+
+@pytest.fixture(scope="module")
+def mesh(tmp_path_factory):
+    with HostMesh(tmp_path_factory.mktemp("subscription")) as mesh:
+        mesh.write_row("op", "config", build_document(2, {"/a/": "ledger"}))
+        for number in range(6):
+            mesh.add_host(f"h{number}", "ledger")
+        assert wait_for_path(mesh.hosts.values(), "/a/x", seconds=30.0)
+        # Daemons that started alone ask the source until they have met.
+        deadline = time.monotonic() + 20.0
+        while len(list_askers(mesh)) != SUBSCRIBERS_PER_DOMAIN:
+            assert time.monotonic() < deadline
+            time.sleep(0.1)
+        yield mesh
+
+
+class TestProcesses:
+    """Six daemons of one failure domain on the platform's protocol."""
+
+    # The shortest bound of a deployment for a change to be in force, in seconds.
+    IN_FORCE_SECONDS = 2.0
+
+    def test_changes_cost_the_source_one_answer_for_each_that_asks(self, mesh):
+        hosts = list(mesh.hosts.values())
+        time.sleep(1.0)
+        before = sum(read_counter(host, "store.rows-feed") for host in hosts)
+        for version in range(3, 8):
+            routes = {"/a/": "ledger", f"/v{version}/": "ledger"}
+            mesh.write_row("op", "config", build_document(version, routes))
+            path = f"/v{version}/x"
+            assert wait_for_path(hosts, path, seconds=self.IN_FORCE_SECONDS)
+            time.sleep(0.7)
+        after = sum(read_counter(host, "store.rows-feed") for host in hosts)
+        assert after - before <= 5 * SUBSCRIBERS_PER_DOMAIN + 2
+
+    def test_change_is_in_force_after_those_that_ask_were_killed(self, mesh):
+        askers = list_askers(mesh)
+        left = [host for host in mesh.hosts.values() if host not in askers]
+        for host in askers:
+            host.daemon.kill()
+        routes = {"/a/": "ledger", "/killed/": "ledger"}
+        mesh.write_row("op", "config", build_document(9, routes))
+        assert wait_for_path(left, "/killed/x", seconds=self.IN_FORCE_SECONDS)
