--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -324,9 +324,7 @@
 
     def _estimate_wait(self, queue: RankQueue, caller: str) -> float:
         if queue.rank.share <= 0:
-            # The pace seen includes what more urgent work has taken meanwhile.
-            seen = (len(queue.waiting) + 1) * queue.interval
-            return max(self._estimate_work_ahead(queue), seen)
+            return self._estimate_work_ahead(queue)
         turns = queue.waiting.count_items(caller) + 1
         ahead = min(
             len(queue.waiting) + 1, turns * max(queue.waiting.count_callers(), 1)
