Let a paused daemon no longer vouch for the configuration's source

Cause: a daemon that follows the source for others says so with each datagram. One that was frozen or suspended for seconds went on saying so when it woke, although its connection to the store may have gone meanwhile; the others would have relied on it until the keep-alive probes ended that connection, up to three seconds. Ruled out: stale changes told by it: a record applies only to the version before it, and no daemon goes back. Change: turns of the periodic work that come over a second late, on the clock that counts suspended time, end the claim until the source has answered again.

--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -22,6 +22,9 @@
 CHECK_PERIOD = 0.5
 # Three checks without an answer; a change has to be in force within 2 s.
 COVER_SECONDS = 1.4
+# A process that missed its turns for so long was paused, and its connections may be
+# gone without a word.
+PAUSE_SECONDS = 1.0
 
 
 class Subscription:
@@ -37,6 +40,15 @@
         self._is_answered = True
         self._next_check_at = now
         self._covered_until = now + COVER_SECONDS
+        self._last_turn_at: float | None = None
+
+    def note_turn(self, at: float) -> bool:
+        """Note a turn of the periodic work; tell whether the process was paused.
+
+        ``at`` is on a clock that goes on while the machine is suspended.
+        """
+        last_at, self._last_turn_at = self._last_turn_at, at
+        return last_at is not None and at - last_at > PAUSE_SECONDS
 
     def set_members(self, members: Iterable[Member]) -> None:
         """Take the usable members of the group, this daemon among them."""
--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -83,6 +83,9 @@
     def _tick(self) -> None:
         gossip = self._kernel.get("gossip")
         now = time.monotonic()
+        if self._subscription.note_turn(time.clock_gettime(time.CLOCK_BOOTTIME)):
+            # Until the source answers again, others must not rely on this daemon.
+            self.note_source(reached=False)
         self._subscription.set_members(
             [gossip.membership.myself, *gossip.membership.list_alive()]
         )
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 import re
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -19,6 +21,7 @@
     ReadSource,
 )
 from flamingohead.core.members import Member
+from flamingohead.core.membership import Membership
 from flamingohead.core.resources import Pool, Rank, Route, Service, Snapshot
 from flamingohead.core.subscription import (
     CHECK_PERIOD,
@@ -27,6 +30,8 @@
     Subscription,
 )
 from flamingohead.core.versions import Replica, VersionRecord
+from flamingohead.kernel import Kernel
+from flamingohead.services.subscription import SubscriptionService
 from flamingohead.testing.hosts import HostMesh, build_document, send_request
 
 DOMAIN = "makola"
@@ -119,6 +124,13 @@
     def test_daemon_asks_by_itself_when_none_reaches_the_source(self, answering):
         assert self.replay(answering=answering, current=set()) < COVER_SECONDS + 0.2
 
+    def test_paused_daemon_no_longer_vouches_for_the_source(self):
+        own = build_subscriptions(build_members(2))[f"{DOMAIN}-0"]
+        assert not own.note_turn(100.0)
+        assert not own.note_turn(100.3)
+        assert own.note_turn(105.0)
+        assert not own.note_turn(105.25)
+
     def test_word_of_another_daemon_does_not_count(self):
         members = build_members(39)
         subscriptions = build_subscriptions(members)
@@ -316,3 +328,32 @@
         routes = {"/a/": "ledger", "/killed/": "ledger"}
         mesh.write_row("op", "config", build_document(9, routes))
         assert wait_for_path(left, "/killed/x", seconds=self.IN_FORCE_SECONDS)
+
+
+class TestPausedDaemons:
+    def build_service(self):
+        kernel = Kernel()
+        membership = Membership(build_members(2)[0], random=random.Random(1))
+        membership.merge(build_members(2), 0.0)
+        kernel.add("gossip", SimpleNamespace(membership=membership, listeners=[]))
+        kernel.add("configuration", SimpleNamespace(set_source_follower=bool))
+        service = SubscriptionService(kernel)
+        asyncio.run(self.start(service))
+        return service, membership
+
+    async def start(self, service):
+        await service.start()
+        await service.stop()
+
+    def test_daemon_that_slept_says_so_until_the_source_answers(self, monkeypatch):
+        clock = [100.0]
+        monkeypatch.setattr(time, "clock_gettime", lambda _: clock[0])
+        service, membership = self.build_service()
+        service._tick()
+        service.note_source(reached=True)
+        assert membership._datagrams.follows_source
+        clock[0] += 30.0
+        service._tick()
+        assert not membership._datagrams.follows_source
+        service.note_source(reached=True)
+        assert membership._datagrams.follows_source
