Give the version log a service of its own

Ruled out: loading them when they are first used, inside functions. Change: services/version_log.py extends the service by the log; rows of a table have a module of their own; a datagram of news is built in one place for chosen and for random members.

--- a/flamingohead/assembly.py
+++ b/flamingohead/assembly.py
@@ -19,7 +19,6 @@
 from flamingohead.services.announcements import AnnouncementService
 from flamingohead.services.attempts import AttemptService
 from flamingohead.services.calls import CallService
-from flamingohead.services.configuration import ConfigurationService
 from flamingohead.services.history import HistoryService
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.keys import KeyService
@@ -32,6 +31,7 @@
 from flamingohead.services.slots import SlotService
 from flamingohead.services.status import StatusService
 from flamingohead.services.upstreams import UpstreamService
+from flamingohead.services.version_log import VersionLogService
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -134,7 +134,7 @@
     balancer = Balancer(random=generator)
     overflow = Overflow(random=generator)
     kernel.add("slots", SlotService(kernel))
-    kernel.add("configuration", ConfigurationService(kernel, dissemination))
+    kernel.add("configuration", VersionLogService(kernel, dissemination))
     kernel.add("attempts", AttemptService(kernel, balancer, overflow))
     kernel.add(
         "calls",
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -124,7 +124,7 @@
 
     def choose_alternatives(self) -> tuple[str, ...]:
         """Return the addresses of a few members, for a peer that is put off."""
-        chosen = self._choose_members(ALTERNATIVES)
+        chosen = self.choose_members(ALTERNATIVES)
         return tuple(member.peer_address for member in chosen)
 
     # Events
@@ -152,7 +152,7 @@
         """Tell a few members the state of this one at once."""
         return [
             self._datagrams.send(member.peer_address, Gossip(), first=(self.myself,))
-            for member in self._choose_members(LEAVE_FANOUT)
+            for member in self.choose_members(LEAVE_FANOUT)
         ]
 
     def merge(self, members: Iterable[Member], now: float) -> list[MembershipEffect]:
@@ -177,9 +177,9 @@
         return effects
 
     def build_news(
-        self, record: VersionRecord, fanout: int, *, size: int
+        self, record: VersionRecord, members: Iterable[Member], *, size: int
     ) -> list[SendDatagram]:
-        """Return datagrams that push a record of ``size`` bytes to random members.
+        """Return datagrams that tell members of a record of ``size`` bytes.
 
         A record too large for a datagram is left out; the version on the datagram
         then leads to a pull.
@@ -189,15 +189,6 @@
         used = size if size <= room else 0
         return [
             self._datagrams.send(member.peer_address, body, size=used)
-            for member in self._choose_members(fanout)
-        ]
-
-    def build_record(
-        self, record: VersionRecord, members: Iterable[Member], *, size: int
-    ) -> list[SendDatagram]:
-        """Return datagrams that tell some members of a record of ``size`` bytes."""
-        return [
-            self._datagrams.send(member.peer_address, News(record), size=size)
             for member in members
         ]
 
@@ -303,7 +294,8 @@
             if member is not None:
                 return member
 
-    def _choose_members(self, count: int, *, excluded: str = "") -> list[Member]:
+    def choose_members(self, count: int, *, excluded: str = "") -> list[Member]:
+        """Return some random usable members other than this one."""
         others = [m for m in self.members.values() if m.host_id != excluded]
         return self._random.sample(others, min(len(others), count))
 
@@ -324,7 +316,7 @@
         """Probe again through others, and once more directly."""
         address = probe.target.peer_address
         effects = [self._datagrams.send(address, Ping(), probe.sequence)]
-        chosen = self._choose_members(INDIRECT_PROBES, excluded=probe.target.host_id)
+        chosen = self.choose_members(INDIRECT_PROBES, excluded=probe.target.host_id)
         body = PingRequest(address)
         effects += [
             self._datagrams.send(m.peer_address, body, probe.sequence) for m in chosen
@@ -402,7 +394,7 @@
         self._next_gossip_at = now + self._settings.gossip_period
         if not self._list.queue:
             return []
-        chosen = self._choose_members(1)
+        chosen = self.choose_members(1)
         return [
             self._datagrams.send(member.peer_address, Gossip()) for member in chosen
         ]
--- a/flamingohead/core/storage.py
+++ b/flamingohead/core/storage.py
@@ -19,15 +19,6 @@
     from flamingohead.core.versions import VersionRecord
 
 
-@dataclass(frozen=True)
-class Row:
-    """Hold a row of the table and the tag of its state."""
-
-    key: str
-    value: bytes
-    tag: str
-
-
 @dataclass(frozen=True)
 class UnreadableRow:
     """Stand for a row of the log whose value can't be decoded."""
--- a/flamingohead/platform/tables.py
+++ b/flamingohead/platform/tables.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import Refusal
-from flamingohead.core.storage import Row
+from flamingohead.core.rows import Row
 from flamingohead.platform.store import MAX_ROWS, RowKey, StoredRow
 
 if TYPE_CHECKING:
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration held by this daemon: polling, pulling, accepting."""
+"""The configuration held by this daemon: taking, pulling, putting in force."""
 
 from __future__ import annotations
 
@@ -9,7 +9,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from flamingohead.core.acceptance import Acceptance, Accepted, ChangeRequest
 from flamingohead.core.dissemination import (
     ActivateSnapshot,
     AskSample,
@@ -18,53 +17,37 @@
     PullFromPeer,
     PushRecord,
     ReadSource,
-    ReadTable,
     ReportRejected,
 )
 from flamingohead.core.errors import Refusal
 from flamingohead.core.pulls import PullAdmission
-from flamingohead.core.recovery import (
-    Recovery,
-    read_records,
-    read_stored_snapshot,
-)
 from flamingohead.core.resources import EMPTY_SNAPSHOT
 from flamingohead.core.routing import RouteTable
-from flamingohead.core.storage import (
-    CatchUp,
-    Reply,
-    ReportDamaged,
-    TakeRecords,
-    TakeSnapshot,
-)
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec, peers_pb2 as pb
-from flamingohead.services.log import OPERATIONS
 from flamingohead.services.ticks import Ticks
 
 if TYPE_CHECKING:
+    from flamingohead.core.dissemination import DisseminationEffect
     from flamingohead.core.rejections import Rejection
-    from flamingohead.core.resources import Resource, Snapshot
-    from flamingohead.core.storage import Operation, Procedure
+    from flamingohead.core.resources import Snapshot
     from flamingohead.core.versions import VersionRecord
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
 
 TICK_PERIOD = 0.1
-ACCEPT_TIMEOUT = 6.0
 MAX_NEWS_BYTES = 1200
 
 
 class ConfigurationService:
-    """Keep the replica current and accept changes of operators."""
+    """Keep the replica current from its source and from peers."""
 
     def __init__(self, kernel: Kernel, dissemination: Dissemination) -> None:
         self._kernel = kernel
         self._dissemination = dissemination
         self._ticks = Ticks(self._tick)
         self._tasks: set[asyncio.Task] = set()
-        self._recovery: asyncio.Task | None = None
         self._random = random.Random()
         self._pulls = PullAdmission(random=self._random)
         self._encoded_snapshot = pb.Snapshot()
@@ -136,22 +119,23 @@
 
     def _run(self, effects) -> None:
         for effect in effects:
-            if isinstance(effect, ReadTable):
-                self._spawn(self.catch_up())
-            elif isinstance(effect, ReadSource):
-                self._spawn(self._kernel.get("feed").read())
-            elif isinstance(effect, PullFromPeer):
-                self._spawn(self._pull(effect))
-            elif isinstance(effect, AskSample):
-                self._ask_sample(effect)
-            elif isinstance(effect, PushRecord):
-                self._push(effect)
-            elif isinstance(effect, ActivateSnapshot):
-                self._activate(effect.snapshot)
-            elif isinstance(effect, BecomeReady):
-                self._become_ready()
-            elif isinstance(effect, ReportRejected):
-                self._report_rejected(effect)
+            self._perform(effect)
+
+    def _perform(self, effect: DisseminationEffect) -> None:
+        if isinstance(effect, ReadSource):
+            self._spawn(self._kernel.get("feed").read())
+        elif isinstance(effect, PullFromPeer):
+            self._spawn(self._pull(effect))
+        elif isinstance(effect, AskSample):
+            self._ask_sample(effect)
+        elif isinstance(effect, PushRecord):
+            self._push(effect)
+        elif isinstance(effect, ActivateSnapshot):
+            self._activate(effect.snapshot)
+        elif isinstance(effect, BecomeReady):
+            self._become_ready()
+        elif isinstance(effect, ReportRejected):
+            self._report_rejected(effect)
 
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -267,93 +251,3 @@
         now = time.monotonic()
         self._run(self._dissemination.receive_snapshot(snapshot, digest, now))
         return self.replica.version
-
-    # The log
-
-    async def catch_up(self) -> Refusal | None:
-        """Read the log to its end; return a refusal if that fails.
-
-        One reading at a time: a second caller waits for the one under way.
-        """
-        if self._recovery is None or self._recovery.done():
-            self._recovery = self._spawn(self._read_to_end())
-        return await asyncio.shield(self._recovery)
-
-    async def _read_to_end(self) -> Refusal | None:
-        refusal = await self._drive(Recovery(self.replica.version).run())
-        self.finish_source_read(succeeded=refusal is None)
-        return refusal
-
-    async def read_records(
-        self, after: int, limit: int
-    ) -> list[VersionRecord] | Refusal:
-        """Return up to ``limit`` records after a version, with their changes."""
-        return await self._drive(read_records(after, limit))
-
-    async def read_stored_snapshot(self, version: int) -> Snapshot | Refusal:
-        """Return the newest stored snapshot that is not newer than ``version``."""
-        return await self._drive(read_stored_snapshot(version))
-
-    async def accept(
-        self,
-        resources: list[Resource],
-        *,
-        change_id: str,
-        author: str,
-        base_version: int,
-    ) -> Accepted | Refusal:
-        """Accept ``resources`` as the version that follows ``base_version``.
-
-        A change accepted before it by somebody else leads to ``VERSION_CONFLICT``;
-        ``CHANGE_OUTCOME_UNKNOWN`` allows to ask again with the same change id and
-        base version.
-        """
-        request = ChangeRequest(
-            tuple(resources),
-            change_id,
-            author,
-            base_version,
-            accepted_at=time.time(),
-            deadline=time.monotonic() + ACCEPT_TIMEOUT,
-        )
-        outcome = await self._drive(Acceptance(request, random=self._random).run())
-        if isinstance(outcome, Refusal):
-            return outcome
-        log_event(
-            logger,
-            Event.VERSION_ACCEPTED,
-            version=outcome.version,
-            change=change_id,
-            author=author,
-        )
-        self._spawn(self.catch_up())
-        return outcome
-
-    # Procedures
-
-    async def _drive(self, procedure: Procedure):
-        """Perform the operations of a procedure; return its result."""
-        try:
-            operation = next(procedure)
-            while True:
-                value = await self._perform(operation)
-                operation = procedure.send(Reply(value, time.monotonic()))
-        except StopIteration as end:
-            return end.value
-
-    async def _perform(self, operation: Operation):
-        if isinstance(operation, TakeRecords):
-            return self._take_records(operation.records)
-        if isinstance(operation, TakeSnapshot):
-            return self._take_snapshot(operation.snapshot, operation.digest)
-        if isinstance(operation, ReportDamaged):
-            now = time.monotonic()
-            self._run(
-                self._dissemination.report_rejected(
-                    operation.version, operation.refusal, now
-                )
-            )
-            return None
-        if isinstance(operation, CatchUp):
-            return await self.catch_up() or self.replica.snapshot
-        return await OPERATIONS[type(operation)](self._kernel, operation)
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -119,14 +119,12 @@
 
     def push_record(self, record, fanout: int) -> None:
         """Send a record to a few random peers."""
-        size = codec.encode_record(record).ByteSize()
-        for effect in self.membership.build_news(record, fanout, size=size):
-            self._send(effect)
+        self.send_record(record, self.membership.choose_members(fanout))
 
     def send_record(self, record: VersionRecord, members: Iterable[Member]) -> None:
         """Tell some members of a record."""
         size = codec.encode_record(record).ByteSize()
-        self._run(self.membership.build_record(record, members, size=size))
+        self._run(self.membership.build_news(record, members, size=size))
 
     def ping(self, host_id: str) -> None:
         """Ask a member for a sign of life."""
--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -18,7 +18,7 @@
 from zope.interface import implementer
 
 from flamingohead.core.errors import ErrorKind, Refusal
-from flamingohead.core.storage import Row
+from flamingohead.core.rows import Row
 from flamingohead.events import Event, log_event
 
 logger = logging.getLogger(__name__)
--- /dev/null
+++ b/flamingohead/services/version_log.py
@@ -0,0 +1,138 @@
+"""The configuration of a daemon whose versions stand in the table's log."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from flamingohead.core.acceptance import Acceptance, Accepted, ChangeRequest
+from flamingohead.core.dissemination import ReadTable
+from flamingohead.core.errors import Refusal
+from flamingohead.core.recovery import Recovery, read_records, read_stored_snapshot
+from flamingohead.core.storage import (
+    CatchUp,
+    Reply,
+    ReportDamaged,
+    TakeRecords,
+    TakeSnapshot,
+)
+from flamingohead.events import Event, log_event
+from flamingohead.services.configuration import ConfigurationService
+from flamingohead.services.log import OPERATIONS
+
+if TYPE_CHECKING:
+    from flamingohead.core.dissemination import Dissemination, DisseminationEffect
+    from flamingohead.core.resources import Resource, Snapshot
+    from flamingohead.core.storage import Operation, Procedure
+    from flamingohead.core.versions import VersionRecord
+    from flamingohead.kernel import Kernel
+
+logger = logging.getLogger(__name__)
+
+ACCEPT_TIMEOUT = 6.0
+
+
+class VersionLogService(ConfigurationService):
+    """Read the log as it grows, and accept changes of operators into it."""
+
+    def __init__(self, kernel: Kernel, dissemination: Dissemination) -> None:
+        super().__init__(kernel, dissemination)
+        self._recovery: asyncio.Task | None = None
+
+    def _perform(self, effect: DisseminationEffect) -> None:
+        if isinstance(effect, ReadTable):
+            self._spawn(self.catch_up())
+        else:
+            super()._perform(effect)
+
+    # The log
+
+    async def catch_up(self) -> Refusal | None:
+        """Read the log to its end; return a refusal if that fails.
+
+        One reading at a time: a second caller waits for the one under way.
+        """
+        if self._recovery is None or self._recovery.done():
+            self._recovery = self._spawn(self._read_to_end())
+        return await asyncio.shield(self._recovery)
+
+    async def _read_to_end(self) -> Refusal | None:
+        refusal = await self._drive(Recovery(self.replica.version).run())
+        self.finish_source_read(succeeded=refusal is None)
+        return refusal
+
+    async def read_records(
+        self, after: int, limit: int
+    ) -> list[VersionRecord] | Refusal:
+        """Return up to ``limit`` records after a version, with their changes."""
+        return await self._drive(read_records(after, limit))
+
+    async def read_stored_snapshot(self, version: int) -> Snapshot | Refusal:
+        """Return the newest stored snapshot that is not newer than ``version``."""
+        return await self._drive(read_stored_snapshot(version))
+
+    async def accept(
+        self,
+        resources: list[Resource],
+        *,
+        change_id: str,
+        author: str,
+        base_version: int,
+    ) -> Accepted | Refusal:
+        """Accept ``resources`` as the version that follows ``base_version``.
+
+        A change accepted before it by somebody else leads to ``VERSION_CONFLICT``;
+        ``CHANGE_OUTCOME_UNKNOWN`` allows to ask again with the same change id and
+        base version.
+        """
+        request = ChangeRequest(
+            tuple(resources),
+            change_id,
+            author,
+            base_version,
+            accepted_at=time.time(),
+            deadline=time.monotonic() + ACCEPT_TIMEOUT,
+        )
+        outcome = await self._drive(Acceptance(request, random=self._random).run())
+        if isinstance(outcome, Refusal):
+            return outcome
+        log_event(
+            logger,
+            Event.VERSION_ACCEPTED,
+            version=outcome.version,
+            change=change_id,
+            author=author,
+        )
+        self._spawn(self.catch_up())
+        return outcome
+
+    # Procedures
+
+    async def _drive(self, procedure: Procedure):
+        """Perform the operations of a procedure; return its result."""
+        try:
+            operation = next(procedure)
+            while True:
+                value = await self._perform_operation(operation)
+                operation = procedure.send(Reply(value, time.monotonic()))
+        except StopIteration as end:
+            return end.value
+
+    async def _perform_operation(self, operation: Operation):
+        if isinstance(operation, TakeRecords):
+            return self._take_records(operation.records)
+        if isinstance(operation, TakeSnapshot):
+            return self._take_snapshot(operation.snapshot, operation.digest)
+        if isinstance(operation, ReportDamaged):
+            now = time.monotonic()
+            self._run(
+                self._dissemination.report_rejected(
+                    operation.version, operation.refusal, now
+                )
+            )
+            return None
+        if isinstance(operation, CatchUp):
+            return await self.catch_up() or self.replica.snapshot
+        return await OPERATIONS[type(operation)](self._kernel, operation)
--- a/flamingohead/tests/test_bootstrap_rows.py
+++ b/flamingohead/tests/test_bootstrap_rows.py
@@ -15,7 +15,7 @@
 from flamingohead.core.members import Member
 from flamingohead.core.membership import Membership
 from flamingohead.core.readiness import ServingReadiness
-from flamingohead.core.storage import Row
+from flamingohead.core.rows import Row
 from flamingohead.kernel import Kernel
 from flamingohead.services.bootstrap import BootstrapService
 from flamingohead.services.metrics import MetricsService
