Refuse a second copy of an answer that carries no id

An answer without the id of its request was taken for the next one on a kept connection, and since requests that may run once reuse connections too, a late second copy would have reached the caller of a payment. A late copy of a page of the store was taken for the success of a write, such as that a leave is kept, since its version field is all that a commit answers. Ruled out: copies with their id, which were refused; copies in the same read as the answer or while the connection is idle, which end it; answers between daemons, which repeat a value of each exchange. Change: where upstreams repeat ids, an answer without one is refused behind another answer on its connection; a first answer may still lack it. Writes to the store take a connection of their own.

--- a/flamingohead/platform/dialect.py
+++ b/flamingohead/platform/dialect.py
@@ -39,4 +39,5 @@
     reads_keys=False,
     sends_fractional_retry_after=True,
     allows_unframed_answers=True,
+    echo_ids=True,
 )
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -216,7 +216,11 @@
         timeout: float = REQUEST_TIMEOUT_SECONDS,
         limit: int = MAX_PAGE_BYTES,
     ) -> CollectedAnswer | Refusal:
-        """Make a call; a refusal by the store or the network is a ``Refusal``."""
+        """Make a call; a refusal by the store or the network is a ``Refusal``.
+
+        A call that changes something takes a connection of its own: answers of the
+        store carry no id, so that a late second copy of another one could pass for it.
+        """
         call = path.partition("?")[0].split("/")[2]
         self._kernel.get("metrics").count(f"store.{call}")
         headers = ((b"content-type", b"application/json"),) if body else ()
@@ -224,7 +228,7 @@
         sink = CollectedAnswer(limit)
         request = OutgoingRequest(method, path.encode(), headers, body, deadline)
         refusal = await self._kernel.get("http_client").send(
-            self._address, request, sink
+            self._address, request, sink, fresh=method != "GET"
         )
         if refusal is not None:
             not_sent = refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE
--- a/flamingohead/services/dialects.py
+++ b/flamingohead/services/dialects.py
@@ -28,6 +28,7 @@
     the service on whose host the request began. ``states_not_executed`` tells from
     the status and headers of an upstream's answer whether it did not execute, and
     ``find_parent`` from the id of a request the id of the one that may have made it.
+    Upstreams that ``echo_ids`` repeat the id of a request in its answer.
     """
 
     deadline: bytes = b"request-timeout-ms"
@@ -41,6 +42,7 @@
     reads_keys: bool = True
     sends_fractional_retry_after: bool = False
     allows_unframed_answers: bool = False
+    echo_ids: bool = False
 
     @property
     def own_headers(self) -> frozenset[bytes]:
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -96,6 +96,7 @@
         call.deadline,
         host=call.host,
         allows_unframed_answer=dialect.allows_unframed_answers,
+        echoes_id=dialect.echo_ids,
     )
     refusal = await client.send(
         address,
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -62,6 +62,8 @@
         self._ends_with_connection = False
         self._allows_unframed = False
         self._request_id: bytes | None = None
+        self._must_have_id = False
+        self._has_answered = False
         self._exchange_id: bytes | None = None
 
     def exchange(
@@ -81,6 +83,7 @@
         self._ends_with_connection = False
         self._allows_unframed = request.allows_unframed_answer
         self._request_id = find_header(request.headers, REQUEST_ID_HEADER)
+        self._must_have_id = request.echoes_id and self._has_answered
         self._exchange_id = find_header(request.headers, EXCHANGE_HEADER)
         self._on_done = on_done
         self.transport.write(request.encode(self.address))
@@ -216,7 +219,9 @@
             self._headers.remove((EXCHANGE_HEADER, self._exchange_id))
         answered_id = find_header(self._headers, REQUEST_ID_HEADER)
         expected = self._request_id
-        if expected is not None and answered_id not in (None, expected):
+        if expected is None or answered_id == expected:
+            return
+        if answered_id is not None or self._must_have_id:
             self._reject("answer to another request")
 
     def _reject(self, detail: str) -> None:
@@ -227,6 +232,7 @@
 
     def _finish(self, *, reusable: bool) -> None:
         sink, self._sink = self._sink, None
+        self._has_answered = True
         if not reusable or self.transport.get_unsent_bytes():
             self.is_open = False
         sink.finish()
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -61,7 +61,9 @@
     """Hold one request to send; ``deadline`` in monotonic seconds.
 
     Without a ``host`` of its own it names the address that it is sent to. An unframed
-    answer has neither a length nor chunks and ends with its connection.
+    answer has neither a length nor chunks and ends with its connection. Where the
+    upstream ``echoes_id``, an answer without the id of its request that comes behind
+    another on its connection may be a second copy of that one.
     """
 
     method: str
@@ -71,6 +73,7 @@
     deadline: float
     host: bytes = b""
     allows_unframed_answer: bool = False
+    echoes_id: bool = False
 
     def encode(self, host: str) -> bytes:
         """Return the wire form; raise ``ValueError`` if it isn't one request."""
