Choose the fastest hosts to follow the source, and tell again what was missed

Their logs: version 15, of 1,520 routes, was read 1.9 s after the acknowledgement, behind a wait of 0.3 s that is meant for small changes; version 32 was missed as a datagram, and the document that makes up for it (330 KB) took two seconds on a link of 5 Mbit/s. Ruled out: daemons without cover (none changed its part before 33.9 s); versions that do not chain (17 to 26 were in force at the same moment everywhere). Change: members state how many large documents they take, from the cores and the link in their settings, and the fastest of a failure domain follow the source. A daemon that checks with an older version is told the last changes again, from a chain of 16. A change too large to be told is read at once; any other that is missed after 0.6 s.

--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -39,7 +39,7 @@
     push_fanout: int = 3
     polls_table: bool = True
     pull_delay: float = 0.0
-    read_delay: float = 0.3
+    read_delay: float = 0.6
     read_period: float = 1.0
 
 
@@ -178,6 +178,11 @@
         self._next_read_at = now + self._settings.read_period
         return [ReadSource()]
 
+    def _read_told_version(self, version: int, now: float) -> list[DisseminationEffect]:
+        if version <= self.replica.version or self.follows_source:
+            return []
+        return self._read_source(version, now)
+
     def receive_records(
         self, records: Iterable[VersionRecord], now: float
     ) -> list[DisseminationEffect]:
@@ -191,6 +196,9 @@
                 break
             if result is not None:
                 newest = record
+            elif record.base_version and record.change is None:
+                # The change is too large to be told.
+                effects += self._read_told_version(record.version, now)
         if newest is not None:
             effects += self._activate(now)
             effects.append(PushRecord(newest, self._settings.push_fanout))
--- a/flamingohead/core/members.py
+++ b/flamingohead/core/members.py
@@ -49,6 +49,7 @@
 
     ``accuser`` names the member that suspects this one or declared it dead. Members of
     the same ``group`` know each other singly; without one it is the failure domain.
+    ``capacity`` orders the hosts by how fast they take a large configuration.
     """
 
     host_id: str
@@ -60,6 +61,7 @@
     upstreams: tuple[UpstreamState, ...] = ()
     accuser: str = ""
     group: str = ""
+    capacity: int = 0
 
     @property
     def gossip_group(self) -> str:
--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -48,7 +48,7 @@
 
 MAX_DATAGRAM_BYTES = 1200
 _FIELD_BYTES = 3
-_MEMBER_NUMBERS_BYTES = 13
+_MEMBER_NUMBERS_BYTES = 19
 _UPSTREAM_NUMBERS_BYTES = 10
 _FIXED_BYTES = 64
 
--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -3,8 +3,9 @@
 The load it answers: hundreds of daemons and a storm of changes. If each asks the
 source, its calls grow with daemons times versions, and every answer brings the whole
 document over the link of a small host. So a few daemons of each failure domain ask,
-and one of them tells the others what changed. The others check twice a second that
-one of the few is alive and reaches the source, and ask it themselves when none does.
+those that take a large document fastest, and the first tells the others what changed.
+The others check twice a second that one of the few is alive and reaches the source,
+are told again what they missed, and ask the source themselves when none answers.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
     from collections.abc import Iterable
 
     from flamingohead.core.members import Member
+    from flamingohead.core.versions import VersionRecord
 
 # Two may be lost at once, or be turned away by the source, without any wait.
 SUBSCRIBERS_PER_DOMAIN = 3
@@ -25,6 +27,43 @@
 # A process that missed its turns for so long was paused, and its connections may be
 # gone without a word.
 PAUSE_SECONDS = 1.0
+# A document of 1,400 routes in base64, and the time that a whole core decodes it.
+DOCUMENT_MEGABITS = 2.6
+DOCUMENT_SECONDS = 0.05
+# Changes kept for those who missed them; a storm brings two a second at most.
+KEPT_RECORDS = 16
+
+
+def compute_capacity(*, cores: float, link_mbps: float) -> int:
+    """Return how many large documents a host takes in 1,000 seconds."""
+    if cores <= 0 or link_mbps <= 0:
+        return 0
+    seconds = DOCUMENT_MEGABITS / link_mbps + DOCUMENT_SECONDS / cores
+    return round(1000 / seconds)
+
+
+class RecordChain:
+    """Keep the last changes in their order, for daemons that missed some."""
+
+    def __init__(self) -> None:
+        self._records: dict[int, VersionRecord] = {}
+
+    def add(self, record: VersionRecord) -> None:
+        """Add the newest record; one on another base starts anew."""
+        newest = next(reversed(self._records.values()), None)
+        if newest is not None and newest.version != record.base_version:
+            self._records.clear()
+        self._records[record.base_version] = record
+        while len(self._records) > KEPT_RECORDS:
+            del self._records[next(iter(self._records))]
+
+    def list_after(self, version: int) -> list[VersionRecord]:
+        """Return the records that lead on from a version, if it was held here."""
+        found: list[VersionRecord] = []
+        while version in self._records:
+            found.append(self._records[version])
+            version = found[-1].version
+        return found
 
 
 class Subscription:
@@ -98,6 +137,7 @@
             self._covered_until = now + COVER_SECONDS
 
 
-def _rank_member(member: Member) -> tuple[int, str]:
-    """Order members so that all daemons agree and no name is preferred."""
-    return zlib.crc32(member.host_id.encode()), member.host_id
+def _rank_member(member: Member) -> tuple[int, int, str]:
+    """Order members, the fastest first, so that all daemons agree."""
+    number = zlib.crc32(member.host_id.encode())
+    return -member.capacity, number, member.host_id
--- a/flamingohead/mesh.py
+++ b/flamingohead/mesh.py
@@ -35,6 +35,7 @@
     random: Random,
     *,
     group: str = "",
+    capacity: int = 0,
     settings: MembershipSettings = MembershipSettings(),
 ) -> None:
     """Add membership, summaries and calls between daemons.
@@ -48,6 +49,7 @@
         relay_address=identity.relay_address,
         incarnation=int(time.time() * 1000),
         group=group,
+        capacity=capacity,
     )
     membership = Membership(myself, random=random, settings=settings)
     kernel.add("gossip", GossipService(kernel, membership, myself.peer_address))
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -70,7 +70,14 @@
     kernel.add("store", store)
     kernel.add("table", StoreTable(store))
     kernel.add("objects", StoreObjects(store))
-    add_mesh(kernel, settings, generator, group=GROUP, settings=MEMBERSHIP)
+    add_mesh(
+        kernel,
+        settings,
+        generator,
+        group=GROUP,
+        capacity=settings.capacity,
+        settings=MEMBERSHIP,
+    )
     _add_requests(kernel, settings, generator)
     add_bootstrap(kernel, settings, generator, settings=BOOTSTRAP)
     kernel.add("subscription", SubscriptionService(kernel))
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -11,6 +11,7 @@
 from msgspec import Meta
 
 from flamingohead.addresses import check_address
+from flamingohead.core.subscription import compute_capacity
 from flamingohead.platform.durations import DurationText, parse_milliseconds
 from flamingohead.platform.messages import UNREADABLE, Message, describe_problem
 
@@ -34,6 +35,13 @@
     control: str
 
 
+class _Limits(Message):
+    # Cores of the host, each faster or slower by ``cpu_share``.
+    cpu_cores: Positive = 1.0
+    cpu_share: Positive = 1.0
+    link_mbps: Positive = 1000.0
+
+
 class _Bounds(Message):
     grace: DurationText = "6s"
     retry_budget_ratio: Positive = 0.2
@@ -56,6 +64,7 @@
     platform: _Store
     heartbeat: DurationText = "1500ms"
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 @dataclass(frozen=True)
@@ -82,6 +91,7 @@
     retry_ratio: float
     retry_window: float
     retry_slack: float
+    capacity: int = 0
 
 
 def parse_settings(text: str, *, metrics_port: int = 0) -> HostSettings:
@@ -156,4 +166,8 @@
         retry_ratio=boot.bounds.retry_budget_ratio,
         retry_window=_convert_seconds(boot.bounds.budget_window),
         retry_slack=boot.bounds.budget_slack,
+        capacity=compute_capacity(
+            cores=boot.limits.cpu_cores * boot.limits.cpu_share,
+            link_mbps=boot.limits.link_mbps,
+        ),
     )
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -270,6 +270,7 @@
         upstreams=upstreams,
         accuser=member.accuser,
         group=member.group,
+        capacity=member.capacity,
     )
 
 
@@ -286,6 +287,7 @@
         upstreams=tuple(_decode_upstream(u) for u in message.upstreams),
         accuser=message.accuser,
         group=message.group,
+        capacity=message.capacity,
     )
 
 
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -126,6 +126,12 @@
         size = codec.encode_record(record).ByteSize()
         self._run(self.membership.build_news(record, members, size=size))
 
+    def send_answer(self, record: VersionRecord, datagram: Datagram) -> None:
+        """Tell the sender of a datagram of a record."""
+        sender = self.membership.members.get(datagram.sender)
+        if sender is not None:
+            self.send_record(record, [sender])
+
     def ping(self, host_id: str) -> None:
         """Ask a member for a sign of life."""
         self._run(self.membership.build_pings([host_id]))
--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.changes import Change
-from flamingohead.core.subscription import Subscription
+from flamingohead.core.messages import Ping
+from flamingohead.core.subscription import RecordChain, Subscription
 from flamingohead.core.versions import VersionRecord
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec
@@ -36,6 +37,7 @@
         self._ticks = Ticks(self._tick)
         self._needed = asyncio.Event()
         self._is_source_reached = False
+        self._records = RecordChain()
 
     async def start(self) -> None:
         gossip = self._kernel.get("gossip")
@@ -65,13 +67,16 @@
 
     def spread(self, base: Snapshot, snapshot: Snapshot) -> None:
         """Tell those who rely on this daemon what a new version changes."""
-        receivers = self._subscription.list_receivers()
-        if not receivers or not base.version:
+        if not self._subscription.is_chosen or not base.version:
             return
         record = _build_record(base, snapshot)
         if codec.encode_record(record).ByteSize() > MAX_RECORD_BYTES:
             # They hear of the version, and read the source themselves.
             record = replace(record, change=None)
+        self._records.add(record)
+        receivers = self._subscription.list_receivers()
+        if not receivers:
+            return
         self._kernel.get("metrics").count("subscription.told", len(receivers))
         self._kernel.get("gossip").send_record(record, receivers)
 
@@ -79,6 +84,16 @@
         now = time.monotonic()
         is_current = datagram.follows_source
         self._subscription.receive(datagram.sender, is_current=is_current, now=now)
+        if self._subscription.is_chosen and isinstance(datagram.body, Ping):
+            self._tell_missed(datagram)
+
+    def _tell_missed(self, datagram: Datagram) -> None:
+        """Tell a daemon that checks on this one of the changes that it missed."""
+        missed = self._records.list_after(datagram.version)
+        if missed:
+            self._kernel.get("metrics").count("subscription.repeated", len(missed))
+        for record in missed:
+            self._kernel.get("gossip").send_answer(record, datagram)
 
     def _tick(self) -> None:
         gossip = self._kernel.get("gossip")
