--- a/flamingohead/addresses.py
+++ b/flamingohead/addresses.py
@@ -18,6 +18,14 @@
     return value
 
 
+def check_named_address(name: str, value: str) -> str:
+    """Return ``value``; raise ``ValueError`` with the name that it was given under."""
+    try:
+        return check_address(value)
+    except ValueError as error:
+        raise ValueError(f"{name}: found {value!r}: {error}") from error
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of ``IP:PORT``."""
     host, _, port = address.rpartition(":")
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -113,10 +113,7 @@
         refusal = check_snapshot(snapshot, None, base=self.snapshot)
         if refusal is not None:
             return refusal
-        self.records.clear()
-        self._kept_resources = 0
-        self.snapshot = snapshot
-        return snapshot
+        return self._replace_snapshot(snapshot)
 
     def take_snapshot(
         self, snapshot: Snapshot, digest: bytes | None = None
@@ -131,6 +128,10 @@
         refusal = check_snapshot(snapshot, digest, base=self.snapshot)
         if refusal is not None:
             return refusal
+        return self._replace_snapshot(snapshot)
+
+    def _replace_snapshot(self, snapshot: Snapshot) -> Snapshot:
+        """Take a snapshot to which no kept record leads."""
         self.records.clear()
         self._kept_resources = 0
         self.snapshot = snapshot
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -5,15 +5,16 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
-from flamingohead.addresses import check_address
+from flamingohead.addresses import check_named_address
 from flamingohead.core.subscription import compute_capacity
+from flamingohead.decoding import describe_problem, parse_text
 from flamingohead.platform.durations import DurationText, parse_milliseconds
-from flamingohead.platform.messages import UNREADABLE, Message, describe_problem
+from flamingohead.platform.messages import Message
 
 METRICS_VARIABLE = "FLAMINGOHEAD_METRICS_PORT"
 HIGHEST_PORT = 65535
@@ -99,31 +100,14 @@
 
     Metrics are served at ``metrics_port`` of the host, or nowhere if it is 0.
     """
+    fields = None
     try:
-        fields = _parse_text(text)
-        boot = msgspec.convert(fields, _Boot)
+        fields = parse_text(text)
+        return _decode(msgspec.convert(fields, _Boot), metrics_port)
     except msgspec.ValidationError as error:
-        raise BootError(describe_problem(error, fields, _return_same)) from error
-    return _decode(boot, metrics_port)
-
-
-def _parse_text(text: str) -> Any:
-    """Return the fields of a text in JSON, or in YAML, which takes longer to load."""
-    if text.startswith("{"):
-        try:
-            return msgspec.json.decode(text)
-        except UNREADABLE as error:
-            raise BootError(f"not JSON: {error}") from error
-    import yaml
-
-    try:
-        return yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise BootError(f"not YAML: {error}") from error
-
-
-def _return_same(fields: Any) -> Any:
-    return fields
+        raise BootError(describe_problem(error, fields, lambda same: same)) from error
+    except ValueError as error:
+        raise BootError(str(error)) from error
 
 
 def read_settings(path: str) -> HostSettings:
@@ -134,14 +118,6 @@
     return parse_settings(Path(path).read_text(), metrics_port=int(port))
 
 
-def _check_address(name: str, value: str) -> str:
-    """Return a checked address; raise ``BootError``."""
-    try:
-        return check_address(value)
-    except ValueError as error:
-        raise BootError(f"{name}: found {value!r}: {error}") from error
-
-
 def _convert_seconds(text: str) -> float:
     return parse_milliseconds(text) / 1000
 
@@ -152,14 +128,14 @@
     return HostSettings(
         host_id=boot.node,
         failure_domain=boot.zone,
-        ingress_address=_check_address("listen.outbound", listen.outbound),
-        relay_address=_check_address("listen.inbound", listen.inbound),
-        ready_address=_check_address("listen.ready", listen.ready),
-        announce_address=_check_address("listen.control", listen.control),
+        ingress_address=check_named_address("listen.outbound", listen.outbound),
+        relay_address=check_named_address("listen.inbound", listen.inbound),
+        ready_address=check_named_address("listen.ready", listen.ready),
+        announce_address=check_named_address("listen.control", listen.control),
         peer_address=f"{boot.ip}:{first_port}",
         metrics_address=f"{boot.ip}:{metrics_port}" if metrics_port else "",
-        store_address=_check_address("platform.address", boot.platform.address),
-        upstream_address=_check_address("app-addr", boot.app_addr),
+        store_address=check_named_address("platform.address", boot.platform.address),
+        upstream_address=check_named_address("app-addr", boot.app_addr),
         service=boot.service,
         announcement_period=_convert_seconds(boot.heartbeat),
         stop_timeout=_convert_seconds(boot.bounds.grace),
--- a/flamingohead/platform/documents.py
+++ b/flamingohead/platform/documents.py
@@ -19,8 +19,9 @@
     Snapshot,
     WeightedPool,
 )
+from flamingohead.decoding import UNREADABLE, describe_problem
 from flamingohead.platform.durations import DurationText, parse_milliseconds
-from flamingohead.platform.messages import UNREADABLE, Message, describe_problem
+from flamingohead.platform.messages import Message
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -12,9 +12,10 @@
 
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import Announcement
+from flamingohead.decoding import UNREADABLE, describe_problem
 from flamingohead.events import Event, log_event
 from flamingohead.platform.durations import DurationText
-from flamingohead.platform.messages import UNREADABLE, Message, describe_problem
+from flamingohead.platform.messages import Message
 from flamingohead.services.endpoint import Endpoint
 
 if TYPE_CHECKING:
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -13,8 +13,9 @@
 import msgspec
 
 from flamingohead.core.errors import ErrorKind, Ran, Refusal
+from flamingohead.decoding import UNREADABLE
 from flamingohead.events import Event, log_event
-from flamingohead.platform.messages import UNREADABLE, Message
+from flamingohead.platform.messages import Message
 from flamingohead.services.http_client import CollectedAnswer
 from flamingohead.services.http_messages import OutgoingRequest
 
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -20,6 +20,7 @@
     WriteRow,
 )
 from flamingohead.core.errors import Refusal
+from flamingohead.decoding import UNREADABLE
 from flamingohead.events import Event, log_event
 from flamingohead.services.ticks import Ticks
 
@@ -134,7 +135,7 @@
             parts = row.key.split("/")
             try:
                 body = _ROWS.decode(row.value)
-            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            except UNREADABLE:
                 self._kernel.get("metrics").count("host_row.malformed")
                 continue
             if parts[1] == group:
--- a/flamingohead/testing/transports.py
+++ b/flamingohead/testing/transports.py
@@ -70,3 +70,21 @@
 
     def get_unsent_bytes(self) -> int:
         return self.unsent_bytes
+
+
+class RecordingSink:
+    """Take an answer of one exchange."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+        self.is_whole = False
+
+    def start(self, status: int, headers, length: int | None) -> None:
+        self.status = status
+
+    def write(self, data: bytes) -> None:
+        self.body += data
+
+    def finish(self) -> None:
+        self.is_whole = True
--- a/flamingohead/tests/test_endless_bytes.py
+++ b/flamingohead/tests/test_endless_bytes.py
@@ -12,7 +12,7 @@
 from flamingohead.services.http_messages import REFUSAL_HEADER, OutgoingRequest
 from flamingohead.services.relay import RelaySink
 from flamingohead.testing.http import FakeCaller
-from flamingohead.testing.transports import FakeTransport
+from flamingohead.testing.transports import FakeTransport, RecordingSink
 
 ADDRESS = "127.0.0.1:1"
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -58,17 +58,6 @@
     return transport, ends
 
 
-class _Sink:
-    def start(self, status, headers, length):
-        pass
-
-    def write(self, data):
-        pass
-
-    def finish(self):
-        pass
-
-
 class _Response:
     """Take a response of any size, as a caller that reads on does."""
 
@@ -85,12 +74,12 @@
 class TestAnswers:
     @pytest.mark.parametrize("name", USELESS_ENDINGS)
     def test_connection_is_dropped_soon(self, name):
-        transport, ends = start_exchange(_Sink())
+        transport, ends = start_exchange(RecordingSink())
         assert feed_endlessly(transport, *USELESS_ENDINGS[name]) < 2**18
         assert [end.kind for end in ends] == [ErrorKind.UPSTREAM_MALFORMED]
 
     def test_body_of_single_bytes_is_read(self):
-        transport, ends = start_exchange(_Sink())
+        transport, ends = start_exchange(RecordingSink())
         transport.deliver(CHUNKED)
         for _ in range(2000):
             transport.deliver(b"1\r\nx\r\n" * 100)
--- a/flamingohead/tests/test_http_client.py
+++ b/flamingohead/tests/test_http_client.py
@@ -21,7 +21,7 @@
 )
 from flamingohead.services.http_connection import ClientConnection
 from flamingohead.services.http_messages import OutgoingRequest
-from flamingohead.testing.transports import FakeTransport
+from flamingohead.testing.transports import FakeTransport, RecordingSink
 
 ADDRESS = "127.0.0.1:1"
 
@@ -83,23 +83,12 @@
         transport.unsent_bytes = 1
         ends = []
         request = OutgoingRequest("POST", b"/", (), b"body", 1.0)
-        connection.exchange(request, _Sink(), ends.append)
+        connection.exchange(request, RecordingSink(), ends.append)
         transport.deliver(b"HTTP/1.1 413 Too Large\r\ncontent-length: 0\r\n\r\n")
         assert ends == [None]
         assert not connection.is_open
 
 
-class _Sink:
-    def start(self, status, headers, length):
-        pass
-
-    def write(self, data):
-        pass
-
-    def finish(self):
-        pass
-
-
 class TestConnectionsOfRequestsThatMayRunOnce:
     """Replay a payment desk: 40 requests a second, each of 60 ms, to one upstream."""
 
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -13,7 +13,7 @@
 from flamingohead.services.http_connection import ClientConnection
 from flamingohead.services.http_messages import OutgoingRequest
 from flamingohead.services.metrics import MetricsService
-from flamingohead.testing.transports import FakeTransport
+from flamingohead.testing.transports import FakeTransport, RecordingSink
 
 
 def build_request(name, *, echoes_id=True):
@@ -30,20 +30,6 @@
     )
 
 
-class _Sink:
-    def __init__(self):
-        self.body = b""
-
-    def start(self, status, headers, length):
-        pass
-
-    def write(self, data):
-        self.body += data
-
-    def finish(self):
-        pass
-
-
 class _Exchanges:
     """Make exchanges on one connection, one after another."""
 
@@ -54,7 +40,7 @@
         self.sinks = []
 
     def send(self, name, **options):
-        self.sinks.append(_Sink())
+        self.sinks.append(RecordingSink())
         request = build_request(name, **options)
         self.connection.exchange(request, self.sinks[-1], self.ends.append)
 
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
-import re
 import time
 import zlib
 from dataclasses import replace
@@ -39,7 +37,6 @@
 from flamingohead.kernel import Kernel
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.subscription import SubscriptionService
-from flamingohead.testing.hosts import HostMesh, build_document, send_request
 
 DOMAIN = "makola"
 SETTINGS = DisseminationSettings(polls_table=False, pull_delay=1.0, push_fanout=0)
@@ -311,92 +308,6 @@
         assert not self.hear(dissemination, [1.1, 2.0])
 
 
-def read_counter(host, name):
-    page = send_request(host.metrics, "GET", "/metrics")[2].decode()
-    found = re.search(rf'name="{re.escape(name)}"\}} ([\d.]+)', page)
-    return float(found[1]) if found else 0.0
-
-
-def wait_for_path(hosts, path, *, seconds):
-    """Return whether all hosts serve a path within some seconds."""
-    deadline = time.monotonic() + seconds
-    waiting = list(hosts)
-    while waiting and time.monotonic() < deadline:
-        waiting = [host for host in waiting if ask(host, path) != 200]
-        time.sleep(0.02)
-    return not waiting
-
-
-def ask(host, path):
-    headers = {
-        "Host": "ledger.example",
-        "Request-Id": f"r{time.monotonic_ns()}",
-        "Request-Deadline": "1000",
-    }
-    try:
-        return send_request(host.ingress, "GET", path, headers=headers)[0]
-    except OSError:
-        return 0
-
-
-def read_changes(host):
-    """Return what a daemon logged of its part in following the source."""
-    lines = host.daemon.log_path.read_text().splitlines()
-    return [json.loads(line)["fields"] for line in lines if '"event": 212' in line]
-
-
-def list_askers(mesh):
-    return [
-        host
-        for host in mesh.hosts.values()
-        if (read_changes(host) or [{}])[-1].get("asks_source") == "True"
-    ]
-
-
-@pytest.fixture(scope="module")
-def mesh(tmp_path_factory):
-    with HostMesh(tmp_path_factory.mktemp("subscription")) as mesh:
-        mesh.write_row("op", "config", build_document(2, {"/a/": "ledger"}))
-        for number in range(6):
-            mesh.add_host(f"h{number}", "ledger")
-        assert wait_for_path(mesh.hosts.values(), "/a/x", seconds=30.0)
-        # Daemons that started alone ask the source until they have met.
-        deadline = time.monotonic() + 20.0
-        while len(list_askers(mesh)) != SUBSCRIBERS_PER_DOMAIN:
-            assert time.monotonic() < deadline
-            time.sleep(0.1)
-        yield mesh
-
-
-class TestProcesses:
-    """Six daemons of one failure domain on the platform's protocol."""
-
-    # The shortest bound of a deployment for a change to be in force, in seconds.
-    IN_FORCE_SECONDS = 2.0
-
-    def test_changes_cost_the_source_one_answer_for_each_that_asks(self, mesh):
-        hosts = list(mesh.hosts.values())
-        time.sleep(1.0)
-        before = sum(read_counter(host, "store.rows-feed") for host in hosts)
-        for version in range(3, 8):
-            routes = {"/a/": "ledger", f"/v{version}/": "ledger"}
-            mesh.write_row("op", "config", build_document(version, routes))
-            path = f"/v{version}/x"
-            assert wait_for_path(hosts, path, seconds=self.IN_FORCE_SECONDS)
-            time.sleep(0.7)
-        after = sum(read_counter(host, "store.rows-feed") for host in hosts)
-        assert after - before <= 5 * SUBSCRIBERS_PER_DOMAIN + 2
-
-    def test_change_is_in_force_after_those_that_ask_were_killed(self, mesh):
-        askers = list_askers(mesh)
-        left = [host for host in mesh.hosts.values() if host not in askers]
-        for host in askers:
-            host.daemon.kill()
-        routes = {"/a/": "ledger", "/killed/": "ledger"}
-        mesh.write_row("op", "config", build_document(9, routes))
-        assert wait_for_path(left, "/killed/x", seconds=self.IN_FORCE_SECONDS)
-
-
 class TestMissedChanges:
     def test_daemon_that_checks_with_an_old_version_is_told_again(self):
         kernel, sent = Kernel(), []
