Rely on others for the source from the start

A log of 22 daemons: all hold version 2, five are ready. A daemon that found no configuration at its start and was never needed as a follower of the source was taken for one, since only changes of its part were told to the configuration service: it waited for a feed that it had not opened, took the version from a peer a second later, and a version from a peer alone serves nobody. Change: a daemon relies on others for the source from its start. Tests: the process tests of the subscription write the first configuration after all daemons have asked for one; they failed in the setup before, and pass.

--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -46,6 +46,8 @@
             myself.host_id, myself.failure_domain, time.monotonic()
         )
         gossip.listeners.append(self._receive)
+        # Until it is needed, this daemon relies on others.
+        self._kernel.get("configuration").set_source_follower(False)
         self._ticks.start(TICK_PERIOD, now=False)
 
     async def stop(self) -> None:
--- a/flamingohead/tests/test_subscription_processes.py
+++ b/flamingohead/tests/test_subscription_processes.py
@@ -20,10 +20,15 @@
 
 def wait_for_path(hosts, path, *, seconds):
     """Return whether all hosts serve a path within some seconds."""
+    return wait_for_status(hosts, 200, path=path, seconds=seconds)
+
+
+def wait_for_status(hosts, status, *, path="/a/x", seconds):
+    """Return whether all hosts answer with a status within some seconds."""
     deadline = time.monotonic() + seconds
     waiting = list(hosts)
     while waiting and time.monotonic() < deadline:
-        waiting = [host for host in waiting if ask(host, path) != 200]
+        waiting = [host for host in waiting if ask(host, path) != status]
         time.sleep(0.02)
     return not waiting
 
@@ -57,10 +62,13 @@
 @pytest.fixture(scope="module")
 def mesh(tmp_path_factory):
     with HostMesh(tmp_path_factory.mktemp("subscription")) as mesh:
-        mesh.write_row("op", "config", build_document(2, {"/a/": "ledger"}))
         for number in range(6):
             mesh.add_host(f"h{number}", "ledger")
-        assert wait_for_path(mesh.hosts.values(), "/a/x", seconds=30.0)
+        # The first configuration comes when all have asked for one and found none.
+        assert wait_for_status(mesh.hosts.values(), 503, seconds=30.0)
+        time.sleep(2.0)
+        mesh.write_row("op", "config", build_document(2, {"/a/": "ledger"}))
+        assert wait_for_path(mesh.hosts.values(), "/a/x", seconds=5.0)
         # Daemons that started alone ask the source until they have met.
         deadline = time.monotonic() + 20.0
         while len(list_askers(mesh)) != SUBSCRIBERS_PER_DOMAIN:
