Log reads of the configuration, pulls of it, and requests without a route

E213 tells what the source gave, how long that took and its bytes; E214 whom a daemon that is behind asks; E215 what a pull brought; E523 the version that refused a request before it was offered to an upstream. source.bytes counts documents read. Repeats are bounded as for every event.

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -34,6 +34,9 @@
     SUBSCRIPTION_CHANGED = EventKind(
         212, logging.INFO, "part in following the source changed"
     )
+    SOURCE_READ = EventKind(213, logging.INFO, "configuration read from its source")
+    NEWER_VERSION_ASKED = EventKind(214, logging.INFO, "newer configuration asked for")
+    CHANGES_PULLED = EventKind(215, logging.INFO, "configuration pulled from a peer")
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
@@ -58,6 +61,7 @@
     ATTEMPT_REPEATED = EventKind(520, logging.INFO, "request sent again")
     REQUEST_REFUSED = EventKind(521, logging.INFO, "request refused")
     REQUEST_NOT_ADMITTED = EventKind(522, logging.INFO, "request not admitted here")
+    REQUEST_NOT_ROUTED = EventKind(523, logging.INFO, "request matches no call")
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream taken back")
 
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -10,10 +10,12 @@
 
 from flamingohead.core.errors import Refusal
 from flamingohead.core.following import FollowPace
+from flamingohead.events import Event, log_event
 from flamingohead.platform.documents import DocumentReader
 from flamingohead.platform.store import HistoryDropped, StoredRow
 
 if TYPE_CHECKING:
+    from flamingohead.core.resources import Snapshot
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
@@ -64,13 +66,14 @@
 
     async def _read(self) -> int | None:
         """Read the row; return the store's version, or ``None`` if that failed."""
+        asked_at = time.monotonic()
         page = await self._kernel.get("store").read_rows(
             TABLE, "", first_key=CONFIGURATION_KEY, limit=1
         )
         if isinstance(page, Refusal):
             self._note_failure()
             return None
-        self._take_rows(page.rows)
+        self._take_rows(page.rows, asked_at)
         return page.version
 
     async def _follow(self, version: int) -> int | None:
@@ -83,14 +86,14 @@
         if isinstance(page, Refusal):
             self._note_failure()
             return None
-        changed = self._take_rows(page.rows)
+        changed = self._take_rows(page.rows, asked_at)
         now = time.monotonic()
         next_at = self._pace.note_answer(asked_at=asked_at, now=now, changed=changed)
         if next_at > now:
             await asyncio.sleep(next_at - now)
         return page.version
 
-    def _take_rows(self, rows: tuple[StoredRow, ...]) -> bool:
+    def _take_rows(self, rows: tuple[StoredRow, ...], asked_at: float) -> bool:
         """Take the newest configuration among the rows; tell whether there was one."""
         self._retry_wait = FIRST_RETRY_SECONDS
         self._kernel.get("subscription").note_source(reached=True)
@@ -98,7 +101,9 @@
         values = [r for r in rows if r.key == CONFIGURATION_KEY and r.value is not None]
         if values:
             row = values[-1]
+            read_at = time.monotonic()
             snapshot = self._documents.read(row.value)
+            self._log_read(snapshot, row, asked_at, read_at)
             if isinstance(snapshot, Refusal):
                 configuration.reject_document(
                     configuration.replica.version + 1, snapshot
@@ -112,6 +117,26 @@
         configuration.finish_source_read(succeeded=True, found=found)
         return bool(values)
 
+    def _log_read(
+        self,
+        snapshot: Snapshot | Refusal,
+        row: StoredRow,
+        asked_at: float,
+        read_at: float,
+    ) -> None:
+        self._kernel.get("metrics").count("source.bytes", len(row.value))
+        refused = isinstance(snapshot, Refusal)
+        log_event(
+            logger,
+            Event.SOURCE_READ,
+            held=self._kernel.get("configuration").replica.version,
+            found="unreadable" if refused else snapshot.version,
+            seconds=round(read_at - asked_at, 3),
+            decoding_seconds=round(time.monotonic() - read_at, 3),
+            bytes=len(row.value),
+            row=row.version,
+        )
+
     def _note_failure(self) -> None:
         self._kernel.get("subscription").note_source(reached=False)
         self._kernel.get("configuration").finish_source_read(succeeded=False)
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.addresses import split_address
-from flamingohead.core.calls import Call
+from flamingohead.core.calls import REQUEST_ID_HEADER, Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import qualify_refusal
 from flamingohead.core.memory import ByteBudget
@@ -195,7 +195,7 @@
         target = request.target.decode("latin-1")
         resolved = routes.match(request.method, target, read_host(request))
         if isinstance(resolved, Refusal):
-            self._refuse(response, qualify(request, resolved))
+            self._refuse_unrouted(request, response, resolved)
             return
         call = build_call(
             request,
@@ -206,13 +206,29 @@
             own_service=self.own_service,
         )
         if isinstance(call, Refusal):
-            self._refuse(response, qualify(request, call))
+            self._refuse_unrouted(request, response, call)
             return
         parent = self._dialect.find_parent(call.request_id)
         if parent and self._kernel.get("slots").is_running(parent):
             call = replace(call, parent=parent)
         self._spawn(self._serve(call, response), request, response)
 
+    def _refuse_unrouted(
+        self, request: IncomingRequest, response: ServerResponse, refusal: Refusal
+    ) -> None:
+        """Refuse a request for which there is no call."""
+        request_id = request.get_header(REQUEST_ID_HEADER) or b""
+        log_event(
+            logger,
+            Event.REQUEST_NOT_ROUTED,
+            request=request_id.decode("latin-1"),
+            reason=refusal.kind.value,
+            detail=refusal.detail,
+            version=self._kernel.get("configuration").routes.version,
+            members=self._kernel.get("gossip").membership.count_members(),
+        )
+        self._refuse(response, qualify(request, refusal))
+
     def _handle_relay(self, request: IncomingRequest, response: ServerResponse) -> None:
         call = read_relayed_call(request, time.monotonic())
         if isinstance(call, Refusal):
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -123,8 +123,10 @@
 
     def _perform(self, effect: DisseminationEffect) -> None:
         if isinstance(effect, ReadSource):
+            self._log_asked("source")
             self._spawn(self._kernel.get("feed").read())
         elif isinstance(effect, PullFromPeer):
+            self._log_asked(effect.address)
             self._spawn(self._pull(effect))
         elif isinstance(effect, AskSample):
             self._ask_sample(effect)
@@ -184,6 +186,11 @@
             reason=effect.refusal.detail,
         )
 
+    def _log_asked(self, asked: str) -> None:
+        log_event(
+            logger, Event.NEWER_VERSION_ASKED, asked=asked, held=self.replica.version
+        )
+
     # Peers
 
     def _ask_sample(self, effect: AskSample) -> None:
@@ -199,23 +206,38 @@
 
     async def _pull(self, effect: PullFromPeer) -> None:
         retry_at: float | None = None
+        asked_at = time.monotonic()
+        outcome = "cancelled"
         try:
             request = pb.PullRequest(version=effect.version)
             peers = self._kernel.get("peers")
             reply = await peers.call(effect.address, "Pull", request)
             if isinstance(reply, Refusal):
+                outcome = "failed"
                 return
             if reply.retry_after_ms:
+                outcome = "postponed"
                 retry_at = time.monotonic() + reply.retry_after_ms / 1000
                 self._kernel.get("metrics").count("pull.postponed")
                 return
+            outcome = "snapshot" if reply.HasField("snapshot") else "records"
             self._take_pulled(reply)
         except codec.CodecError as error:
+            outcome = "malformed"
             log_event(logger, Event.PULL_MALFORMED, peer=effect.address, error=error)
             self._kernel.get("metrics").count("pull.malformed")
             retry_at = time.monotonic() + 1.0
         finally:
             self._dissemination.finish_pull(time.monotonic(), retry_at)
+            log_event(
+                logger,
+                Event.CHANGES_PULLED,
+                peer=effect.address,
+                outcome=outcome,
+                base=effect.version,
+                held=self.replica.version,
+                seconds=round(time.monotonic() - asked_at, 3),
+            )
 
     def answer_pull(self, version: int) -> pb.PullReply:
         """Return the records after a version, a whole snapshot or a time to retry."""
