Pull a large change, compressed, from the daemon that told of it

Cause: a change too large for a datagram made every daemon read the whole document from the store at once, over its own link. 305 KB of base64 take 0.7 s of a link of 3.5 Mbit/s that carries nothing else; beside the requests of a burst they took more than the 2 s of a call, and the next read began from nothing. And a daemon that follows the store was told nothing, so that on a small link it was 0.7 to 2.2 s later than those who rely on it.

Ruled out: a source that answers with the past (each failed daemon had failed reads, none an older one), a route resolved before a version and used after it (404 is decided when the request arrives).

Change: each daemon keeps the last 16 changes of the source. What is told during a pull is pulled after it; a pull that brought nothing takes turns with a read of the store. All daemons of the failure domain are told, those that follow the store too. Daemons of an earlier version do not ask for packed replies and get plain ones.

Why it works: what a small host has to take in time is a tenth of the document, from the hosts with the largest links, and it never starts over a fall-back that is larger. A daemon that hears of a newer version no longer depends on what the store answers.

Three checks of TestReadsOfTheSource and one of TestChoice stated the old ways: that a missed or large change is read from the source, and that followers are not told. They are replaced by checks that the change is pulled at once from who told of it, with the same bounds of time and number.

--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -3,6 +3,10 @@
 Each daemon polls the table at random, so that its failure domain as a whole polls
 at a fixed rate. A daemon that takes a version pushes it to a few peers; versions
 seen on other datagrams lead to a pull from the peer that is ahead.
+
+Where a source tells of each change by itself, a daemon that was told of a version but
+can't build it from what was told pulls it at once from the daemon that told of it. A
+pull that brought nothing leads to a read of the source.
 """
 
 from __future__ import annotations
@@ -27,8 +31,8 @@
 
     Without ``polls_table`` the configuration comes from a source that tells of each
     change by itself; while that source answers, a peer that is ahead is asked only
-    after ``pull_delay``. A daemon that relies on others for the source reads it after
-    ``read_delay``, at most once in ``read_period``.
+    after ``pull_delay``, or ``relied_pull_delay`` by a daemon that relies on others for
+    the source. Such a daemon reads the source at most once in ``read_period``.
     """
 
     domain_poll_rate: float = 4.0
@@ -39,7 +43,7 @@
     push_fanout: int = 3
     polls_table: bool = True
     pull_delay: float = 0.0
-    read_delay: float = 0.6
+    relied_pull_delay: float = 0.6
     read_period: float = 1.0
 
 
@@ -98,6 +102,14 @@
     refusal: Refusal
 
 
+@dataclass(frozen=True)
+class _PeerAhead:
+    """Name a peer and the version that it holds."""
+
+    address: str
+    version: int
+
+
 DisseminationEffect = (
     ReadTable
     | ReadSource
@@ -133,6 +145,10 @@
         self._members = 1
         self._is_source_current = False
         self._behind_since: float | None = None
+        # The newest version told of, while it is not held.
+        self._told: _PeerAhead | None = None
+        self._pulled_from_version: int | None = None
+        self._is_pull_vain = False
 
     def tick(self, now: float, *, members: int) -> list[DisseminationEffect]:
         """Poll the table when due; ``members`` counts the failure domain."""
@@ -155,12 +171,27 @@
             return effects
         if self._waits_for_source(now):
             return effects
-        if self._is_source_current and not self.follows_source:
-            return [*effects, *self._read_source(version, now)]
-        if now < self._next_pull_at or self.rejections.postpones(version, now):
-            return effects
+        return [*effects, *self._ask(_PeerAhead(address, version), now)]
+
+    @property
+    def _relies_on_others(self) -> bool:
+        """Tell whether the source can be read, and others follow it for this daemon."""
+        return self._is_source_current and not self.follows_source
+
+    def _ask(self, ahead: _PeerAhead, now: float) -> list[DisseminationEffect]:
+        """Pull from a peer that is ahead, or read the source after a vain pull."""
+        if self.rejections.postpones(ahead.version, now):
+            return []
+        if self._relies_on_others and not (ahead.address and self.readiness.is_ready):
+            # A version from a peer alone is not known to be the newest.
+            return self._read_source(now)
+        if self._relies_on_others and self._is_pull_vain and now >= self._next_read_at:
+            return self._read_source(now)
+        if now < self._next_pull_at or not ahead.address:
+            return []
         self._next_pull_at = now + self._settings.pull_timeout
-        return [*effects, PullFromPeer(address, self.replica.version)]
+        self._pulled_from_version = self.replica.version
+        return [PullFromPeer(ahead.address, self.replica.version)]
 
     def _waits_for_source(self, now: float) -> bool:
         """Tell whether the source is likely to bring the newer version by itself."""
@@ -168,25 +199,21 @@
             self._behind_since = now
         delay = self._settings.pull_delay
         if not self.follows_source:
-            delay = self._settings.read_delay
+            delay = self._settings.relied_pull_delay
         waits_until = self._behind_since + delay
         return self._is_source_current and now < waits_until
 
-    def _read_source(self, version: int, now: float) -> list[DisseminationEffect]:
-        if now < self._next_read_at or self.rejections.postpones(version, now):
+    def _read_source(self, now: float) -> list[DisseminationEffect]:
+        if now < self._next_read_at:
             return []
         self._next_read_at = now + self._settings.read_period
+        self._is_pull_vain = False
         return [ReadSource()]
 
-    def _read_told_version(self, version: int, now: float) -> list[DisseminationEffect]:
-        if version <= self.replica.version or self.follows_source:
-            return []
-        return self._read_source(version, now)
-
     def receive_records(
-        self, records: Iterable[VersionRecord], now: float
+        self, records: Iterable[VersionRecord], now: float, *, sender: str = ""
     ) -> list[DisseminationEffect]:
-        """Take records in order, from the table or a peer."""
+        """Take records in order, from the table or the peer at address ``sender``."""
         effects: list[DisseminationEffect] = []
         newest: VersionRecord | None = None
         for record in records:
@@ -196,12 +223,14 @@
                 break
             if result is not None:
                 newest = record
-            elif record.base_version and record.change is None:
-                # The change is too large to be told.
-                effects += self._read_told_version(record.version, now)
+            elif record.base_version and record.version > self.replica.version:
+                # The change is too large to be told, or one before it was missed.
+                self._told = _PeerAhead(sender, record.version)
+                effects += self._ask(self._told, now)
         if newest is not None:
             effects += self._activate(now)
-            effects.append(PushRecord(newest, self._settings.push_fanout))
+            if self._settings.push_fanout:
+                effects.append(PushRecord(newest, self._settings.push_fanout))
         return effects
 
     def receive_snapshot(
@@ -230,9 +259,20 @@
         """Put off the next poll of the table."""
         self._next_poll_at = until
 
-    def finish_pull(self, now: float, retry_at: float | None = None) -> None:
-        """Note that a pull ended; ``retry_at`` if the peer refused for now."""
+    def finish_pull(
+        self, now: float, retry_at: float | None = None
+    ) -> list[DisseminationEffect]:
+        """Note that a pull ended; ``retry_at`` if the peer refused for now.
+
+        What was told of meanwhile is asked for at once.
+        """
         self._next_pull_at = now if retry_at is None else retry_at
+        self._is_pull_vain = self.replica.version == self._pulled_from_version
+        if self._told is None or self._told.version <= self.replica.version:
+            return []
+        if not self._is_pull_vain:
+            return self._ask(self._told, now)
+        return self._read_source(now) if self._relies_on_others else []
 
     def finish_table_read(
         self, now: float, *, found: bool = True
@@ -292,5 +332,6 @@
 
     def _activate(self, now: float) -> list[DisseminationEffect]:
         self._behind_since = None
+        self._is_pull_vain = False
         self.rejections.clear_up_to(self.replica.version)
         return [ActivateSnapshot(self.replica.snapshot), *self._update_readiness(now)]
--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -3,9 +3,13 @@
 The load it answers: hundreds of daemons and a storm of changes. If each asks the
 source, its calls grow with daemons times versions, and every answer brings the whole
 document over the link of a small host. So a few daemons of each failure domain ask,
-those that take a large document fastest, and the first tells the others what changed.
+those that take a large document fastest, and the first tells all others what changed.
 The others check twice a second that one of the few is alive and reaches the source,
 are told again what they missed, and ask the source themselves when none answers.
+
+What is too large to be told is pulled from the daemon that told of it: the change
+alone, compressed, is a tenth of the document that the source gives, which a small host
+may not take in time beside its requests.
 """
 
 from __future__ import annotations
@@ -17,7 +21,6 @@
     from collections.abc import Iterable
 
     from flamingohead.core.members import Member
-    from flamingohead.core.versions import VersionRecord
 
 # Two may be lost at once, or be turned away by the source, without any wait.
 SUBSCRIBERS_PER_DOMAIN = 3
@@ -30,8 +33,6 @@
 # A document of 1,400 routes in base64, and the time that a whole core decodes it.
 DOCUMENT_MEGABITS = 2.6
 DOCUMENT_SECONDS = 0.05
-# Changes kept for those who missed them; a storm brings two a second at most.
-KEPT_RECORDS = 16
 
 
 def compute_capacity(*, cores: float, link_mbps: float) -> int:
@@ -42,30 +43,6 @@
     return round(1000 / seconds)
 
 
-class RecordChain:
-    """Keep the last changes in their order, for daemons that missed some."""
-
-    def __init__(self) -> None:
-        self._records: dict[int, VersionRecord] = {}
-
-    def add(self, record: VersionRecord) -> None:
-        """Add the newest record; one on another base starts anew."""
-        newest = next(reversed(self._records.values()), None)
-        if newest is not None and newest.version != record.base_version:
-            self._records.clear()
-        self._records[record.base_version] = record
-        while len(self._records) > KEPT_RECORDS:
-            del self._records[next(iter(self._records))]
-
-    def list_after(self, version: int) -> list[VersionRecord]:
-        """Return the records that lead on from a version, if it was held here."""
-        found: list[VersionRecord] = []
-        while version in self._records:
-            found.append(self._records[version])
-            version = found[-1].version
-        return found
-
-
 class Subscription:
     """Decide whether this daemon asks the source; times are monotonic seconds."""
 
@@ -113,10 +90,13 @@
         return self.is_chosen or now >= self._covered_until
 
     def list_receivers(self) -> list[Member]:
-        """Return the members to tell of a change: none unless this daemon is first."""
+        """Return the members to tell of a change: none unless this daemon is first.
+
+        The others that follow the source are told too: their feed may be silent.
+        """
         if not self._chosen or self._chosen[0].host_id != self._host_id:
             return []
-        return self._others
+        return [*self._chosen[1:], *self._others]
 
     def choose_check(self, now: float) -> str | None:
         """Return the host to check now, if it is time to check one."""
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -12,6 +12,8 @@
 
 KEPT_RECORDS = 256
 KEPT_RESOURCES = 10_000
+# Changes of the source kept for those who missed them; a storm brings two a second.
+KEPT_SOURCE_RECORDS = 16
 
 
 @dataclass(frozen=True)
@@ -68,6 +70,55 @@
     )
 
 
+def build_source_record(base: Snapshot, snapshot: Snapshot) -> VersionRecord:
+    """Return the record that turns one version of the source into another."""
+    difference = snapshot.compare(base)
+    removed = [r.key for r in difference.before if r.key not in snapshot.resources]
+    return VersionRecord(
+        version=snapshot.version,
+        parent_digest=b"",
+        snapshot_digest=b"",
+        change_id="",
+        author="",
+        accepted_at=0.0,
+        change=Change(difference.after, tuple(removed)),
+        base_version=base.version,
+    )
+
+
+class RecordChain:
+    """Keep the last changes in their order, for daemons that missed some."""
+
+    def __init__(self) -> None:
+        self._records: dict[int, VersionRecord] = {}
+
+    @property
+    def newest(self) -> VersionRecord | None:
+        """Return the record of the newest version, if there is one."""
+        return next(reversed(self._records.values()), None)
+
+    def add(self, record: VersionRecord) -> None:
+        """Add the newest record; one on another base starts anew."""
+        newest = self.newest
+        if newest is not None and newest.version != record.base_version:
+            self._records.clear()
+        self._records[record.base_version] = record
+        while len(self._records) > KEPT_SOURCE_RECORDS:
+            del self._records[next(iter(self._records))]
+
+    def clear(self) -> None:
+        """Forget every record."""
+        self._records.clear()
+
+    def list_after(self, version: int) -> list[VersionRecord]:
+        """Return the records that lead on from a version, if it was held here."""
+        found: list[VersionRecord] = []
+        while version in self._records:
+            found.append(self._records[version])
+            version = found[-1].version
+        return found
+
+
 class Replica:
     """Hold the snapshot in force on one daemon and the records behind it.
 
@@ -77,6 +128,7 @@
     def __init__(self, snapshot: Snapshot = EMPTY_SNAPSHOT) -> None:
         self.snapshot = snapshot
         self.records: OrderedDict[int, VersionRecord] = OrderedDict()
+        self.source_records = RecordChain()
         self._kept_resources = 0
 
     @property
@@ -108,11 +160,12 @@
         return snapshot
 
     def _take_source_record(self, record: VersionRecord) -> Snapshot | Refusal:
-        """Apply a record of the source; it is not kept, since its digests are not."""
+        """Apply a record of the source, which has no digests."""
         snapshot = apply_change(self.snapshot, record.change, version=record.version)
         refusal = check_snapshot(snapshot, None, base=self.snapshot)
         if refusal is not None:
             return refusal
+        self.source_records.add(record)
         return self._replace_snapshot(snapshot)
 
     def take_snapshot(
@@ -128,6 +181,10 @@
         refusal = check_snapshot(snapshot, digest, base=self.snapshot)
         if refusal is not None:
             return refusal
+        if digest is None and self.version:
+            self.source_records.add(build_source_record(self.snapshot, snapshot))
+        else:
+            self.source_records.clear()
         return self._replace_snapshot(snapshot)
 
     def _replace_snapshot(self, snapshot: Snapshot) -> Snapshot:
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -109,10 +109,7 @@
                     configuration.replica.version + 1, snapshot
                 )
             else:
-                held = configuration.replica.snapshot
                 configuration.receive_document(snapshot)
-                if configuration.replica.snapshot is snapshot:
-                    self._kernel.get("subscription").spread(held, snapshot)
         found = bool(values or configuration.replica.version)
         configuration.finish_source_read(succeeded=True, found=found)
         return bool(values)
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import hashlib
+import zlib
 
 from google.protobuf.message import DecodeError
 
@@ -45,6 +46,8 @@
     encode_summary_reply,
 )
 
+# Ten times the largest configuration that a row of the platform's store holds.
+MAX_UNPACKED_BYTES = 10 * 1024 * 1024
 RESOURCE_KINDS = ("service", "pool", "rank", "route", "client_limits")
 
 
@@ -246,6 +249,29 @@
     return decode_snapshot(_parse(pb.Snapshot(), data))
 
 
+# Pulls
+
+
+def pack_pull_reply(reply: pb.PullReply) -> pb.PullReply:
+    """Return a reply that carries another one compressed."""
+    data = zlib.compress(reply.SerializeToString())
+    return pb.PullReply(version=reply.version, packed=data)
+
+
+def unpack_pull_reply(reply: pb.PullReply) -> pb.PullReply:
+    """Return the reply that another one carries, or that one; raise ``CodecError``."""
+    if not reply.packed:
+        return reply
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(reply.packed, MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        raise CodecError(str(error)) from error
+    if not decompressor.eof:
+        raise CodecError(f"packed reply is cut, or over {MAX_UNPACKED_BYTES} bytes")
+    return _parse(pb.PullReply(), data)
+
+
 # Members and datagrams
 
 
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -28,6 +28,8 @@
 from flamingohead.services.ticks import Ticks
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingohead.core.dissemination import DisseminationEffect
     from flamingohead.core.rejections import Rejection
     from flamingohead.core.resources import Snapshot
@@ -38,6 +40,10 @@
 
 TICK_PERIOD = 0.1
 MAX_NEWS_BYTES = 1200
+# A change has to be in force within 2 s, and another peer or the source may follow.
+PULL_TIMEOUT = 1.0
+# Versions that peers may hold while a storm of changes is pulled.
+MAX_PACKED_REPLIES = 32
 
 
 class ConfigurationService:
@@ -51,6 +57,10 @@
         self._random = random.Random()
         self._pulls = PullAdmission(random=self._random)
         self._encoded_snapshot = pb.Snapshot()
+        # Replies to pulls of the version in force, by the version that the peer holds.
+        self._packed_replies: dict[int, pb.PullReply] = {}
+        # Called with each version put in force.
+        self.listeners: list[Callable[[], None]] = []
         self.routes = RouteTable(EMPTY_SNAPSHOT)
         self.activated_at = 0.0
 
@@ -77,10 +87,11 @@
 
     # Events
 
-    def receive_record(self, record: VersionRecord) -> None:
-        """Take a record pushed by a peer."""
+    def receive_record(self, record: VersionRecord, sender: str = "") -> None:
+        """Take a record pushed by the peer at address ``sender``."""
         now = time.monotonic()
-        self._run(self._dissemination.receive_records([record], now))
+        effects = self._dissemination.receive_records([record], now, sender=sender)
+        self._run(effects)
 
     def receive_peer_version(self, address: str, version: int) -> None:
         """Note the version that a peer holds."""
@@ -152,12 +163,15 @@
 
     def _activate(self, snapshot: Snapshot) -> None:
         self.activated_at = time.time()
+        self._packed_replies.clear()
         membership = self._kernel.get("gossip").membership
         membership.set_version(snapshot.version)
         self._kernel.get("metrics").set_gauge("version", snapshot.version)
         if self.is_ready:
             self._publish_routes()
         log_event(logger, Event.VERSION_ACTIVATED, version=snapshot.version)
+        for listener in self.listeners:
+            listener()
 
     def _become_ready(self) -> None:
         self._publish_routes()
@@ -209,9 +223,11 @@
         asked_at = time.monotonic()
         outcome = "cancelled"
         try:
-            request = pb.PullRequest(version=effect.version)
+            request = pb.PullRequest(version=effect.version, takes_packed=True)
             peers = self._kernel.get("peers")
-            reply = await peers.call(effect.address, "Pull", request)
+            reply = await peers.call(
+                effect.address, "Pull", request, timeout=PULL_TIMEOUT
+            )
             if isinstance(reply, Refusal):
                 outcome = "failed"
                 return
@@ -220,6 +236,7 @@
                 retry_at = time.monotonic() + reply.retry_after_ms / 1000
                 self._kernel.get("metrics").count("pull.postponed")
                 return
+            reply = codec.unpack_pull_reply(reply)
             outcome = "snapshot" if reply.HasField("snapshot") else "records"
             self._take_pulled(reply)
         except codec.CodecError as error:
@@ -228,7 +245,9 @@
             self._kernel.get("metrics").count("pull.malformed")
             retry_at = time.monotonic() + 1.0
         finally:
-            self._dissemination.finish_pull(time.monotonic(), retry_at)
+            effects = self._dissemination.finish_pull(time.monotonic(), retry_at)
+            if outcome != "cancelled":
+                self._run(effects)
             log_event(
                 logger,
                 Event.CHANGES_PULLED,
@@ -239,10 +258,30 @@
                 seconds=round(time.monotonic() - asked_at, 3),
             )
 
-    def answer_pull(self, version: int) -> pb.PullReply:
-        """Return the records after a version, a whole snapshot or a time to retry."""
+    def answer_pull(self, version: int, *, takes_packed: bool = False) -> pb.PullReply:
+        """Return what leads on from a version, or a time to retry.
+
+        That is the records after it, or a whole snapshot. A peer that ``takes_packed``
+        replies gets them compressed.
+        """
+        if not takes_packed:
+            return self._build_pull_reply(version)
+        packed = self._packed_replies.get(version)
+        if packed is None:
+            reply = self._build_pull_reply(version)
+            if reply.retry_after_ms:
+                return reply
+            packed = codec.pack_pull_reply(reply)
+            if len(self._packed_replies) >= MAX_PACKED_REPLIES:
+                self._packed_replies.clear()
+            self._packed_replies[version] = packed
+        return packed
+
+    def _build_pull_reply(self, version: int) -> pb.PullReply:
         reply = pb.PullReply(version=self.replica.version)
         records = self.replica.list_records_after(version)
+        if records is None:
+            records = self.replica.source_records.list_after(version) or None
         if records is not None:
             reply.records.extend(codec.encode_record(record) for record in records)
             return reply
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -157,7 +157,7 @@
             self._kernel.get("summaries").receive(datagram)
         configuration = self._kernel.get("configuration")
         if isinstance(datagram.body, News):
-            configuration.receive_record(datagram.body.record)
+            configuration.receive_record(datagram.body.record, datagram.sender_address)
         configuration.receive_peer_version(datagram.sender_address, datagram.version)
 
     def connectionRefused(self) -> None:  # noqa: N802
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -139,7 +139,9 @@
 
     async def Pull(self, stream) -> None:  # noqa: N802
         request = await stream.recv_message()
-        reply = self._kernel.get("configuration").answer_pull(request.version)
+        reply = self._kernel.get("configuration").answer_pull(
+            request.version, takes_packed=request.takes_packed
+        )
         await stream.send_message(reply)
 
     async def FetchOutcome(self, stream) -> None:  # noqa: N802
--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -8,17 +8,15 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from flamingohead.core.changes import Change
 from flamingohead.core.messages import Ping
-from flamingohead.core.subscription import RecordChain, Subscription
-from flamingohead.core.versions import VersionRecord
+from flamingohead.core.subscription import Subscription
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec
 from flamingohead.services.ticks import Ticks
 
 if TYPE_CHECKING:
     from flamingohead.core.messages import Datagram
-    from flamingohead.core.resources import Snapshot
+    from flamingohead.core.versions import VersionRecord
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
@@ -26,6 +24,8 @@
 TICK_PERIOD = 0.25
 # What fits into a datagram beside its envelope.
 MAX_RECORD_BYTES = 1000
+# A route takes 60 bytes or more, so that a record of more of them can't fit.
+MAX_RECORD_RESOURCES = 16
 
 
 class SubscriptionService:
@@ -37,7 +37,6 @@
         self._ticks = Ticks(self._tick)
         self._needed = asyncio.Event()
         self._is_source_reached = False
-        self._records = RecordChain()
 
     async def start(self) -> None:
         gossip = self._kernel.get("gossip")
@@ -47,7 +46,9 @@
         )
         gossip.listeners.append(self._receive)
         # Until it is needed, this daemon relies on others.
-        self._kernel.get("configuration").set_source_follower(False)
+        configuration = self._kernel.get("configuration")
+        configuration.set_source_follower(False)
+        configuration.listeners.append(self._spread)
         self._ticks.start(TICK_PERIOD, now=False)
 
     async def stop(self) -> None:
@@ -67,20 +68,14 @@
         self._is_source_reached = reached
         self._tell_state()
 
-    def spread(self, base: Snapshot, snapshot: Snapshot) -> None:
+    def _spread(self) -> None:
         """Tell those who rely on this daemon what a new version changes."""
-        if not self._subscription.is_chosen or not base.version:
-            return
-        record = _build_record(base, snapshot)
-        if codec.encode_record(record).ByteSize() > MAX_RECORD_BYTES:
-            # They hear of the version, and read the source themselves.
-            record = replace(record, change=None)
-        self._records.add(record)
+        record = self._kernel.get("configuration").replica.source_records.newest
         receivers = self._subscription.list_receivers()
-        if not receivers:
+        if record is None or not receivers:
             return
         self._kernel.get("metrics").count("subscription.told", len(receivers))
-        self._kernel.get("gossip").send_record(record, receivers)
+        self._kernel.get("gossip").send_record(_trim_record(record), receivers)
 
     def _receive(self, datagram: Datagram) -> None:
         now = time.monotonic()
@@ -91,11 +86,12 @@
 
     def _tell_missed(self, datagram: Datagram) -> None:
         """Tell a daemon that checks on this one of the changes that it missed."""
-        missed = self._records.list_after(datagram.version)
+        replica = self._kernel.get("configuration").replica
+        missed = replica.source_records.list_after(datagram.version)
         if missed:
             self._kernel.get("metrics").count("subscription.repeated", len(missed))
         for record in missed:
-            self._kernel.get("gossip").send_answer(record, datagram)
+            self._kernel.get("gossip").send_answer(_trim_record(record), datagram)
 
     def _tick(self) -> None:
         gossip = self._kernel.get("gossip")
@@ -132,16 +128,9 @@
         self._kernel.get("gossip").membership.set_follows_source(follows)
 
 
-def _build_record(base: Snapshot, snapshot: Snapshot) -> VersionRecord:
-    difference = snapshot.compare(base)
-    removed = [r.key for r in difference.before if r.key not in snapshot.resources]
-    return VersionRecord(
-        version=snapshot.version,
-        parent_digest=b"",
-        snapshot_digest=b"",
-        change_id="",
-        author="",
-        accepted_at=0.0,
-        change=Change(difference.after, tuple(removed)),
-        base_version=base.version,
-    )
+def _trim_record(record: VersionRecord) -> VersionRecord:
+    """Leave a change out that is too large for a datagram; it is pulled then."""
+    if record.change.count_resources() <= MAX_RECORD_RESOURCES:
+        if codec.encode_record(record).ByteSize() <= MAX_RECORD_BYTES:
+            return record
+    return replace(record, change=None)
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -127,22 +127,32 @@
         """Set the faults of the store; none given ends them."""
         self._put("/faults", json.dumps(faults).encode())
 
-    def add_host(self, name: str, service: str, *, slots: int = 4) -> Host:
+    def add_host(
+        self, name: str, service: str, *, slots: int = 4, **settings: object
+    ) -> Host:
         """Start a daemon and the upstream beside it."""
-        host = self.add_daemon(name, service)
+        host = self.add_daemon(name, service, **settings)
         self.start_instance(host, f"i-{name}", slots=slots)
         return host
 
     def add_daemon(
-        self, name: str, service: str, *, store: str = "", upstream: str = ""
+        self,
+        name: str,
+        service: str,
+        *,
+        store: str = "",
+        upstream: str = "",
+        **settings: object,
     ) -> Host:
-        """Start a daemon; other addresses of the store and the upstream may be set."""
+        """Start a daemon; addresses and fields of its settings may be replaced."""
         addresses = [choose_address() for _ in range(5)]
         path = self.directory / f"{name}.yaml"
         host = Host(name, service, *addresses, path, choose_address())
         host.upstream = upstream or host.upstream
         peer_port = int(choose_address().rpartition(":")[2])
-        path.write_text(build_settings(host, store or self.store, peer_port))
+        path.write_text(
+            build_settings(host, store or self.store, peer_port, **settings)
+        )
         self.hosts[name] = host
         self.start_daemon(host)
         return host
