Send elsewhere what a leaving upstream can't take before its drain ends

Such an upstream may end while it has them.

Cause: the daemon beside a leaving upstream took nothing new, but kept what waited there. A search with a target of 8 s may wait for longer than a drain lasts, and was handed over when a slot came free.

Change: when the upstream says that it leaves, what its slots can't reach before the end of the drain, at the pace that they have shown, is refused at once as not run, so that the first daemon sends it elsewhere; the rest waits on. What still waits half a second before the bound is refused too, also when a slot comes free at that moment. The bound is that of the settings (bounds.drain).

Why it works: only this daemon can hand a request to the upstream, and after the drain it has none left to hand over. A refusal states that the request did not run, so that it costs no retry.

Ruled out: refusing all that waits at once. The upstream serves on while it drains, and what is next there would begin again at the end of another queue.

--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -192,6 +192,20 @@
             admitted.append(ticket)
         return Turn(tuple(admitted), tuple(expired))
 
+    def list_unreachable(self, until: float, now: float) -> list[Ticket]:
+        """Return the waiting tickets that are unlikely to start before ``until``.
+
+        The slots free at the pace that the ranks have shown, for the most urgent first.
+        """
+        waiting = [t for _, _, t in self._deadlines if t.state is TicketState.WAITING]
+        waiting.sort(key=lambda ticket: (ticket.queue.urgency, ticket.queued_at))
+        unreachable, ahead = [], 0.0
+        for ticket in waiting:
+            ahead += ticket.queue.expected_service / max(self.limit, 1)
+            if now + ahead >= until:
+                unreachable.append(ticket)
+        return unreachable
+
     # Queues
 
     def _find_queue(self, ticket: Ticket) -> RankQueue:
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -42,6 +42,8 @@
 SETTLE_SECONDS = 2.2
 # The rest of the time given for a stop is left to the end of the process.
 STOP_MARGIN_SECONDS = 0.5
+# A wake-up of a slow host may be so late, and the request has still to arrive.
+DRAIN_MARGIN_SECONDS = 0.5
 # A daemon that restarts must find its peers within a second or two.
 BOOTSTRAP = BootstrapSettings(
     spread=0.05,
@@ -101,7 +103,9 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window
         )
     )
-    kernel.add("slots", SlotService(kernel, PLATFORM_DIALECT))
+    drain_timeout = settings.drain_timeout - DRAIN_MARGIN_SECONDS
+    slots = SlotService(kernel, PLATFORM_DIALECT, drain_timeout=drain_timeout)
+    kernel.add("slots", slots)
     kernel.add("configuration", ConfigurationService(kernel, dissemination))
     kernel.add("attempts", GroupAttemptService(kernel, placement, budget))
     kernel.add(
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -45,6 +45,8 @@
 
 class _Bounds(Message):
     grace: DurationText = "6s"
+    # What may still reach an upstream after the acknowledgement of its leave.
+    drain: DurationText = "2s"
     retry_budget_ratio: Positive = 0.2
     budget_window: DurationText = "10s"
     budget_slack: Positive = 0.0
@@ -89,6 +91,7 @@
     service: str
     announcement_period: float
     stop_timeout: float
+    drain_timeout: float
     retry_ratio: float
     retry_window: float
     retry_slack: float
@@ -139,6 +142,7 @@
         service=boot.service,
         announcement_period=_convert_seconds(boot.heartbeat),
         stop_timeout=_convert_seconds(boot.bounds.grace),
+        drain_timeout=_convert_seconds(boot.bounds.drain),
         retry_ratio=boot.bounds.retry_budget_ratio,
         retry_window=_convert_seconds(boot.bounds.budget_window),
         retry_slack=boot.bounds.budget_slack,
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -31,6 +31,8 @@
 # and only while there are any.
 TICK_PERIOD = 0.05
 REPORT_PERIOD = 1.0
+# A leaving upstream gets no new work after a few seconds.
+DRAIN_TIMEOUT = 2.0
 
 
 @dataclass
@@ -41,14 +43,23 @@
     address: str
     admission: Admission
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
+    # When what still waits has to go elsewhere.
+    drained_at: float = math.inf
 
 
 class SlotService:
     """Own the slots of the upstreams on this host."""
 
-    def __init__(self, kernel: Kernel, dialect: Dialect = PRODUCT_DIALECT) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        dialect: Dialect = PRODUCT_DIALECT,
+        *,
+        drain_timeout: float = DRAIN_TIMEOUT,
+    ) -> None:
         self._kernel = kernel
         self._dialect = dialect
+        self._drain_timeout = drain_timeout
         self.upstreams: dict[str, LocalUpstream] = {}
         self._routes: RouteTable | None = None
         self._ticks = Ticks(self._tick)
@@ -82,6 +93,10 @@
             known.state = state
             turn = known.admission.set_limit(state.slots, time.monotonic())
             self._apply(known, turn)
+            if state.status is UpstreamStatus.DRAINING:
+                self._begin_drain(known)
+            else:
+                known.drained_at = math.inf
         self._publish()
 
     def remove(self, name: str) -> None:
@@ -114,7 +129,7 @@
         """Let what still waits here be sent elsewhere, and take nothing more."""
         self._has_left = True
         for name, upstream in self.upstreams.items():
-            self._refuse_waiting(name, upstream)
+            self._refuse_waiting(upstream)
 
     def get_status(self, name: str) -> UpstreamStatus:
         """Return the status of an upstream, operators' drains included."""
@@ -131,6 +146,19 @@
         for upstream in self.upstreams.values():
             upstream.admission.set_ranks(routes.list_ranks(upstream.state.service))
 
+    def _begin_drain(self, upstream: LocalUpstream) -> None:
+        """Keep what the upstream can still take while it drains; the rest goes on."""
+        if upstream.drained_at < math.inf:
+            return
+        now = time.monotonic()
+        upstream.drained_at = now + self._drain_timeout
+        tickets = upstream.admission.list_unreachable(upstream.drained_at, now)
+        self._refuse_tickets(upstream, tickets, "drains")
+
+    def _end_drain(self, upstream: LocalUpstream, now: float) -> None:
+        if now >= upstream.drained_at:
+            self._refuse_tickets(upstream, list(upstream.waiters), "has drained")
+
     def _publish(self) -> None:
         states = [
             replace(upstream.state, status=self.get_status(name))
@@ -145,6 +173,7 @@
             self._ticks.stop()
         for upstream in waited_for:
             self._apply(upstream, upstream.admission.advance(now))
+            self._end_drain(upstream, now)
 
     def _report_queues(self) -> None:
         """Set the gauges of requests waiting and running, by service and rank."""
@@ -268,7 +297,10 @@
             upstream.waiters.pop(ticket, None)
 
     def _release(self, upstream: LocalUpstream, ticket: Ticket) -> None:
-        self._apply(upstream, upstream.admission.release(ticket, time.monotonic()))
+        now = time.monotonic()
+        # What the free slot would go to may be too late for a leaving upstream.
+        self._end_drain(upstream, now)
+        self._apply(upstream, upstream.admission.release(ticket, now))
 
     def _apply(self, upstream: LocalUpstream, turn: Turn) -> None:
         for ticket in turn.admitted:
@@ -279,12 +311,19 @@
 
     def _remove(self, name: str) -> None:
         """Forget an upstream; what waits for it can go elsewhere."""
-        self._refuse_waiting(name, self.upstreams.pop(name))
+        self._refuse_waiting(self.upstreams.pop(name))
 
-    def _refuse_waiting(self, name: str, upstream: LocalUpstream) -> None:
-        for ticket in list(upstream.waiters):
+    def _refuse_waiting(self, upstream: LocalUpstream) -> None:
+        self._refuse_tickets(upstream, list(upstream.waiters), "is gone")
+
+    def _refuse_tickets(
+        self, upstream: LocalUpstream, tickets: list[Ticket], reason: str
+    ) -> None:
+        """Let waiting tickets be sent elsewhere."""
+        for ticket in tickets:
             if upstream.admission.cancel(ticket):
-                refusal = Refusal(ErrorKind.DRAINING, f"{name} is gone")
+                detail = f"{upstream.state.name} {reason}"
+                refusal = Refusal(ErrorKind.DRAINING, detail)
                 self._resolve(upstream, ticket, refusal)
 
     def _resolve(
--- a/flamingohead/tests/test_admission.py
+++ b/flamingohead/tests/test_admission.py
@@ -137,3 +137,22 @@
         while admission.offer(Ticket(LOOKUP.name, 9.0), 0.0) is False:
             queued += 1
         assert 10 <= queued <= 40
+
+
+class TestDrains:
+    """Replay a queue of seconds at an upstream that leaves within one."""
+
+    def test_tickets_that_the_slots_cannot_reach_in_time_are_told_apart(
+        self, admission
+    ):
+        fill(admission, SEARCH, 2)
+        waiting = []
+        for number in range(60):
+            rank = LOOKUP if number >= 55 else SEARCH
+            ticket = Ticket(rank.name, 11.0)
+            assert admission.offer(ticket, 1.0 + number / 10000) is False
+            waiting.append(ticket)
+        # Two slots of 100 ms take twenty tickets a second, the most urgent first.
+        unreachable = admission.list_unreachable(2.075, 1.05)
+        assert set(unreachable) == set(waiting[15:55])
+        assert admission.list_unreachable(20.0, 1.05) == []
--- a/flamingohead/tests/test_slots.py
+++ b/flamingohead/tests/test_slots.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 
 from flamingohead.core.calls import Call
-from flamingohead.core.errors import ErrorKind
+from flamingohead.core.errors import ErrorKind, Ran
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.kernel import Kernel
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.reactor import install_reactor
 from flamingohead.services.slots import SlotService
 
+DRAIN_TIMEOUT = 0.2
+
 
 class FakeGossip:
     def __init__(self):
@@ -54,7 +57,7 @@
     kernel.add("metrics", MetricsService())
     kernel.add("gossip", FakeGossip())
     kernel.add("http_client", FakeClient())
-    service = SlotService(kernel)
+    service = SlotService(kernel, drain_timeout=DRAIN_TIMEOUT)
     state = UpstreamState("u", "s", UpstreamStatus.READY, slots)
     service.announce(state, "127.0.0.1:9")
     return kernel, service
@@ -107,3 +110,49 @@
         refusal = asyncio.run(service.execute("u", build_call(), FakeResponse()))
         assert refusal.kind is ErrorKind.DRAINING
         assert kernel.get("http_client").sent == 0
+
+
+class TestDrains:
+    def announce(self, service, status):
+        service.announce(UpstreamState("u", "s", status, 1), "127.0.0.1:9")
+
+    def test_request_that_still_waits_when_an_upstream_has_drained_goes_elsewhere(self):
+        kernel, service = build_slots()
+        began_at = time.monotonic()
+        refusal = asyncio.run(
+            execute_behind_another(
+                service, lambda: self.announce(service, UpstreamStatus.DRAINING)
+            )
+        )
+        assert refusal.kind is ErrorKind.DRAINING
+        assert refusal.ran is Ran.NO
+        assert kernel.get("http_client").sent == 1
+        assert time.monotonic() - began_at < DRAIN_TIMEOUT + 1.0
+
+    def test_slot_that_frees_after_the_drain_is_given_to_nobody(self):
+        kernel, service = build_slots()
+
+        def drain_and_free():
+            self.announce(service, UpstreamStatus.DRAINING)
+            service.upstreams["u"].drained_at = time.monotonic()
+            kernel.get("http_client").released.set()
+
+        refusal = asyncio.run(execute_behind_another(service, drain_and_free))
+        assert refusal.kind is ErrorKind.DRAINING
+        assert kernel.get("http_client").sent == 1
+
+    def test_request_that_a_draining_upstream_can_take_in_time_runs_there(self):
+        kernel, service = build_slots()
+
+        def drain_and_free():
+            self.announce(service, UpstreamStatus.DRAINING)
+            kernel.get("http_client").released.set()
+
+        assert asyncio.run(execute_behind_another(service, drain_and_free)) is None
+        assert kernel.get("http_client").sent == 2
+
+    def test_upstream_that_starts_again_has_not_drained(self):
+        _, service = build_slots()
+        self.announce(service, UpstreamStatus.DRAINING)
+        self.announce(service, UpstreamStatus.READY)
+        assert service.upstreams["u"].drained_at == math.inf
