Write versions again that a restored store has lost from the log

Where the version log is the product's own, versions that operators were told to be accepted stood in rows that a store may lose when it comes back from a copy. The daemons went on serving them, but the log lacked them: a daemon that started found none, and no further change could be accepted.

Now a daemon that learns of a new era inserts the records that it keeps and the log lacks, oldest first, each under the condition of its absence, so that all daemons may do it at once. A log that holds another record under one of the versions is left alone and reported (E217).

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -37,6 +37,8 @@
     SOURCE_READ = EventKind(213, logging.INFO, "configuration read from its source")
     NEWER_VERSION_ASKED = EventKind(214, logging.INFO, "newer configuration asked for")
     CHANGES_PULLED = EventKind(215, logging.INFO, "configuration pulled from a peer")
+    LOG_RESTORED = EventKind(216, logging.INFO, "lost versions written again")
+    LOG_DIFFERS = EventKind(217, logging.ERROR, "log holds another version")
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
--- a/flamingohead/services/version_log.py
+++ b/flamingohead/services/version_log.py
@@ -9,8 +9,9 @@
 
 from flamingohead.core.acceptance import Acceptance, Accepted, ChangeRequest
 from flamingohead.core.dissemination import ReadTable
-from flamingohead.core.errors import Refusal
+from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.recovery import Recovery, read_records, read_stored_snapshot
+from flamingohead.core.restoration import restore_log
 from flamingohead.core.storage import (
     CatchUp,
     Reply,
@@ -32,6 +33,8 @@
 logger = logging.getLogger(__name__)
 
 ACCEPT_TIMEOUT = 6.0
+# Spreads the daemons that write what the log has lost, and their next tries.
+RESTORE_SPREAD_SECONDS = 1.0
 
 
 class VersionLogService(ConfigurationService):
@@ -41,6 +44,27 @@
         super().__init__(kernel, dissemination)
         self._recovery: asyncio.Task | None = None
 
+    async def start(self) -> None:
+        await super().start()
+        self._kernel.get("eras").listeners.append(self._note_restored)
+
+    def _note_restored(self) -> None:
+        self._spawn(self._restore_log())
+
+    async def _restore_log(self) -> None:
+        """Write the records again that the log has lost with an earlier copy."""
+        while True:
+            # All daemons learn of it at about the same time.
+            await asyncio.sleep(self._random.uniform(0.5, 1.0) * RESTORE_SPREAD_SECONDS)
+            records = tuple(self.replica.records.values())
+            outcome = await self._drive(restore_log(records))
+            if not isinstance(outcome, Refusal):
+                log_event(logger, Event.LOG_RESTORED, inserted=outcome)
+                return
+            if outcome.kind is ErrorKind.VERSION_CONFLICT:
+                log_event(logger, Event.LOG_DIFFERS, reason=outcome.detail)
+                return
+
     def _perform(self, effect: DisseminationEffect) -> None:
         if isinstance(effect, ReadTable):
             self._spawn(self.catch_up())
--- a/flamingohead/tests/test_store_processes.py
+++ b/flamingohead/tests/test_store_processes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from flamingohead.testing.hosts import send_request
 from flamingohead.testing.processes import (
     ROOT,
     LocalMesh,
@@ -29,6 +30,7 @@
         for number in range(2):
             mesh.start_daemon(f"h{number}", "makola", table_url=url, objects_url=url)
         mesh.wait_until_listening()
+        mesh.store_address = address
         mesh.store_url = url
         yield mesh
 
@@ -43,6 +45,14 @@
         assert "version 1" in run_command(mesh, "status").stdout
         assert run_command(mesh, "history").stdout.split()[0].lstrip("v") == "1"
 
+    def test_version_that_the_store_has_lost_is_written_again(self, mesh):
+        # The copy is that of the empty store.
+        assert send_request(mesh.store_address, "PUT", "/restore", body=b"")[0] == 200
+        deadline = time.monotonic() + PATIENCE
+        while not run_command(mesh, "history").stdout.strip():
+            assert time.monotonic() < deadline
+            time.sleep(0.2)
+
     def test_daemons_that_all_ended_read_the_version_from_the_store(self, mesh):
         for host_id, ended in list(mesh.daemons.items()):
             ended.process.kill()
