Acknowledge a leave that is told again only when it is kept

A second message of the same leave, such as the DELETE behind a draining heartbeat, found the leave noted and was acknowledged at once, while the first write to the store was still on its way: the acknowledgement could be lost with the daemon. Seen by reading the code that writes leaves again; no run showed it.

Now every message of a leave waits for the one writer, up to the time for which the acknowledgement may wait. The writer goes on until the newest leave is kept, and begins again when the store came back from a copy.

Test: test_leave_is_acknowledged_when_it_is_kept_or_after_a_while.

--- a/flamingohead/platform/departures.py
+++ b/flamingohead/platform/departures.py
@@ -37,18 +37,20 @@
     def __init__(self, kernel: Kernel, host_id: str) -> None:
         self._kernel = kernel
         self._key = f"departures/{host_id}"
-        self._wanted: _Leave | None = None
-        self._recorded: _Leave | None = None
-        self._tasks: set[asyncio.Task] = set()
+        self._leave: _Leave | None = None
+        self._is_kept = asyncio.Event()
+        self._writer: asyncio.Task | None = None
+        self._loader: asyncio.Task | None = None
         self.is_loaded = False
 
     async def start(self) -> None:
         self._kernel.get("eras").listeners.append(self._note_restored)
-        self._spawn(self._load())
+        self._loader = asyncio.get_running_loop().create_task(self._load())
 
     async def stop(self) -> None:
-        for task in self._tasks:
-            task.cancel()
+        self._loader.cancel()
+        if self._writer is not None:
+            self._writer.cancel()
 
     async def record(self, name: str) -> None:
         """Keep the leave of an upstream; returns in time for its acknowledgement."""
@@ -56,39 +58,35 @@
         if incarnation is None:
             return
         leave = _Leave(name, incarnation)
-        if leave == self._wanted:
-            return
-        self._wanted = leave
-        await self._write(leave)
-        if self._recorded != leave:
-            log_event(logger, Event.DEPARTURE_NOT_KEPT, upstream=name)
-            self._spawn(self._write_until_kept(leave))
-
-    def _note_restored(self) -> None:
-        """Write the leave again, which the store may have lost."""
-        self._recorded = None
-        if self._wanted is not None:
-            self._spawn(self._write_until_kept(self._wanted))
-
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _write(self, leave: _Leave) -> None:
-        value = json.dumps(asdict(leave)).encode()
+        if leave != self._leave:
+            self._leave = leave
+            self._start_writing()
         try:
             async with asyncio.timeout(RECORD_TIMEOUT_SECONDS):
-                result = await self._kernel.get("table").replace(self._key, value)
+                await self._is_kept.wait()
         except TimeoutError:
-            result = None
-        if result is True:
-            self._recorded = leave
+            log_event(logger, Event.DEPARTURE_NOT_KEPT, upstream=name)
 
-    async def _write_until_kept(self, leave: _Leave) -> None:
-        while leave == self._wanted and leave != self._recorded:
-            await asyncio.sleep(RETRY_SECONDS)
-            await self._write(leave)
+    def _note_restored(self) -> None:
+        """Write the leave again, which the store may have lost."""
+        if self._leave is not None:
+            self._start_writing()
+
+    def _start_writing(self) -> None:
+        self._is_kept.clear()
+        if self._writer is None or self._writer.done():
+            loop = asyncio.get_running_loop()
+            self._writer = loop.create_task(self._write_until_kept())
+
+    async def _write_until_kept(self) -> None:
+        while not self._is_kept.is_set():
+            leave = self._leave
+            value = json.dumps(asdict(leave)).encode()
+            result = await self._kernel.get("table").replace(self._key, value)
+            if result is not True:
+                await asyncio.sleep(RETRY_SECONDS)
+            elif leave == self._leave:
+                self._is_kept.set()
 
     async def _load(self) -> None:
         while True:
@@ -107,8 +105,9 @@
         except (ValueError, KeyError, TypeError) as error:
             log_event(logger, Event.BEAT_MALFORMED, upstream=self._key, error=error)
             return
-        if self._wanted is None:
-            self._wanted = self._recorded = leave
+        if self._leave is None:
+            self._leave = leave
+            self._is_kept.set()
         self._kernel.get("upstreams").announce(
             Announcement(
                 leave.name,
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -401,7 +401,7 @@
             kernel.get("eras").listeners.append(kept._note_restored)
             await kept.record("i")
             kernel.get("eras").note(2, "peer")
-            await asyncio.gather(*kept._tasks)
+            await kept._writer
 
         asyncio.run(run())
         assert self.read_written(kernel) == 3 * [{"name": "i", "incarnation": 7}]
@@ -412,7 +412,7 @@
 
         async def run():
             await kept.record("i")
-            await asyncio.gather(*kept._tasks)
+            await kept._writer
 
         asyncio.run(run())
         assert len(self.read_written(kernel)) == 3
@@ -424,15 +424,32 @@
         kernel, kept = self.build((503, {}), (200, {"ver": 5}))
 
         async def run():
-            await kept.record("i")
+            first = asyncio.create_task(kept.record("i"))
+            while not kernel.get("http_client").requests:
+                await asyncio.sleep(0)
             kernel.get("upstreams").incarnations["i"] = 8
             await kept.record("i")
-            await asyncio.gather(*kept._tasks)
+            await first
 
         asyncio.run(run())
         written = [leave["incarnation"] for leave in self.read_written(kernel)]
         assert written == [7, 8]
 
+    def test_leave_is_acknowledged_when_it_is_kept_or_after_a_while(self, monkeypatch):
+        monkeypatch.setattr(departures, "RECORD_TIMEOUT_SECONDS", 0.05)
+        kernel, kept = self.build((503, {}), (200, {"ver": 5}))
+
+        async def run():
+            await kept.record("i")
+            # Another message of the same leave waits for the same write.
+            assert not kept._is_kept.is_set()
+            await kept._writer
+            await kept.record("i")
+            assert kept._is_kept.is_set()
+
+        asyncio.run(run())
+        assert len(self.read_written(kernel)) == 2
+
 
 class TestHostRowsInAStoreThatCameBack:
     def test_row_that_is_gone_is_written_again(self):
