Let no small host follow the store where two large ones do

Cause: three daemons of each failure domain follow the store. On the grown sites only two hosts of each have large links; the third has 7 Mbit/s, and the documents of a storm (305 KB each 0.6 s) take over half of it from the requests of that host.

Change: a third host joins the first two only if it takes a document at least a quarter as fast. Both may still be lost: the next two take their place, and a daemon that no longer hears of any reads the store after 1.4 s, as before.

Ruled out: one follower alone; its loss would always cost 1.4 s.

Test: test_host_much_smaller_than_the_first_two_does_not_follow.

--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -24,6 +24,10 @@
 
 # Two may be lost at once, or be turned away by the source, without any wait.
 SUBSCRIBERS_PER_DOMAIN = 3
+# Where two hosts are faster than the third by this factor, the two are enough: the
+# documents of a storm would take half of a small host's link.
+SMALL_HOST_FACTOR = 4
+FAST_SUBSCRIBERS = 2
 CHECK_PERIOD = 0.5
 # Three checks without an answer; a change has to be in force within 2 s.
 COVER_SECONDS = 1.4
@@ -70,11 +74,11 @@
         """Take the usable members of the group, this daemon among them."""
         domain = [m for m in members if m.failure_domain == self._failure_domain]
         domain.sort(key=_rank_member)
-        chosen = domain[:SUBSCRIBERS_PER_DOMAIN]
+        chosen = _choose_subscribers(domain)
         if [m.host_id for m in chosen] != [m.host_id for m in self._chosen]:
             self._checked = 0
         self._chosen = chosen
-        self._others = domain[SUBSCRIBERS_PER_DOMAIN:]
+        self._others = domain[len(chosen) :]
         # One that knows no other yet has still to meet them.
         self._is_alone = len(domain) < 2
 
@@ -117,6 +121,15 @@
             self._covered_until = now + COVER_SECONDS
 
 
+def _choose_subscribers(members: list[Member]) -> list[Member]:
+    """Return the first of the members in their order, without much smaller hosts."""
+    chosen = members[:FAST_SUBSCRIBERS]
+    for member in members[FAST_SUBSCRIBERS:SUBSCRIBERS_PER_DOMAIN]:
+        if member.capacity * SMALL_HOST_FACTOR >= chosen[-1].capacity:
+            chosen.append(member)
+    return chosen
+
+
 def _rank_member(member: Member) -> tuple[int, int, str]:
     """Order members, the fastest first, so that all daemons agree."""
     number = zlib.crc32(member.host_id.encode())
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -105,6 +105,19 @@
         chosen = list_chosen(build_subscriptions(members))
         assert set(chosen) < {f"{DOMAIN}-{number}" for number in range(5)}
 
+    @pytest.mark.parametrize(("fast", "expected"), [(0, 3), (1, 3), (2, 2), (3, 3)])
+    def test_host_much_smaller_than_the_first_two_does_not_follow(self, fast, expected):
+        small = compute_capacity(cores=0.43, link_mbps=7.0)
+        large = compute_capacity(cores=2.15, link_mbps=140.0)
+        members = [
+            replace(member, capacity=large if number < fast else small)
+            for number, member in enumerate(build_members(20))
+        ]
+        subscriptions = build_subscriptions(members)
+        assert len(list_chosen(subscriptions)) == expected
+        told = [m for own in subscriptions.values() for m in own.list_receivers()]
+        assert len(told) == 19
+
     def test_daemon_that_met_nobody_asks_the_source_after_a_while(self):
         member = build_members(1)[0]
         own = build_subscriptions([member])[member.host_id]
