--- a/flamingohead/core/bootstrap.py
+++ b/flamingohead/core/bootstrap.py
@@ -246,14 +246,13 @@
             spread = self._settings.cleanup_spread
             self._deletions[host_id] = now + self._random.uniform(0.5, 1.5) * spread
 
-    def note_restored(self, now: float) -> None:
-        """Note that the rows may be those of an earlier time; read them again soon.
+    def note_restored(self) -> list[BootstrapEffect]:
+        """Note that the rows may be those of an earlier time.
 
-        The row of this host may be gone, those of dead hosts may be back.
+        The few hosts that have a row write it again at once. Rows of dead hosts that
+        are back are deleted as all are that lead nowhere.
         """
-        if self.phase is Phase.JOINED:
-            spread = self._settings.first_row_spread
-            self._next_row_check_at = now + self._random.uniform(0, spread)
+        return [WriteRow()] if self.has_row else []
 
     # Joining
 
@@ -327,12 +326,11 @@
         if rows is None:
             return []
         present = {row.host_id for row in rows}
-        had_row = self.has_row
         self.has_row = self._host_id in present
         effects: list[BootstrapEffect] = []
         missing = self._settings.wanted_rows - len(rows)
         wanted = missing / (1 + len(members))
-        if not self.has_row and (had_row or self._random.random() < wanted):
+        if not self.has_row and self._random.random() < wanted:
             effects.append(WriteRow())
         unknown = [
             row
--- a/flamingohead/core/changes.py
+++ b/flamingohead/core/changes.py
@@ -50,7 +50,11 @@
 def compute_change(base: Snapshot, resources: Iterable[Resource]) -> Change:
     """Return the change that turns ``base`` into exactly ``resources``."""
     wanted = {resource.key: resource for resource in resources}
-    upserts = [r for key, r in wanted.items() if base.resources.get(key) != r]
+    upserts = []
+    for key, resource in wanted.items():
+        held = base.resources.get(key)
+        if held is not resource and held != resource:
+            upserts.append(resource)
     removals = [key for key in base.resources if key not in wanted]
     return Change(
         tuple(sorted(upserts, key=lambda resource: resource.key)),
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from flamingohead.core.changes import Change, apply_change
+from flamingohead.core.changes import Change, apply_change, compute_change
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.resources import EMPTY_SNAPSHOT, Snapshot
 from flamingohead.core.validation import validate_snapshot
@@ -72,8 +72,6 @@
 
 def build_source_record(base: Snapshot, snapshot: Snapshot) -> VersionRecord:
     """Return the record that turns one version of the source into another."""
-    difference = snapshot.compare(base)
-    removed = [r.key for r in difference.before if r.key not in snapshot.resources]
     return VersionRecord(
         version=snapshot.version,
         parent_digest=b"",
@@ -81,7 +79,7 @@
         change_id="",
         author="",
         accepted_at=0.0,
-        change=Change(difference.after, tuple(removed)),
+        change=compute_change(base, snapshot.resources.values()),
         base_version=base.version,
     )
 
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -39,6 +39,9 @@
     CHANGES_PULLED = EventKind(215, logging.INFO, "configuration pulled from a peer")
     LOG_RESTORED = EventKind(216, logging.INFO, "lost versions written again")
     LOG_DIFFERS = EventKind(217, logging.ERROR, "log holds another version")
+    SOURCE_DIFFERS = EventKind(
+        218, logging.ERROR, "source holds another content under the version in force"
+    )
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     BAD_DATAGRAM = EventKind(302, logging.WARNING, "datagram not understood")
@@ -51,6 +54,7 @@
     STORE_RESTORED = EventKind(
         307, logging.WARNING, "platform store came back from an earlier copy"
     )
+    ERA_NOT_STATED = EventKind(308, logging.WARNING, "answer of the store has no era")
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     DOMAIN_JOINED = EventKind(410, logging.INFO, "joined the failure domain")
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -139,11 +139,17 @@
                     configuration.replica.version + 1, snapshot
                 )
             else:
+                self._check_content(snapshot, configuration.replica.snapshot)
                 configuration.receive_document(snapshot)
         found = bool(values or configuration.replica.version)
         configuration.finish_source_read(succeeded=True, found=found)
         return bool(values)
 
+    def _check_content(self, found: Snapshot, held: Snapshot) -> None:
+        """Report a version that the source has given out twice."""
+        if found.version == held.version and found.resources != held.resources:
+            log_event(logger, Event.SOURCE_DIFFERS, version=found.version)
+
     def _log_read(
         self,
         snapshot: Snapshot | Refusal,
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -113,6 +113,7 @@
         self._kernel = kernel
         self._address = address
         self._is_reached = True
+        self._is_era_stated = True
 
     async def start(self) -> None:
         pass
@@ -283,10 +284,15 @@
 
     def _read_era(self, sink: CollectedAnswer) -> int:
         """Return the era that an answer states, or the one known if it states none."""
-        for name, value in sink.headers:
-            if name == ERA_HEADER and value.isdigit():
-                return int(value)
-        return self._kernel.get("eras").current
+        known = self._kernel.get("eras").current
+        stated = dict(sink.headers).get(ERA_HEADER, b"")
+        if stated.isdigit():
+            self._is_era_stated = True
+            return int(stated)
+        if known and self._is_era_stated:
+            self._is_era_stated = False
+            log_event(logger, Event.ERA_NOT_STATED, found=stated, known=known)
+        return known
 
     def _note_reached(self, call: str) -> None:
         if not self._is_reached:
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -81,7 +81,7 @@
 
     def note_restored(self) -> None:
         """Note that the rows may be those of an earlier time."""
-        self._bootstrap.note_restored(time.monotonic())
+        self._run(self._bootstrap.note_restored())
 
     # Effects
 
