--- /dev/null
+++ b/benchmarks/large_changes.py
@@ -0,0 +1,89 @@
+"""Cost of a change of many routes: the document of the store against a packed pull."""
+
+from __future__ import annotations
+
+import base64
+import random
+import statistics
+import zlib
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+from benchmarks.configuration_cost import time_runs
+from benchmarks.results import Row, register_benchmark
+from flamingohead.core.dissemination import Dissemination
+from flamingohead.core.versions import Replica
+from flamingohead.kernel import Kernel
+from flamingohead.platform.documents import DocumentReader
+from flamingohead.protocol import codec
+from flamingohead.services.configuration import ConfigurationService
+from flamingohead.services.metrics import MetricsService
+from flamingohead.testing.hosts import build_document
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SIZES = (300, 1160, 3000)
+FIRST_ROUTES = 40
+
+
+@register_benchmark("large_changes")
+def measure(seed: int) -> list[Row]:
+    """Measure bytes and processor time of a change that adds many routes."""
+    return [row for count in SIZES for row in measure_change(count)]
+
+
+def measure_change(count: int) -> list[Row]:
+    """Measure a change of ``count`` routes."""
+    first, second = (
+        build_document(version, build_routes(number))
+        for version, number in ((3, FIRST_ROUTES), (9, FIRST_ROUTES + count))
+    )
+    reader = DocumentReader()
+    base, snapshot = reader.read(first), reader.read(second)
+    replica = Replica(base)
+    replica.take_snapshot(snapshot)
+    packed = build_service(replica).answer_pull(3, takes_packed=True)
+
+    def take() -> None:
+        other = Replica(base)
+        for record in codec.unpack_pull_reply(packed).records:
+            other.take_record(codec.decode_record(record))
+
+    def read() -> None:
+        known = DocumentReader()
+        known.read(first)
+        Replica(base).take_snapshot(known.read(second))
+
+    steps: dict[str, Callable[[], object]] = {
+        "read the document": read,
+        "make a packed reply": lambda: build_service(replica).answer_pull(
+            3, takes_packed=True
+        ),
+        "take a packed reply": take,
+    }
+    rows = [
+        describe("document in base64", [len(base64.b64encode(second))], "B", count),
+        describe("packed reply", [packed.ByteSize()], "B", count),
+    ]
+    rows += [describe(n, time_runs(step), "us", count) for n, step in steps.items()]
+    return rows
+
+
+def build_routes(count: int) -> dict[str, str]:
+    """Return routes whose paths have nothing in common."""
+    names = (f"{zlib.crc32(b'%d' % number):08x}" for number in range(count))
+    return {f"/{name[:4]}/{name[4:]}/": "ledger" for name in names}
+
+
+def build_service(replica: Replica) -> ConfigurationService:
+    kernel = Kernel()
+    kernel.add("metrics", MetricsService())
+    kernel.add("gossip", SimpleNamespace())
+    dissemination = Dissemination(replica, random=random.Random(1))
+    return ConfigurationService(kernel, dissemination)
+
+
+def describe(name: str, values: list[float], unit: str, count: int) -> Row:
+    middle = statistics.median(values)
+    return Row(name, middle, unit, min(values), max(values), {"routes": count})
