--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -148,7 +148,7 @@
         # The newest version told of, while it is not held.
         self._told: _PeerAhead | None = None
         self._pulled_from_version: int | None = None
-        self._is_pull_vain = False
+        self._last_pull_failed = False
 
     def tick(self, now: float, *, members: int) -> list[DisseminationEffect]:
         """Poll the table when due; ``members`` counts the failure domain."""
@@ -179,13 +179,17 @@
         return self._is_source_current and not self.follows_source
 
     def _ask(self, ahead: _PeerAhead, now: float) -> list[DisseminationEffect]:
-        """Pull from a peer that is ahead, or read the source after a vain pull."""
+        """Pull from a peer that is ahead, or read the source after a failed one."""
         if self.rejections.postpones(ahead.version, now):
             return []
         if self._relies_on_others and not (ahead.address and self.readiness.is_ready):
             # A version from a peer alone is not known to be the newest.
             return self._read_source(now)
-        if self._relies_on_others and self._is_pull_vain and now >= self._next_read_at:
+        if (
+            self._relies_on_others
+            and self._last_pull_failed
+            and now >= self._next_read_at
+        ):
             return self._read_source(now)
         if now < self._next_pull_at or not ahead.address:
             return []
@@ -207,7 +211,7 @@
         if now < self._next_read_at:
             return []
         self._next_read_at = now + self._settings.read_period
-        self._is_pull_vain = False
+        self._last_pull_failed = False
         return [ReadSource()]
 
     def receive_records(
@@ -267,10 +271,10 @@
         What was told of meanwhile is asked for at once.
         """
         self._next_pull_at = now if retry_at is None else retry_at
-        self._is_pull_vain = self.replica.version == self._pulled_from_version
+        self._last_pull_failed = self.replica.version == self._pulled_from_version
         if self._told is None or self._told.version <= self.replica.version:
             return []
-        if not self._is_pull_vain:
+        if not self._last_pull_failed:
             return self._ask(self._told, now)
         return self._read_source(now) if self._relies_on_others else []
 
@@ -332,6 +336,6 @@
 
     def _activate(self, now: float) -> list[DisseminationEffect]:
         self._behind_since = None
-        self._is_pull_vain = False
+        self._last_pull_failed = False
         self.rejections.clear_up_to(self.replica.version)
         return [ActivateSnapshot(self.replica.snapshot), *self._update_readiness(now)]
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -396,7 +396,7 @@
         dissemination.receive_records([records[0]], 1.2)
         assert dissemination.finish_pull(1.2) == [PullFromPeer("first", 9)]
 
-    def test_vain_pull_is_not_repeated_at_once(self):
+    def test_pull_that_brought_nothing_is_not_repeated_at_once(self):
         dissemination = self.build(follows=False)
         record = replace(
             build_source_record(
