--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -229,3 +229,23 @@
         return response.status, fields, answer
     finally:
         connection.close()
+
+
+def build_beat(host: Host, *, born: int, sequence: int = 1) -> dict[str, object]:
+    """Return the heartbeat of an upstream that started at ``born`` milliseconds."""
+    return {
+        "service": host.service,
+        "address": host.upstream,
+        "slots": 4,
+        "state": "ready",
+        "cold-remaining": "0ms",
+        "seq": sequence,
+        "born": born,
+    }
+
+
+def send_announcement(host: Host, method: str, name: str, body: dict) -> int:
+    """Send what an upstream says of itself; return the status of the answer."""
+    path = f"/v1/instances/{name}"
+    data = json.dumps(body).encode()
+    return send_request(host.control, method, path, body=data)[0]
--- a/flamingohead/tests/test_platform_processes.py
+++ b/flamingohead/tests/test_platform_processes.py
@@ -13,8 +13,10 @@
 from flamingohead.testing.hosts import (
     HOST,
     HostMesh,
+    build_beat,
     build_document,
     build_settings,
+    send_announcement,
     send_request,
 )
 
@@ -246,27 +248,16 @@
     def test_leave_binds_through_a_restart_of_the_daemon(self, mesh):
         host = mesh.hosts["h1"]
         name = "i-leaving"
-        beat = {
-            "service": "ledger",
-            "address": host.upstream,
-            "slots": 4,
-            "state": "ready",
-            "cold-remaining": "0ms",
-            "seq": 1,
-            "born": int(time.time() * 1000) + 60_000,
-        }
-
-        def send(method, body):
-            path = f"/v1/instances/{name}"
-            data = json.dumps(body).encode()
-            return send_request(host.control, method, path, body=data)[0]
+        born = int(time.time() * 1000) + 60_000
+        beat = build_beat(host, born=born)
 
-        assert send("PUT", beat) == 200
-        assert send("DELETE", {}) == 200
+        assert send_announcement(host, "PUT", name, beat) == 200
+        assert send_announcement(host, "DELETE", name, {}) == 200
         host.daemon.kill()
         mesh.start_daemon(host)
         assert wait_until(lambda: is_ready(host))
         # A late message of the same start does not bring it back.
-        assert send("PUT", {**beat, "seq": 2}) == 200
+        late = build_beat(host, born=born, sequence=2)
+        assert send_announcement(host, "PUT", name, late) == 200
         ready = f'"upstream": "{name}", "service": "ledger", "status": "READY"'
         assert host.daemon.log_path.read_text().count(ready) == 1
--- a/flamingohead/tests/test_store_restored.py
+++ b/flamingohead/tests/test_store_restored.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-import json
 import time
 
 import pytest
 
-from flamingohead.testing.hosts import HostMesh, build_document, send_request
+from flamingohead.testing.hosts import (
+    HostMesh,
+    build_beat,
+    build_document,
+    send_announcement,
+)
 from flamingohead.tests.test_subscription_processes import (
     IN_FORCE_SECONDS,
     ask,
@@ -74,24 +78,12 @@
     def test_leave_that_the_store_has_lost_binds_through_a_restart(self, mesh):
         host = mesh.hosts["h1"]
         name = "i-leaving"
-        beat = {
-            "service": "ledger",
-            "address": host.upstream,
-            "slots": 4,
-            "state": "ready",
-            "cold-remaining": "0ms",
-            "seq": 1,
-            "born": int(time.time() * 1000) + 60_000,
-        }
-
-        def send(method, body):
-            path = f"/v1/instances/{name}"
-            data = json.dumps(body).encode()
-            return send_request(host.control, method, path, body=data)[0]
+        born = int(time.time() * 1000) + 60_000
+        beat = build_beat(host, born=born)
 
         mesh.copy_store()
-        assert send("PUT", beat) == 200
-        assert send("DELETE", {}) == 200
+        assert send_announcement(host, "PUT", name, beat) == 200
+        assert send_announcement(host, "DELETE", name, {}) == 200
         mesh.restore_store()
         # Daemons that follow the store tell the others that it came back.
         mesh.write_row("op", "config", build_document(3, build_routes("c")))
@@ -100,6 +92,7 @@
         host.daemon.kill()
         mesh.start_daemon(host)
         assert wait_for_path([host], "/c/x", seconds=START_SECONDS)
-        assert send("PUT", {**beat, "seq": 2}) == 200
+        late = build_beat(host, born=born, sequence=2)
+        assert send_announcement(host, "PUT", name, late) == 200
         ready = f'"upstream": "{name}", "service": "ledger", "status": "READY"'
         assert host.daemon.log_path.read_text().count(ready) == 1
