Compare resources in one place, and keep no state that can be derived

Found by reading the whole change again; behaviour stays.

Both use list_differing now. - Subscription kept the members without the followers beside these, and whether it is alone; both follow from the members of the failure domain. - The feed told its own end from that of its question by a flag; it waits for the question as a task instead. - The client of the store read the era of an answer twice. An answer that is not refused is of the era known, so that the second reading is not needed. - Three tests of packed replies built the same replica.

--- a/flamingohead/core/changes.py
+++ b/flamingohead/core/changes.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from flamingohead.core.resources import Resource, ResourceKey, Snapshot
+from flamingohead.core.resources import Resource, ResourceKey, Snapshot, list_differing
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
 
 @dataclass(frozen=True)
@@ -49,12 +49,12 @@
 
 def compute_change(base: Snapshot, resources: Iterable[Resource]) -> Change:
     """Return the change that turns ``base`` into exactly ``resources``."""
-    wanted = {resource.key: resource for resource in resources}
-    upserts = []
-    for key, resource in wanted.items():
-        held = base.resources.get(key)
-        if held is not resource and held != resource:
-            upserts.append(resource)
+    return compare_resources(base, {resource.key: resource for resource in resources})
+
+
+def compare_resources(base: Snapshot, wanted: Mapping[ResourceKey, Resource]) -> Change:
+    """Return the change that turns ``base`` into exactly ``wanted``."""
+    upserts = list_differing(wanted, base.resources)
     removals = [key for key in base.resources if key not in wanted]
     return Change(
         tuple(sorted(upserts, key=lambda resource: resource.key)),
--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -168,14 +168,14 @@
     return resource.key
 
 
-def _list_differing(
+def list_differing(
     mine: Mapping[ResourceKey, Resource], others: Mapping[ResourceKey, Resource]
-) -> Iterator[tuple[ResourceKey, Resource]]:
+) -> Iterator[Resource]:
     """Yield what is not the same in ``others``."""
     for key, resource in mine.items():
         other = others.get(key)
         if other is not resource and other != resource:
-            yield key, resource
+            yield resource
 
 
 @dataclass(frozen=True)
@@ -254,8 +254,8 @@
     def compare(self, base: Snapshot) -> SnapshotDifference:
         """Return what differs from ``base``."""
         return SnapshotDifference(
-            tuple(r for _, r in _list_differing(base.resources, self.resources)),
-            tuple(r for _, r in _list_differing(self.resources, base.resources)),
+            tuple(list_differing(base.resources, self.resources)),
+            tuple(list_differing(self.resources, base.resources)),
         )
 
     def get_service(self, name: str) -> Service | None:
--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -53,9 +53,9 @@
     def __init__(self, host_id: str, failure_domain: str, now: float) -> None:
         self._host_id = host_id
         self._failure_domain = failure_domain
+        # The members of the failure domain in their order, and the first of them.
+        self._domain: list[Member] = []
         self._chosen: list[Member] = []
-        self._others: list[Member] = []
-        self._is_alone = True
         self._checked = 0
         self._is_answered = True
         self._next_check_at = now
@@ -77,15 +77,13 @@
         chosen = _choose_subscribers(domain)
         if [m.host_id for m in chosen] != [m.host_id for m in self._chosen]:
             self._checked = 0
-        self._chosen = chosen
-        self._others = domain[len(chosen) :]
-        # One that knows no other yet has still to meet them.
-        self._is_alone = len(domain) < 2
+        self._domain, self._chosen = domain, chosen
 
     @property
     def is_chosen(self) -> bool:
         """Tell whether this daemon is one of the few of its failure domain."""
-        if self._is_alone:
+        if len(self._domain) < 2:
+            # One that knows no other yet has still to meet them.
             return False
         return any(member.host_id == self._host_id for member in self._chosen)
 
@@ -100,7 +98,7 @@
         """
         if not self._chosen or self._chosen[0].host_id != self._host_id:
             return []
-        return [*self._chosen[1:], *self._others]
+        return self._domain[1:]
 
     def choose_check(self, now: float) -> str | None:
         """Return the host to check now, if it is time to check one."""
--- a/flamingohead/core/versions.py
+++ b/flamingohead/core/versions.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from flamingohead.core.changes import Change, apply_change, compute_change
+from flamingohead.core.changes import Change, apply_change, compare_resources
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.resources import EMPTY_SNAPSHOT, Snapshot
 from flamingohead.core.validation import validate_snapshot
@@ -79,7 +79,7 @@
         change_id="",
         author="",
         accepted_at=0.0,
-        change=compute_change(base, snapshot.resources.values()),
+        change=compare_resources(base, snapshot.resources),
         base_version=base.version,
     )
 
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -37,7 +37,6 @@
         self._kernel = kernel
         self._task: asyncio.Task | None = None
         self._question: asyncio.Task | None = None
-        self._is_interrupted = False
         self._was_dropped = False
         self._retry_wait = FIRST_RETRY_SECONDS
         self._documents = DocumentReader()
@@ -49,8 +48,7 @@
 
     async def stop(self) -> None:
         self._task.cancel()
-        if self._question is not None:
-            self._question.cancel()
+        self._interrupt()
 
     async def _run(self) -> None:
         while True:
@@ -86,7 +84,6 @@
     def _interrupt(self) -> None:
         """End the open question, which may never be answered any more."""
         if self._question is not None:
-            self._is_interrupted = True
             self._question.cancel()
 
     async def _ask(self, version: StoreVersion) -> RowPage | HistoryDropped | Refusal:
@@ -94,15 +91,11 @@
             TABLE, version, wait=FEED_WAIT_SECONDS
         )
         self._question = asyncio.get_running_loop().create_task(question)
-        try:
-            return await self._question
-        except asyncio.CancelledError:
-            if not self._is_interrupted:
-                raise
+        # Unlike the feed's own end, that of the question is no error here.
+        await asyncio.wait([self._question])
+        if self._question.cancelled():
             return HistoryDropped()
-        finally:
-            self._question = None
-            self._is_interrupted = False
+        return self._question.result()
 
     async def _follow(self, version: StoreVersion) -> StoreVersion | None:
         asked_at = time.monotonic()
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -196,7 +196,7 @@
             return None
         if sink.status != OK:
             return self._refuse(f"transaction answered with {sink.status}")
-        era = self._read_era(sink)
+        era = self._kernel.get("eras").current
         if eras - {era}:
             # The numbers expected were those of other rows.
             return self._refuse("transaction made in another era than its conditions")
@@ -271,7 +271,8 @@
             page = _PAGES.decode(sink.body)
         except UNREADABLE as error:
             return self._refuse(f"rows not understood: {error}")
-        era = self._read_era(sink)
+        # The answer is of this era, or it would have been refused.
+        era = self._kernel.get("eras").current
         rows = tuple(
             StoredRow(
                 row.key,
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -229,22 +229,19 @@
     # The shortest bound of a deployment for a change to be in force, in seconds.
     IN_FORCE_SECONDS = 2.0
 
-    def build_service(self, replica):
+    def build_service(self):
+        """Return the service of a daemon that took the change, and the base of it."""
+        names = [f"/{zlib.crc32(b'%d' % n):x}/{n:x}/" for n in range(1200)]
+        base = build_snapshot(3, *names[:40])
+        replica = Replica(base)
+        replica.take_snapshot(build_snapshot(9, *names))
         kernel = Kernel()
         kernel.add("metrics", MetricsService())
-        return ConfigurationService(
-            kernel, Dissemination(replica, random=random.Random(1))
-        )
-
-    def build_versions(self):
-        names = [f"/{zlib.crc32(b'%d' % n):x}/{n:x}/" for n in range(1200)]
-        return [build_snapshot(3, *names[:40]), build_snapshot(9, *names)]
+        dissemination = Dissemination(replica, random=random.Random(1))
+        return ConfigurationService(kernel, dissemination), base
 
     def test_change_takes_a_small_part_of_the_bound_on_a_small_link(self):
-        base, snapshot = self.build_versions()
-        replica = Replica(base)
-        replica.take_snapshot(snapshot)
-        service = self.build_service(replica)
+        service, base = self.build_service()
         reply = service.answer_pull(3, takes_packed=True)
         seconds = reply.ByteSize() / self.LINK_BYTES_PER_SECOND
         assert seconds < self.IN_FORCE_SECONDS / 10
@@ -252,21 +249,15 @@
         other = Replica(base)
         for record in records:
             other.take_record(codec.decode_record(record))
-        assert other.snapshot == snapshot
+        assert other.snapshot == service.replica.snapshot
 
     def test_reply_is_made_once_for_all_that_hold_the_same_version(self):
-        base, snapshot = self.build_versions()
-        replica = Replica(base)
-        replica.take_snapshot(snapshot)
-        service = self.build_service(replica)
+        service, _ = self.build_service()
         first = service.answer_pull(3, takes_packed=True)
         assert service.answer_pull(3, takes_packed=True) is first
 
     def test_daemon_of_an_earlier_version_gets_a_reply_that_it_knows(self):
-        base, snapshot = self.build_versions()
-        replica = Replica(base)
-        replica.take_snapshot(snapshot)
-        reply = self.build_service(replica).answer_pull(3)
+        reply = self.build_service()[0].answer_pull(3)
         assert not reply.packed and len(reply.records) == 1
 
     @pytest.mark.parametrize("data", [b"no zlib", zlib.compress(b"x" * 100)[:-5]])
