Give joins, packed replies and heard versions modules of their own subject

Moves only: JoinAdmission to core/joins.py, the packing of replies to protocol/packing.py, the version that a member stated to core/members.py. The parsing of a message in the codec is public now, so that packing uses the same.

--- a/benchmarks/large_changes.py
+++ b/benchmarks/large_changes.py
@@ -15,7 +15,7 @@
 from flamingohead.core.versions import Replica
 from flamingohead.kernel import Kernel
 from flamingohead.platform.documents import DocumentReader
-from flamingohead.protocol import codec
+from flamingohead.protocol import codec, packing
 from flamingohead.services.configuration import ConfigurationService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.testing.hosts import build_document
@@ -47,7 +47,7 @@
 
     def take() -> None:
         other = Replica(base)
-        for record in codec.unpack_pull_reply(packed).records:
+        for record in packing.unpack_pull_reply(packed).records:
             other.take_record(codec.decode_record(record))
 
     def read() -> None:
--- a/flamingohead/core/members.py
+++ b/flamingohead/core/members.py
@@ -79,3 +79,11 @@
 
     def with_status(self, status: MemberStatus, *, accuser: str = "") -> Member:
         return replace(self, status=status, accuser=accuser)
+
+
+@dataclass(frozen=True)
+class HeardVersion:
+    """Hold the version that a member stated, and when."""
+
+    version: int
+    heard_at: float
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -14,7 +14,7 @@
 
 from flamingohead.core.datagrams import DatagramBuilder, SendDatagram
 from flamingohead.core.memberlist import MemberChanged, MemberList
-from flamingohead.core.members import Member, MemberStatus, UpstreamState
+from flamingohead.core.members import HeardVersion, Member, MemberStatus, UpstreamState
 from flamingohead.core.messages import (
     MAX_DATAGRAM_BYTES,
     Ack,
@@ -62,14 +62,6 @@
 MembershipEffect = SendDatagram | MemberChanged
 
 
-@dataclass(frozen=True)
-class HeardVersion:
-    """Hold the version that a member stated, and when."""
-
-    version: int
-    heard_at: float
-
-
 class Membership:
     """Decide which members of a failure domain are alive.
 
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import hashlib
-import zlib
 
 from google.protobuf.message import DecodeError
 
@@ -46,8 +45,6 @@
     encode_summary_reply,
 )
 
-# Ten times the largest configuration that a row of the platform's store holds.
-MAX_UNPACKED_BYTES = 10 * 1024 * 1024
 RESOURCE_KINDS = ("service", "pool", "rank", "route", "client_limits")
 
 
@@ -215,7 +212,7 @@
 
 def parse_row(data: bytes) -> VersionRecord:
     """Decode the value of a table row; raise ``CodecError``."""
-    stored = _parse(pb.StoredRecord(), data)
+    stored = parse_message(pb.StoredRecord(), data)
     if hashlib.sha256(stored.record).digest() != stored.digest:
         raise CodecError("row does not match its digest")
     return parse_record(stored.record)
@@ -223,12 +220,12 @@
 
 def parse_record(data: bytes) -> VersionRecord:
     """Decode a serialized record; raise ``CodecError``."""
-    return decode_record(_parse(pb.VersionRecord(), data))
+    return decode_record(parse_message(pb.VersionRecord(), data))
 
 
 def parse_change(data: bytes) -> Change:
     """Decode a serialized change; raise ``CodecError``."""
-    return decode_change(_parse(pb.Change(), data))
+    return decode_change(parse_message(pb.Change(), data))
 
 
 def encode_snapshot(snapshot: Snapshot) -> pb.Snapshot:
@@ -246,30 +243,7 @@
 
 def parse_snapshot(data: bytes) -> Snapshot:
     """Decode a serialized snapshot; raise ``CodecError``."""
-    return decode_snapshot(_parse(pb.Snapshot(), data))
-
-
-# Pulls
-
-
-def pack_pull_reply(reply: pb.PullReply) -> pb.PullReply:
-    """Return a reply that carries another one compressed."""
-    data = zlib.compress(reply.SerializeToString())
-    return pb.PullReply(version=reply.version, packed=data)
-
-
-def unpack_pull_reply(reply: pb.PullReply) -> pb.PullReply:
-    """Return the reply that another one carries, or that one; raise ``CodecError``."""
-    if not reply.packed:
-        return reply
-    decompressor = zlib.decompressobj()
-    try:
-        data = decompressor.decompress(reply.packed, MAX_UNPACKED_BYTES)
-    except zlib.error as error:
-        raise CodecError(str(error)) from error
-    if not decompressor.eof:
-        raise CodecError(f"packed reply is cut, or over {MAX_UNPACKED_BYTES} bytes")
-    return _parse(pb.PullReply(), data)
+    return decode_snapshot(parse_message(pb.Snapshot(), data))
 
 
 # Members and datagrams
@@ -356,7 +330,7 @@
 
 def decode_datagram(data: bytes) -> Datagram:
     """Decode a datagram; raise ``CodecError``."""
-    message = _parse(pb.Datagram(), data)
+    message = parse_message(pb.Datagram(), data)
     return Datagram(
         sender=message.sender,
         sender_address=message.sender_address,
@@ -390,7 +364,8 @@
     raise CodecError("datagram of no known kind")
 
 
-def _parse(message, data: bytes):
+def parse_message(message, data: bytes):
+    """Fill an empty message from its serialized form; raise ``CodecError``."""
     try:
         message.ParseFromString(data)
     except DecodeError as error:
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -24,7 +24,7 @@
 from flamingohead.core.resources import EMPTY_SNAPSHOT
 from flamingohead.core.routing import RouteTable
 from flamingohead.events import Event, log_event
-from flamingohead.protocol import codec, peers_pb2 as pb
+from flamingohead.protocol import codec, packing, peers_pb2 as pb
 from flamingohead.services.ticks import Ticks
 
 if TYPE_CHECKING:
@@ -236,7 +236,7 @@
                 retry_at = time.monotonic() + reply.retry_after_ms / 1000
                 self._kernel.get("metrics").count("pull.postponed")
                 return
-            reply = codec.unpack_pull_reply(reply)
+            reply = packing.unpack_pull_reply(reply)
             outcome = "snapshot" if reply.HasField("snapshot") else "records"
             self._take_pulled(reply)
         except codec.CodecError as error:
@@ -271,7 +271,7 @@
             reply = self._build_pull_reply(version)
             if reply.retry_after_ms:
                 return reply
-            packed = codec.pack_pull_reply(reply)
+            packed = packing.pack_pull_reply(reply)
             if len(self._packed_replies) >= MAX_PACKED_REPLIES:
                 self._packed_replies.clear()
             self._packed_replies[version] = packed
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -10,8 +10,9 @@
 from grpclib.server import Server
 
 from flamingohead.addresses import split_address
-from flamingohead.core.bootstrap import JoinAdmission, JoinOutcome
+from flamingohead.core.bootstrap import JoinOutcome
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.joins import JoinAdmission
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec, key_codec, peers_pb2 as pb
 from flamingohead.protocol.peers_grpc import PeersBase, PeersStub
--- a/flamingohead/testing/bootstraps.py
+++ b/flamingohead/testing/bootstraps.py
@@ -11,12 +11,12 @@
     BootstrapSettings,
     DeleteRow,
     HostRow,
-    JoinAdmission,
     JoinOutcome,
     JoinPeers,
     ReadRows,
     WriteRow,
 )
+from flamingohead.core.joins import JoinAdmission
 
 if TYPE_CHECKING:
     from flamingohead.testing.network import FakeNetwork, FakeNode
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -39,7 +39,7 @@
     build_source_record,
 )
 from flamingohead.kernel import Kernel
-from flamingohead.protocol import codec, peers_pb2 as pb
+from flamingohead.protocol import codec, packing, peers_pb2 as pb
 from flamingohead.services.configuration import ConfigurationService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.subscription import SubscriptionService
@@ -245,7 +245,7 @@
         reply = service.answer_pull(3, takes_packed=True)
         seconds = reply.ByteSize() / self.LINK_BYTES_PER_SECOND
         assert seconds < self.IN_FORCE_SECONDS / 10
-        records = codec.unpack_pull_reply(reply).records
+        records = packing.unpack_pull_reply(reply).records
         other = Replica(base)
         for record in records:
             other.take_record(codec.decode_record(record))
@@ -263,12 +263,12 @@
     @pytest.mark.parametrize("data", [b"no zlib", zlib.compress(b"x" * 100)[:-5]])
     def test_packed_reply_that_is_not_whole_is_refused(self, data):
         with pytest.raises(codec.CodecError):
-            codec.unpack_pull_reply(pb.PullReply(packed=data))
+            packing.unpack_pull_reply(pb.PullReply(packed=data))
 
     def test_packed_reply_without_an_end_is_bounded(self):
-        data = zlib.compress(bytes(2 * codec.MAX_UNPACKED_BYTES))
+        data = zlib.compress(bytes(2 * packing.MAX_UNPACKED_BYTES))
         with pytest.raises(codec.CodecError, match="over"):
-            codec.unpack_pull_reply(pb.PullReply(packed=data))
+            packing.unpack_pull_reply(pb.PullReply(packed=data))
 
 
 class TestRecordChain:
--- a/properties/test_membership_bootstrap.py
+++ b/properties/test_membership_bootstrap.py
@@ -10,11 +10,11 @@
 from flamingohead.core.bootstrap import (
     BootstrapSettings,
     HostRow,
-    JoinAdmission,
     JoinOutcome,
     Phase,
     choose_owner,
 )
+from flamingohead.core.joins import JoinAdmission
 from flamingohead.core.memberlist import MemberChanged
 from flamingohead.testing.bootstraps import FakeBootstraps
 from flamingohead.testing.network import FakeNetwork, NetworkSettings
