--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,7 @@
 
 from standins import (  # noqa: E402
     Daemon,
+    Mesh,
     Outcome,
     Platform,
     Record,
@@ -22,6 +23,7 @@
     run_case,
     send_request,
     start_mesh,
+    wait_until_ready,
 )
 
 HOSTS = [
@@ -33,6 +35,7 @@
 # Requests a second from the clients of the machine that is stopped.
 RATE = 24.0
 WARM_UP = 8.0
+ROUNDS = 3
 # Of archive-search in the site file.
 MEAN_WORK, SPREAD, MAX_WORK = 0.64, 0.8, 4.8
 TIMEOUT_MS, DEADLINE_MS = 3000, 5000
@@ -69,32 +72,48 @@
     platform = Platform(daemons)
     platform.start()
 
-    tema = daemons[2]
+    lost = 0
+    for number in range(1, ROUNDS + 1):
+        lost += await run_round(number, record, mesh, platform, generator, trouble)
+    record.write("summary", rounds=ROUNDS, lost=lost)
+    return lost > 0
+
+
+async def run_round(
+    number: int,
+    record: Record,
+    mesh: Mesh,
+    platform: Platform,
+    generator: random.Random,
+    trouble: bool,
+) -> int:
+    """Stop the daemon once under load and start it again; return what was lost."""
+    tema = mesh.daemons[2]
     outcomes: dict[str, Outcome] = {}
 
     async def search(request_id: str) -> None:
-        outcome = await send_request(
+        outcomes[request_id] = await send_request(
             tema.outbound, "GET", f"/search/{request_id}", request_id, DEADLINE_MS
         )
-        outcomes[request_id] = outcome
 
     tasks = []
-    started_at = now()
-    stop_at = started_at + WARM_UP
+    stop_at = now() + WARM_UP
     stopped = False
-    number = 0
     while now() < stop_at + GRACE + 1.0:
         if trouble and not stopped and now() >= stop_at:
             stopped = True
             stop_at = now()
-            record.write("sigterm", daemon=tema.name)
+            record.write("sigterm", round=number, daemon=tema.name)
             tema.send_signal(signal.SIGTERM)
         if platform.gives_work(tema):
-            number += 1
-            tasks.append(asyncio.create_task(search(f"s{number}")))
+            request_id = f"s{number}-{len(tasks)}"
+            tasks.append(asyncio.create_task(search(request_id)))
         await asyncio.sleep(generator.expovariate(RATE))
     if stopped:
         record.write("ended", daemon=tema.name, code=await tema.wait(3.0))
+        await tema.start()
+        if not await wait_until_ready(mesh.daemons):
+            raise RuntimeError("the stopped daemon is not ready again")
     await asyncio.wait(tasks)
 
     runs = {run.request_id: run for run in mesh.runs}
@@ -117,8 +136,10 @@
             lost="yes" if breaks else "no",
         )
     answered = sum(o.status == 200 for o in outcomes.values())
-    record.write("summary", sent=len(outcomes), answered=answered, lost=lost)
-    return lost > 0
+    record.write(
+        "round", number=number, sent=len(outcomes), answered=answered, lost=lost
+    )
+    return lost
 
 
 def is_lost(outcome: Outcome, run: Run, stop_at: float) -> bool:
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -737,8 +737,8 @@
 def run_case(main, directory: Path) -> None:
     """Run a case; exit with 1 if the rule was broken, 0 if not, 2 if it couldn't run.
 
-    ``main`` takes the record, a temporary folder, whether to make trouble, and a list to
-    which it adds the daemons that it starts. It returns whether the rule was broken.
+    ``main`` takes the record, a temporary folder, whether to make trouble, and a list
+    to which it adds the daemons that it starts. It returns whether the rule was broken.
     """
     record = Record(directory / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
