Acknowledge a leave only once the store or other daemons hold it

Cause: the leave was acknowledged after 0.6 s whether or not its row was stored. The write ended with the daemon, and its next process asked the store alone, or took a heartbeat before the store had responded.

A leave is acknowledged once the row is stored or, after 0.2 s, once two other daemons have confirmed that they hold it (KeepDeparture); it is refused with 503 otherwise. The leave is part of the member state. Members keep the latest one of each host over restarts, pass it on with joins and return it to the next daemon of the host. A starting daemon uses no upstream before it has read its row and joined; it goes on with one of both 0.5 to 1 s later. Daemons of earlier builds answer the call as unknown, which counts as not held.

Ruled out: waiting for the write in a planned stop (a kill loses it), and acknowledging only what is stored (no leave is acknowledged in an outage).

The test that a leave is acknowledged after a time-out stated the fault; it now asks that such a leave is refused, and acknowledged once stored.

--- a/flamingohead/core/memberlist.py
+++ b/flamingohead/core/memberlist.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from flamingohead.core.members import Member, MemberStatus
+from flamingohead.core.members import Departure, Member, MemberStatus
 from flamingohead.core.probes import Health, Suspicion
 from flamingohead.core.tombstones import Tombstones
 from flamingohead.core.updates import UpdateQueue
@@ -15,6 +15,7 @@
     from flamingohead.core.membership import MembershipSettings
 
 RETRANSMIT_MULTIPLIER = 4
+MAX_DEPARTURES = 4096
 
 
 @dataclass(frozen=True)
@@ -41,6 +42,8 @@
         self.queue.add(local_member.host_id)
         self._settings = settings
         self._suspicions: dict[str, Suspicion] = {}
+        # The latest departure on each host, for the host's next daemon.
+        self._departures: dict[str, Departure] = {}
 
     # Views
 
@@ -75,6 +78,34 @@
         )
         self.queue.add(self.local_member.host_id)
 
+    def keep_departure(
+        self, host_id: str, departure: Departure, *, disseminate: bool = True
+    ) -> bool:
+        """Keep the departure of an upstream of a host, unless a later one is known.
+
+        Returns whether it is kept.
+        """
+        known = self._departures.get(host_id)
+        if known is not None and departure <= known:
+            return departure == known
+        self._departures[host_id] = departure
+        while len(self._departures) > MAX_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
+        if host_id == self.local_member.host_id:
+            self.update_local_member(departure=departure)
+            return True
+        member = self.get_known(host_id)
+        if member is None:
+            return True
+        member = replace(member, departure=departure)
+        if member.is_usable:
+            self.members[host_id] = member
+        else:
+            self.tombstones.update(member)
+        if disseminate:
+            self.queue.add(host_id)
+        return True
+
     def apply_update(
         self, member: Member, now: float, *, disseminate: bool = True
     ) -> list[MemberChanged]:
@@ -83,6 +114,8 @@
         ``disseminate`` queues the state for gossip. A state of this member that is not
         the current one is refuted, and a state from another gossip group is ignored.
         """
+        if member.gossip_group == self.local_member.gossip_group:
+            member = self._merge_departure(member, disseminate=disseminate)
         if member.host_id == self.local_member.host_id:
             self._refute(member)
             return []
@@ -134,6 +167,15 @@
             self.queue.discard(host_id)
         return effects
 
+    def _merge_departure(self, member: Member, *, disseminate: bool) -> Member:
+        """Return the state with the latest departure known on its host."""
+        if member.departure is not None:
+            self.keep_departure(
+                member.host_id, member.departure, disseminate=disseminate
+            )
+        latest = self._departures.get(member.host_id)
+        return member if latest is None else replace(member, departure=latest)
+
     def _refute(self, member: Member) -> None:
         if member.incarnation < self.local_member.incarnation:
             if member.status is not MemberStatus.ALIVE:
--- a/flamingohead/core/members.py
+++ b/flamingohead/core/members.py
@@ -43,6 +43,19 @@
     load: float = 0.0
 
 
+@dataclass(frozen=True, order=True)
+class Departure:
+    """Identify the incarnation of an upstream that has left its host.
+
+    ``recorded_at`` is wall-clock time in milliseconds; it orders the departures of a
+    host, each later than the one before.
+    """
+
+    recorded_at: int
+    name: str
+    incarnation: int
+
+
 @dataclass(frozen=True)
 class Member:
     """Describe a daemon as known to its failure domain.
@@ -50,7 +63,8 @@
     ``accuser`` is the host id of the member that suspects this one or declared it dead.
     Members of the same ``group`` track each other individually; an empty group stands
     for the whole failure domain. ``capacity`` orders the hosts by how fast they apply a
-    large configuration.
+    large configuration. ``departure`` outlives the daemon: the other members hand it to
+    the next daemon of the host.
     """
 
     host_id: str
@@ -63,6 +77,7 @@
     accuser: str = ""
     group: str = ""
     capacity: int = 0
+    departure: Departure | None = None
 
     @property
     def gossip_group(self) -> str:
--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -16,6 +16,7 @@
 from flamingohead.core.datagrams import DatagramBuilder, SendDatagram
 from flamingohead.core.memberlist import MemberChanged, MemberList
 from flamingohead.core.members import (
+    Departure,
     Member,
     MemberStatus,
     ObservedVersion,
@@ -149,6 +150,13 @@
         if upstreams != self.local_member.upstreams:
             self._member_list.update_local_member(upstreams=upstreams)
 
+    def keep_departure(self, host_id: str, departure: Departure) -> bool:
+        """Keep the departure of an upstream for the next daemon of a host.
+
+        Returns whether it is kept; it is not if a later one is known.
+        """
+        return self._member_list.keep_departure(host_id, departure)
+
     def leave(self) -> list[MembershipEffect]:
         """Announce that this member leaves."""
         self._member_list.update_local_member(status=MemberStatus.LEFT)
--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -50,6 +50,7 @@
 _FIELD_BYTES = 3
 _MEMBER_NUMBERS_BYTES = 19
 _UPSTREAM_NUMBERS_BYTES = 10
+_DEPARTURE_NUMBERS_BYTES = 22
 _FIXED_BYTES = 64
 
 
@@ -68,6 +69,9 @@
         member.accuser,
         member.group,
     )
+    if member.departure is not None:
+        size += _FIELD_BYTES + _DEPARTURE_NUMBERS_BYTES
+        size += _estimate_text_size(member.departure.name)
     for upstream in member.upstreams:
         size += _FIELD_BYTES + _UPSTREAM_NUMBERS_BYTES
         size += _estimate_text_size(upstream.name, upstream.service)
--- a/flamingohead/core/tombstones.py
+++ b/flamingohead/core/tombstones.py
@@ -41,6 +41,11 @@
             self.remove(host_id)
         return evicted
 
+    def update(self, member: Member) -> None:
+        """Replace the state of a member that is kept, without keeping it longer."""
+        if member.host_id in self._members:
+            self._members[member.host_id] = member
+
     def remove(self, host_id: str) -> None:
         """Remove the tombstone of a host, if there is one."""
         self._members.pop(host_id, None)
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -61,6 +61,15 @@
         307, logging.WARNING, "platform store restored from an earlier copy"
     )
     ERA_MISSING = EventKind(308, logging.WARNING, "response of the store has no era")
+    DEPARTURE_NOT_KEPT = EventKind(
+        309, logging.WARNING, "departure not acknowledged: no other host keeps it"
+    )
+    DEPARTURE_RETURNED = EventKind(
+        310, logging.INFO, "departure returned by another host"
+    )
+    HEARTBEAT_POSTPONED = EventKind(
+        311, logging.INFO, "heartbeat postponed: earlier departures are not known"
+    )
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     DOMAIN_JOINED = EventKind(410, logging.INFO, "joined the failure domain")
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import time
 from typing import TYPE_CHECKING, Annotated, Literal
 
 import msgspec
@@ -19,6 +20,8 @@
 from flamingohead.services.endpoint import Endpoint
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_messages import IncomingRequest
     from flamingohead.services.http_response import ServerResponse
@@ -27,6 +30,8 @@
 
 READY_PATH = b"/v1/ready"
 INSTANCES_PATH = b"/v1/instances/"
+# Below the 1 s that the upstream waits for the acknowledgement.
+POSTPONE_TIMEOUT_SECONDS = 0.6
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -92,7 +97,7 @@
             self._handle_heartbeat(name, request, response)
         elif request.method == "DELETE":
             self._kernel.get("upstreams").end_upstream(name)
-            self._acknowledge_leave(name, response)
+            self._spawn(self._acknowledge_leave(name, response))
         else:
             response.send(405, [], b"")
 
@@ -106,24 +111,51 @@
             log_event(logger, Event.ANNOUNCEMENT_MALFORMED, upstream=name, error=error)
             response.send(400, JSON_HEADERS, b'{"error":"not a heartbeat"}')
             return
+        is_ready = announcement.status is UpstreamStatus.READY
+        if is_ready and not self._kernel.get("departures").knows_earlier:
+            self._spawn(self._postpone_heartbeat(announcement, response))
+            return
+        self._apply_heartbeat(announcement, response)
+
+    async def _postpone_heartbeat(
+        self, announcement: Announcement, response: ServerResponse
+    ) -> None:
+        """Use no upstream that may have left before this daemon was started."""
+        deadline = time.monotonic() + POSTPONE_TIMEOUT_SECONDS
+        if await self._kernel.get("departures").wait_for_earlier(deadline):
+            if not response.is_disconnected:
+                self._apply_heartbeat(announcement, response)
+            return
+        log_event(logger, Event.HEARTBEAT_POSTPONED, upstream=announcement.name)
+        if not response.is_disconnected:
+            body = b'{"error":"earlier departures are not known yet"}'
+            response.send(503, JSON_HEADERS, body)
+
+    def _apply_heartbeat(
+        self, announcement: Announcement, response: ServerResponse
+    ) -> None:
         refusal = self._kernel.get("upstreams").announce(announcement)
         if refusal is not None:
             body = json.dumps({"error": refusal.detail}).encode()
             response.send(refusal.answer.status, JSON_HEADERS, body)
             return
         if announcement.status is UpstreamStatus.DRAINING:
-            self._acknowledge_leave(name, response)
+            self._spawn(self._acknowledge_leave(announcement.name, response))
             return
         response.send(200, JSON_HEADERS, b"{}")
 
-    def _acknowledge_leave(self, name: str, response: ServerResponse) -> None:
-        """Respond once the leave is stored or the time limit for storing it is over."""
-
-        async def respond() -> None:
-            await self._kernel.get("departures").record(name)
-            if not response.is_disconnected:
-                response.send(200, JSON_HEADERS, b"{}")
+    async def _acknowledge_leave(self, name: str, response: ServerResponse) -> None:
+        """Respond once the leave is kept; refuse it if it isn't kept in time."""
+        is_kept = await self._kernel.get("departures").record(name)
+        if response.is_disconnected:
+            return
+        if is_kept:
+            response.send(200, JSON_HEADERS, b"{}")
+        else:
+            body = b'{"error":"the leave could not be kept; send it again"}'
+            response.send(503, JSON_HEADERS, body)
 
-        task = asyncio.get_running_loop().create_task(respond())
+    def _spawn(self, coroutine: Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
         self._response_tasks.add(task)
         task.add_done_callback(self._response_tasks.discard)
--- a/flamingohead/platform/probe.py
+++ b/flamingohead/platform/probe.py
@@ -50,7 +50,7 @@
     async def _run(self) -> None:
         while not self._kernel.get("configuration").is_ready:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        while not self._kernel.get("departures").is_loaded:
+        while not self._kernel.get("departures").knows_earlier:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
         if self._kernel.get("upstreams").is_empty:
             announcement = await self._send_probe()
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -11,6 +11,7 @@
 
 from flamingohead.core.changes import Change
 from flamingohead.core.members import (
+    Departure,
     Member,
     MemberStatus,
     UpstreamState,
@@ -250,6 +251,7 @@
 
 
 def encode_member(member: Member) -> pb.Member:
+    departure = member.departure
     upstreams = [
         pb.Upstream(
             name=u.name,
@@ -271,9 +273,22 @@
         accuser=member.accuser,
         group=member.group,
         capacity=member.capacity,
+        departure=None if departure is None else encode_departure(departure),
     )
 
 
+def encode_departure(departure: Departure) -> pb.Departure:
+    return pb.Departure(
+        name=departure.name,
+        incarnation=departure.incarnation,
+        recorded_at=departure.recorded_at,
+    )
+
+
+def decode_departure(message: pb.Departure) -> Departure:
+    return Departure(message.recorded_at, message.name, message.incarnation)
+
+
 def decode_member(message: pb.Member) -> Member:
     if not message.host_id:
         raise CodecError("member has no host id")
@@ -288,6 +303,11 @@
         accuser=message.accuser,
         group=message.group,
         capacity=message.capacity,
+        departure=(
+            decode_departure(message.departure)
+            if message.HasField("departure")
+            else None
+        ),
     )
 
 
--- a/flamingohead/protocol/peers_grpc.py
+++ b/flamingohead/protocol/peers_grpc.py
@@ -42,6 +42,10 @@
     async def SetDrain(self, stream: 'grpclib.server.Stream[flamingohead.protocol.peers_pb2.SetDrainRequest, flamingohead.protocol.peers_pb2.SetDrainReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def KeepDeparture(self, stream: 'grpclib.server.Stream[flamingohead.protocol.peers_pb2.KeepDepartureRequest, flamingohead.protocol.peers_pb2.KeepDepartureReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/flamingohead.protocol.Peers/Join': grpclib.const.Handler(
@@ -86,6 +90,12 @@
                 flamingohead.protocol.peers_pb2.SetDrainRequest,
                 flamingohead.protocol.peers_pb2.SetDrainReply,
             ),
+            '/flamingohead.protocol.Peers/KeepDeparture': grpclib.const.Handler(
+                self.KeepDeparture,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                flamingohead.protocol.peers_pb2.KeepDepartureRequest,
+                flamingohead.protocol.peers_pb2.KeepDepartureReply,
+            ),
         }
 
 
@@ -134,3 +144,9 @@
             flamingohead.protocol.peers_pb2.SetDrainRequest,
             flamingohead.protocol.peers_pb2.SetDrainReply,
         )
+        self.KeepDeparture = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/flamingohead.protocol.Peers/KeepDeparture',
+            flamingohead.protocol.peers_pb2.KeepDepartureRequest,
+            flamingohead.protocol.peers_pb2.KeepDepartureReply,
+        )
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from flamingohead.core.members import Member, UpstreamStatus
+    from flamingohead.core.members import Departure, Member, UpstreamStatus
     from flamingohead.core.messages import Datagram
     from flamingohead.core.versions import VersionRecord
     from flamingohead.kernel import Kernel
@@ -47,6 +47,10 @@
         self._ticks = PeriodicTimer(self._tick)
         # Called with each datagram from a member of the gossip group.
         self.listeners: list[Callable[[Datagram], None]] = []
+        # Called when another member returns a departure from this host.
+        self.departure_listeners: list[Callable[[Departure], None]] = []
+        self._known_departure: Departure | None = None
+        self.has_joined = False
 
     async def start(self) -> None:
         host, port = split_address(self._address)
@@ -71,6 +75,7 @@
     def merge_peer_state(self, members) -> int:
         """Merge the membership state of a peer; return the number of changes."""
         effects = self.membership.merge_join_state(members, time.monotonic())
+        self.has_joined = True
         self._run(effects)
         self._publish_members()
         return len(effects)
@@ -121,6 +126,13 @@
             if _list_statuses(previous) != _list_statuses(self.membership.local_member):
                 self._run(self.membership.gossip_state())
 
+    def set_departure(self, departure: Departure) -> None:
+        """Set the departure of an upstream of this host; send it to peers at once."""
+        host_id = self.membership.local_member.host_id
+        self._known_departure = departure
+        self.membership.keep_departure(host_id, departure)
+        self._run(self.membership.gossip_state())
+
     def push_record(self, record, fanout: int) -> None:
         """Send a record to a few random peers."""
         self.send_record(record, self.membership.choose_members(fanout))
@@ -182,6 +194,14 @@
                 self._log_change(effect)
                 if not effect.member.is_usable:
                     self._kernel.get("bootstrap").note_removed(effect.member.host_id)
+        self._report_departure()
+
+    def _report_departure(self) -> None:
+        departure = self.membership.local_member.departure
+        if departure != self._known_departure:
+            self._known_departure = departure
+            for listener in self.departure_listeners:
+                listener(departure)
 
     def _log_change(self, effect) -> None:
         member = effect.member
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -20,6 +20,7 @@
 from flamingohead.services.transport import bind
 
 if TYPE_CHECKING:
+    from flamingohead.core.members import Departure
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
@@ -117,6 +118,20 @@
             remote.add_contact(contact.failure_domain, contact.peer_address, now)
         return JoinOutcome(True, changes)
 
+    async def hand_over_departure(
+        self, address: str, departure: Departure, *, timeout: float
+    ) -> bool:
+        """Let a peer keep a departure of this host; return whether it confirmed it.
+
+        ``timeout`` is in seconds.
+        """
+        request = pb.KeepDepartureRequest(
+            host_id=self._kernel.get("gossip").membership.local_member.host_id,
+            departure=codec.encode_departure(departure),
+        )
+        reply = await self.call(address, "KeepDeparture", request, timeout=timeout)
+        return not isinstance(reply, Refusal) and reply.kept
+
     # Incoming calls
 
     async def Join(self, stream) -> None:  # noqa: N802
@@ -172,6 +187,13 @@
         found = slots.set_drain(request.upstream, draining=request.draining)
         await stream.send_message(pb.SetDrainReply(found=found))
 
+    async def KeepDeparture(self, stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        membership = self._kernel.get("gossip").membership
+        departure = codec.decode_departure(request.departure)
+        kept = membership.keep_departure(request.host_id, departure)
+        await stream.send_message(pb.KeepDepartureReply(kept=kept))
+
     # Status
 
     def build_status_reply(self) -> pb.StatusReply:
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -438,12 +438,15 @@
         upstreams.get_incarnation = upstreams.incarnations.get
         upstreams.announce = upstreams.announced.append
         kernel.add("upstreams", upstreams)
+        kernel.get("gossip").set_departure = lambda departure: None
         return kernel, DepartureService(kernel, "h")
 
     def read_written(self, kernel):
         bodies = [json.loads(r.body) for r in kernel.get("http_client").requests]
         values = [row["value"] for body in bodies for row in body["set-keys"]]
-        return [json.loads(base64.b64decode(value)) for value in values]
+        leaves = [json.loads(base64.b64decode(value)) for value in values]
+        assert all(leave.pop("recorded_at") > 0 for leave in leaves)
+        return leaves
 
     def test_leave_is_rewritten(self, monkeypatch):
         monkeypatch.setattr(departures, "RETRY_SECONDS", 0.0)
@@ -492,17 +495,15 @@
         written = [leave["incarnation"] for leave in self.read_written(kernel)]
         assert written == [7, 8]
 
-    def test_leave_is_acknowledged_when_stored_or_after_a_timeout(self, monkeypatch):
+    def test_leave_is_acknowledged_only_once_it_is_kept(self, monkeypatch):
         monkeypatch.setattr(departures, "RECORD_TIMEOUT_SECONDS", 0.05)
         kernel, recorder = self.build((503, {}), (200, {"ver": 5}))
 
         async def run():
-            await recorder.record("i")
+            assert not await recorder.record("i")
             # Another message of the same leave waits for the same write.
-            assert not recorder._is_stored.is_set()
             await recorder._write_task
-            await recorder.record("i")
-            assert recorder._is_stored.is_set()
+            assert await recorder.record("i")
 
         asyncio.run(run())
         assert len(self.read_written(kernel)) == 2
