Start no request during a stop that the stop would abort

Cause: a stopping daemon reserved one mean service time before the abort, so any slower request could be aborted. Requests that it passed on to other hosts were not checked, and those already queued kept the limit of before the stop.

Change: StopSchedule decides. A request starts only if its deadline precedes the abort; one of this host's own callers also in the first 2.2 s, while they can't reach another daemon. A request of another daemon gets no such exception, since that daemon may begin its own stop later. The check stands before a request is passed on, before it is queued and, at the signal, for those queued. A refusal tells when the stop ends. The only provider of a service serves until the shortest route of the service would outlast the stop, in place of a fixed 1.2 s.

Ruled out: ending later (the kill follows 0.5 s after the abort), and a larger margin than the mean (the slowest requests take the whole timeout).

--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -22,7 +22,8 @@
     free. A ``bulky`` call has a large response. ``host`` is the host that the caller
     addressed, and ``request_id`` the id that the caller assigned. ``parent`` is the id
     of the running request that makes the call, if it is a nested one. A response after
-    ``target_deadline`` misses the target of the rank.
+    ``target_deadline`` misses the target of the rank. A ``relayed`` call comes from
+    another daemon.
     """
 
     service: str
@@ -44,6 +45,7 @@
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     host: bytes = b""
     target_deadline: float = math.inf
+    relayed: bool = False
 
     @property
     def request_id(self) -> str:
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -158,6 +158,19 @@
         """Return the services that routes refer to."""
         return {pool.service for route in self._routes.values() for pool in route.pools}
 
+    def get_shortest_timeout(self, service: str) -> float | None:
+        """Return the shortest timeout of the routes to a service, in seconds.
+
+        It is ``None`` if there is no route.
+        """
+        timeouts = (
+            route.route.timeout_ms
+            for route in self._routes.values()
+            if any(pool.service == service for pool in route.pools)
+        )
+        shortest = min(timeouts, default=None)
+        return None if shortest is None else shortest / 1000
+
     def get_pool(self, name: str) -> Pool | None:
         """Return a pool by its name."""
         return self._pools.get(name)
--- a/flamingohead/core/stopping.py
+++ b/flamingohead/core/stopping.py
@@ -7,18 +7,25 @@
 A daemon that steps back remains in the mesh until its listeners close, and serves
 requests for which there is no other host. This is for rolling restarts of a service
 that has few hosts.
+
+A request in progress at the deadline of the stop is aborted, so a stopping daemon only
+starts requests whose own deadline is earlier. Until it has settled, callers of this
+host can't reach another daemon: their other requests are also started then, if they are
+likely to complete.
 """
 
 from __future__ import annotations
 
+import math
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 from automat import TypeMachineBuilder
 
 SETTLE_SECONDS = 1.0
-# Most requests in progress complete within this time.
-COMPLETION_SECONDS = 1.2
+# Time for peers to learn that the daemon leaves, and for connections to close.
+MIN_DRAIN_SECONDS = 0.5
 
 
 class StopEffect(Enum):
@@ -105,6 +112,28 @@
 _create_machine = _builder.build()
 
 
+@dataclass(frozen=True)
+class StopSchedule:
+    """Hold the times of a stop, in monotonic seconds.
+
+    New callers no longer choose this host after ``settled_at``. Requests still in
+    progress at ``ends_at`` are aborted.
+    """
+
+    settled_at: float
+    ends_at: float
+
+    def compute_latest_start(self, deadline: float, *, relayed: bool) -> float:
+        """Return the time until which a request with a deadline may start.
+
+        A ``relayed`` request comes from another daemon. Other hosts can run it, and its
+        caller may rely on that daemon not to be cut off long after its own stop began.
+        """
+        if deadline <= self.ends_at:
+            return math.inf
+        return -math.inf if relayed else self.settled_at
+
+
 class GracefulStop:
     """Run the phases of a stop; times in seconds.
 
@@ -122,8 +151,9 @@
     ) -> None:
         self._steps_back = steps_back
         self._machine: StopMachine = _create_machine(object())
-        self._settled_at = now + min(settle_seconds, timeout / 2)
-        self._deadline = now + timeout
+        self.schedule = StopSchedule(
+            now + min(settle_seconds, timeout / 2), now + timeout
+        )
 
     @property
     def has_ended(self) -> bool:
@@ -139,25 +169,26 @@
         return [StopEffect.STEP_BACK, *remaining_effects]
 
     def advance(
-        self, now: float, connections: int, *, is_only_provider: bool = False
+        self, now: float, connections: int, *, exclusive_timeout: float | None = None
     ) -> list[StopEffect]:
         """Return the next effects, given the number of open connections.
 
-        A daemon that ``is_only_provider``, since no other host serves its upstreams'
-        service, keeps serving until only the time for completing requests in progress
-        is left.
+        ``exclusive_timeout`` is the shortest timeout of the requests that no other host
+        can run, or ``None`` if there are others for all. The daemon keeps serving while
+        some of them still end before the stop does.
         """
         phase = self._machine.get_phase()
-        if is_only_provider and now < self._deadline - COMPLETION_SECONDS:
-            if phase is StopPhase.SETTLING:
+        if exclusive_timeout is not None and phase is StopPhase.SETTLING:
+            reserved = max(exclusive_timeout, MIN_DRAIN_SECONDS)
+            if now < self.schedule.ends_at - reserved:
                 return []
-        if phase is StopPhase.SETTLING and now >= self._settled_at:
+        if phase is StopPhase.SETTLING and now >= self.schedule.settled_at:
             effects = self._machine.drain()
             return [StopEffect.LEAVE_MESH, *effects] if self._steps_back else effects
         if phase is not StopPhase.DRAINING:
             return []
         if connections == 0:
             return self._machine.finish()
-        if now >= self._deadline:
+        if now >= self.schedule.ends_at:
             return self._machine.cut()
         return self._machine.wait()
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -104,11 +104,14 @@
             settle_seconds=self._settle_seconds,
             steps_back=self._steps_back,
         )
+        self._kernel.get("slots").begin_stop(stop.schedule)
         await self._run_effects(stop.begin())
         while not stop.has_ended:
             connections = sum(len(factory.connections) for factory in self._factories)
             effects = stop.advance(
-                time.monotonic(), connections, is_only_provider=self._is_only_provider()
+                time.monotonic(),
+                connections,
+                exclusive_timeout=self._compute_exclusive_timeout(),
             )
             await self._run_effects(effects)
             await asyncio.sleep(STOP_POLL_SECONDS)
@@ -126,15 +129,18 @@
             idle_timeout=limits.idle_timeout_ms / 1000,
         )
 
-    def _is_only_provider(self) -> bool:
-        """Return whether a service of this host has no other host to serve it."""
+    def _compute_exclusive_timeout(self) -> float | None:
+        """Return the shortest timeout of the services that only this host serves."""
         if not self._steps_back:
-            return False
+            return None
         attempts = self._kernel.get("attempts")
-        return any(
-            not attempts.has_other_host(upstream.state.service)
+        routes = self._kernel.get("configuration").routes
+        timeouts = [
+            routes.get_shortest_timeout(upstream.state.service)
             for upstream in self._kernel.get("slots").upstreams.values()
-        )
+            if not attempts.has_other_host(upstream.state.service)
+        ]
+        return min((t for t in timeouts if t is not None), default=None)
 
     async def _run_effects(self, effects: list[StopEffect]) -> None:
         for effect in effects:
@@ -142,7 +148,7 @@
 
     async def _step_back(self) -> None:
         self.is_stopping = True
-        self._kernel.get("slots").step_back(time.monotonic() + self._stop_timeout)
+        self._kernel.get("slots").step_back()
 
     async def _leave_mesh(self) -> None:
         self.is_stopping = True
@@ -293,7 +299,10 @@
         scoped = call.is_keyed and is_scoped_key(call.key)
         service = self._kernel.get("scopes" if scoped else "attempts")
         started_at = time.monotonic()
-        refusal = await service.serve(call, response)
+        # Responses of other hosts are also cut off at the end of the stop.
+        refusal = self._kernel.get("slots").check_stop(call)
+        if refusal is None:
+            refusal = await service.serve(call, response)
         outcome = "answered" if refusal is None else refusal.kind.value
         self._kernel.get("metrics").observe_request(
             call.service, call.rank, outcome, time.monotonic() - started_at
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -192,6 +192,7 @@
         may_wait=request.get_header(RELAY_WAIT) != b"no",
         host=request.get_header(RELAY_HOST) or b"",
         parent=(request.get_header(RELAY_PARENT) or b"").decode("latin-1"),
+        relayed=True,
     )
 
 
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
     from flamingohead.core.routing import RouteTable
+    from flamingohead.core.stopping import StopSchedule
     from flamingohead.kernel import Kernel
     from flamingohead.services.dialects import Dialect
     from flamingohead.services.http_server import ServerResponse
@@ -66,7 +67,7 @@
         self._reports = PeriodicTimer(self._report_queues)
         self._operator_drains: set[str] = set()
         self._is_leaving = False
-        self._stop_deadline = math.inf
+        self._stop: StopSchedule | None = None
         self._is_closed = False
         self._running: Counter[str] = Counter()
         self._failed_parents: set[str] = set()
@@ -116,14 +117,16 @@
         self._publish()
         return True
 
-    def step_back(self, stop_deadline: float) -> None:
-        """Request that other daemons send only requests that no other host can serve.
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Start no request from now on that the stop would abort."""
+        self._stop = schedule
+        for upstream in self.upstreams.values():
+            tickets = [t for t in upstream.waiters if t.deadline > schedule.ends_at]
+            self._refuse_tickets(upstream, tickets, "is about to stop")
 
-        From now on, a request is admitted only if it is expected to end before
-        ``stop_deadline``.
-        """
+    def step_back(self) -> None:
+        """Request that other daemons send only what no other host can serve."""
         self._is_leaving = True
-        self._stop_deadline = stop_deadline
         self._publish()
 
     def leave(self) -> None:
@@ -203,6 +206,9 @@
         status = None if upstream is None else self.get_status(upstream_name)
         if self._is_closed or status not in SERVING:
             return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
+        refusal = self.check_stop(call)
+        if refusal is not None:
+            return refusal
         request_id = call.request_id
         self._running[request_id] += 1
         try:
@@ -221,6 +227,21 @@
                 del self._running[request_id]
                 self._failed_parents.discard(request_id)
 
+    def check_stop(self, call: Call) -> Refusal | None:
+        """Return a refusal if a stop of this daemon may abort a call."""
+        if self._stop is None:
+            return None
+        latest_start = self._stop.compute_latest_start(
+            call.deadline, relayed=call.relayed
+        )
+        if time.monotonic() <= latest_start:
+            return None
+        return Refusal(
+            ErrorKind.DRAINING,
+            "the daemon stops before the deadline",
+            self._stop.ends_at,
+        )
+
     def is_running(self, request_id: str) -> bool:
         """Return whether an upstream of this host executes a request with this id."""
         return request_id in self._running
@@ -335,7 +356,21 @@
             future.set_result(result)
 
     def _build_ticket(self, upstream: LocalUpstream, call: Call) -> Ticket:
-        # A request may take twice its expected time; the stop must not cut it off.
-        reserved_seconds = upstream.admission.get_expected_service_time(call.rank)
-        deadline = min(call.deadline, self._stop_deadline - reserved_seconds)
-        return Ticket(call.rank, deadline, call.caller, nested=bool(call.parent))
+        return Ticket(
+            call.rank,
+            self._compute_ticket_deadline(upstream, call),
+            call.caller,
+            nested=bool(call.parent),
+        )
+
+    def _compute_ticket_deadline(self, upstream: LocalUpstream, call: Call) -> float:
+        if self._stop is None:
+            return call.deadline
+        latest_start = self._stop.compute_latest_start(
+            call.deadline, relayed=call.relayed
+        )
+        if latest_start >= call.deadline:
+            return call.deadline
+        # A request may take twice its expected time before the stop aborts it.
+        service_time = upstream.admission.get_expected_service_time(call.rank)
+        return min(latest_start + service_time, self._stop.ends_at - service_time)
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -8,6 +8,7 @@
 import random
 import time
 from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
 
 from flamingohead.addresses import split_address
 from flamingohead.core.errors import Refusal
@@ -25,7 +26,10 @@
 
 @dataclass
 class InstanceStandin:
-    """Execute requests on ``slots`` slots, and record the requests executed."""
+    """Execute requests on ``slots`` slots, and record the requests executed.
+
+    A request with ``work-ms`` in its query is executed for that time.
+    """
 
     name: str
     service: str
@@ -132,7 +136,8 @@
             }
         )
         loop = asyncio.get_running_loop()
-        loop.call_later(self.work_seconds, self._finish, request, response)
+        seconds = _read_work_seconds(request.target) or self.work_seconds
+        loop.call_later(seconds, self._finish, request, response)
 
     def _finish(self, request, response) -> None:
         self._in_use -= 1
@@ -145,3 +150,9 @@
             (b"response-stamp", self.name.encode()),
         ]
         response.send(200, headers, b"answer to " + request_id + request.body)
+
+
+def _read_work_seconds(target: bytes) -> float:
+    """Return the execution time that a request asks for, or 0."""
+    query = parse_qs(urlsplit(target.decode("latin-1")).query)
+    return int(query.get("work-ms", ["0"])[0]) / 1000
--- a/flamingohead/tests/test_routing.py
+++ b/flamingohead/tests/test_routing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from flamingohead.core.errors import ErrorKind
@@ -132,3 +134,17 @@
         split = (WeightedPool("a", 0), WeightedPool("b", 3))
         turns = WeightedRoundRobin()
         assert {turns.choose(split) for _ in range(50)} == {"b"}
+
+
+class TestTimeouts:
+    def test_shortest_timeout_includes_parts_of_split_routes(self):
+        split = (WeightedPool("a", 1), WeightedPool("b", 1))
+        table = RouteTable(
+            build_snapshot(
+                replace(build_route("long", "/long/"), timeout_ms=3000),
+                replace(build_route("split", "/split/", split=split), timeout_ms=800),
+            )
+        )
+        assert table.get_shortest_timeout("a") == 0.8
+        assert table.get_shortest_timeout("b") == 0.8
+        assert table.get_shortest_timeout("c") is None
--- a/flamingohead/tests/test_slots.py
+++ b/flamingohead/tests/test_slots.py
@@ -5,10 +5,14 @@
 import asyncio
 import math
 import time
+from dataclasses import replace
+
+import pytest
 
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, ExecutionStatus
 from flamingohead.core.members import UpstreamState, UpstreamStatus
+from flamingohead.core.stopping import StopSchedule
 from flamingohead.kernel import Kernel
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.reactor import install_reactor
@@ -63,6 +67,11 @@
     return kernel, service
 
 
+def build_schedule(settles_in, ends_in):
+    now = time.monotonic()
+    return StopSchedule(now + settles_in, now + ends_in)
+
+
 def build_call(seconds=10.0):
     deadline = time.monotonic() + seconds
     return Call("s", "urgent", "GET", b"/", (), b"", deadline, True)
@@ -83,7 +92,7 @@
 class TestStops:
     def test_leaving_host_is_announced_and_still_serves(self):
         kernel, service = build_slots()
-        service.step_back(time.monotonic() + 5)
+        service.step_back()
         assert kernel.get("gossip").states[0].status is UpstreamStatus.LEAVING
 
         async def run():
@@ -104,13 +113,50 @@
         refusal = asyncio.run(service.execute("u", build_call(), FakeResponse()))
         assert refusal.kind is ErrorKind.DRAINING
 
-    def test_request_that_a_stop_would_cut_is_not_admitted(self):
+    @pytest.mark.parametrize(
+        ("settles_in", "ends_in", "relayed"),
+        [(-0.1, -0.1, False), (-0.1, 5.0, False), (5.0, 5.0, True)],
+    )
+    def test_request_that_a_stop_would_cut_is_not_admitted(
+        self, settles_in, ends_in, relayed
+    ):
         kernel, service = build_slots()
-        service.step_back(time.monotonic() - 0.1)
-        refusal = asyncio.run(service.execute("u", build_call(), FakeResponse()))
+        service.begin_stop(build_schedule(settles_in, ends_in))
+        call = replace(build_call(seconds=10.0), relayed=relayed)
+        refusal = asyncio.run(service.execute("u", call, FakeResponse()))
         assert refusal.kind is ErrorKind.DRAINING
+        assert refusal.ran is ExecutionStatus.NO
         assert kernel.get("http_client").sent == 0
 
+    @pytest.mark.parametrize(
+        ("settles_in", "seconds", "relayed"),
+        [(5.0, 10.0, False), (-0.1, 4.0, False), (-0.1, 4.0, True)],
+    )
+    def test_request_that_a_stop_will_not_cut_is_admitted(
+        self, settles_in, seconds, relayed
+    ):
+        kernel, service = build_slots()
+        service.begin_stop(build_schedule(settles_in, 5.0))
+        kernel.get("http_client").released.set()
+        call = replace(build_call(seconds), relayed=relayed)
+        assert asyncio.run(service.execute("u", call, FakeResponse())) is None
+
+    def test_queued_request_that_a_stop_would_cut_is_refused(self):
+        kernel, service = build_slots()
+        refusal = asyncio.run(
+            execute_behind_another(
+                service, lambda: service.begin_stop(build_schedule(2.0, 5.0))
+            )
+        )
+        assert refusal.kind is ErrorKind.DRAINING
+        assert kernel.get("http_client").sent == 1
+
+    def test_refusal_says_when_the_stop_has_ended(self):
+        _, service = build_slots()
+        service.begin_stop(build_schedule(-0.1, 5.0))
+        refusal = asyncio.run(service.execute("u", build_call(), FakeResponse()))
+        assert 4_000 < refusal.compute_retry_after_ms(time.monotonic()) <= 5_000
+
 
 class TestDrains:
     def announce(self, service, status):
