Refuse heartbeats and rows that no sound writer sends

Callers: after one odd heartbeat of another writer, a sound upstream got no requests, though it went on announcing itself (0 of 120 in the users' probe).

Cause: the border checked types, not ranges or required fields, and any higher number replaced the state of an upstream until it expired 17.5 s later. A number of slots above 32 bits could not be encoded in datagrams. Reading showed that a host row with a short key ended the read of all rows, and that a deeply nested departure row ended its reader.

Evidence: test_platform_processes.py::TestOddHeartbeats failed on (a heartbeat with a sequence of 2^80 was acknowledged with 200).

Change: heartbeats need all fields of the protocol; names, numbers, ports and starts are bounded; a service must be named by the settings or the configuration. Within an incarnation the service and address of an upstream stay, and a sequence more than 10,000 ahead counts only once a later one confirms it, so that one odd heartbeat changes nothing. Odd rows are ignored one by one and logged.

The exit code 8 that was seen once beside odd rows did not show and stays suspected.

--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -17,6 +17,8 @@
 from flamingohead.core.members import LOAD_STEP, UpstreamState, UpstreamStatus
 
 MAX_UPSTREAMS = 4
+# Steps of the sequence that an upstream may skip while its announcements are lost.
+MAX_SEQUENCE_STEP = 10_000
 # Assigned when an upstream leaves: higher than any announcement of its incarnation.
 FINAL_SEQUENCE = 2**63
 
@@ -149,6 +151,8 @@
         self._settings = settings
         self._records: dict[str, UpstreamRecord] = {}
         self._machines: dict[str, UpstreamEvents] = {}
+        # Announcements refused for their sequence, until the next one of the upstream.
+        self._outliers: dict[str, Announcement] = {}
         self._last_event_at: float | None = None
 
     # Views
@@ -194,7 +198,11 @@
     def announce(
         self, announcement: Announcement, now: float
     ) -> list[UpstreamChanged] | Refusal:
-        """Apply an announcement, unless it is older than the newest one applied."""
+        """Apply an announcement, unless it is older than the newest one applied.
+
+        One that the upstream itself can't have sent is refused: it would keep the
+        later ones of the upstream from being applied.
+        """
         self._extend_after_pause(now)
         name = announcement.name
         record = self._records.get(name)
@@ -208,6 +216,8 @@
             record = self._add_record(announcement)
         elif announcement.number <= record.announcement.number:
             return []
+        elif refusal := self._check_successor(announcement, record.announcement):
+            return refusal
         elif announcement.incarnation > record.announcement.incarnation:
             record = self._add_record(announcement, previous=record)
         record.announcement = announcement
@@ -243,6 +253,30 @@
         record.expires_at = now + self._settings.lifetime
         return self._apply_event(record, "leave")
 
+    def _check_successor(
+        self, later: Announcement, known: Announcement
+    ) -> Refusal | None:
+        """Return a refusal if two announcements can't be from one incarnation.
+
+        A sequence far ahead is taken for real once a later announcement confirms it.
+        """
+        outlier = self._outliers.pop(later.name, None)
+        if later.incarnation != known.incarnation or not known.address:
+            return None
+        for name in ("service", "address"):
+            found, expected = getattr(later, name), getattr(known, name)
+            if found != expected:
+                detail = f"{name} of {known.name!r} is {found!r}, expected {expected!r}"
+                return Refusal(ErrorKind.MALFORMED_REQUEST, detail)
+        # A probe has no sequence.
+        step = later.sequence - known.sequence if known.sequence else 0
+        is_confirmed = outlier is not None and later.sequence > outlier.sequence
+        if step <= MAX_SEQUENCE_STEP or is_confirmed:
+            return None
+        self._outliers[later.name] = later
+        detail = f"sequence {later.sequence} of {known.name!r} after {known.sequence}"
+        return Refusal(ErrorKind.MALFORMED_REQUEST, detail)
+
     def _is_superseded(self, announcement: Announcement) -> bool:
         """Return whether an upstream of a later incarnation uses the same address.
 
@@ -290,6 +324,7 @@
             if now >= record.expires_at + self._settings.retention:
                 del self._records[name]
                 del self._machines[name]
+                self._outliers.pop(name, None)
         return changes
 
     def set_load(self, name: str, load: float, now: float) -> bool:
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -77,6 +77,7 @@
     HOST_ROW_NOT_DELETED = EventKind(
         413, logging.WARNING, "row of the local host not deleted in time"
     )
+    HOST_ROW_MALFORMED = EventKind(414, logging.WARNING, "malformed host row ignored")
     PEER_RECONNECTED = EventKind(
         412, logging.INFO, "unresponsive connection to a peer replaced"
     )
--- a/flamingohead/platform/departures.py
+++ b/flamingohead/platform/departures.py
@@ -13,11 +13,15 @@
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from flamingohead.core.departures import DepartureTracker
 from flamingohead.core.errors import Refusal
 from flamingohead.core.members import Departure, UpstreamStatus
 from flamingohead.core.upstreams import FINAL_SEQUENCE, Announcement
+from flamingohead.decoding import DECODING_ERRORS
 from flamingohead.events import Event, log_event
+from flamingohead.platform.messages import Name, Number
 
 if TYPE_CHECKING:
     from flamingohead.core.members import Member
@@ -36,6 +40,16 @@
 POLL_INTERVAL_SECONDS = 0.02
 
 
+class _DepartureRow(msgspec.Struct):
+    name: Name
+    incarnation: Number
+    # Missing in rows of earlier builds.
+    recorded_at: Number = 0
+
+
+_ROW_DECODER = msgspec.json.Decoder(_DepartureRow)
+
+
 class DepartureService:
     """Record the incarnation of the upstream that gets no new work."""
 
@@ -148,18 +162,13 @@
 
     def _apply_row(self, value: bytes) -> None:
         try:
-            body = json.loads(value)
-            departure = Departure(
-                # Rows of earlier builds have no time.
-                int(body.get("recorded_at", 0)),
-                str(body["name"]),
-                int(body["incarnation"]),
-            )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            row = _ROW_DECODER.decode(value)
+        except DECODING_ERRORS as error:
             log_event(
                 logger, Event.ANNOUNCEMENT_MALFORMED, upstream=self._key, error=error
             )
             return
+        departure = Departure(row.recorded_at, row.name, row.incarnation)
         if self._tracker.adopt(departure, is_stored=True):
             self._kernel.get("gossip").set_departure(departure)
         self._end_upstream(departure)
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -11,12 +11,19 @@
 import msgspec
 from msgspec import Meta
 
+from flamingohead.addresses import check_named_address
+from flamingohead.core.errors import ErrorKind
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import Announcement
 from flamingohead.decoding import DECODING_ERRORS, describe_decoding_error
 from flamingohead.events import Event, log_event
 from flamingohead.platform.durations import DurationText
-from flamingohead.platform.messages import Message
+from flamingohead.platform.messages import (
+    MAX_NAME_CHARACTERS,
+    Message,
+    Name,
+    Number,
+)
 from flamingohead.services.endpoint import Endpoint
 
 if TYPE_CHECKING:
@@ -35,17 +42,25 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
+MAX_SLOTS = 1_000_000
+# By how much the wall clock of an upstream may be ahead of that of its daemon.
+MAX_CLOCK_LEAD_MS = 300_000
+
+
 class _Heartbeat(Message):
-    service: Annotated[str, Meta(min_length=1)]
+    service: Name
     address: str
-    slots: Annotated[int, Meta(ge=1)]
+    # Failure domain and software version; required, but not used.
+    zone: str
+    version: str
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    # Increases with each message of an incarnation.
-    seq: Annotated[int, Meta(ge=0)]
     # Time for which the upstream stays slow after its start; decoded but not used.
-    cold_remaining: DurationText = "0ms"
+    cold_remaining: DurationText
+    # Increases with each message of an incarnation.
+    seq: Number
     # Start of the upstream in Unix milliseconds; used as its incarnation.
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: Number = 0
 
 
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_Heartbeat)
@@ -53,10 +68,16 @@
 
 def decode_heartbeat(name: str, data: bytes) -> Announcement:
     """Decode a heartbeat to an announcement; raise ``ValueError``."""
+    if not 0 < len(name) <= MAX_NAME_CHARACTERS:
+        raise ValueError(f"name of {len(name)} characters")
     try:
         heartbeat = _HEARTBEAT_DECODER.decode(data)
     except DECODING_ERRORS as error:
         raise ValueError(describe_decoding_error(error, data)) from error
+    check_named_address("address", heartbeat.address)
+    lead_ms = heartbeat.born - round(time.time() * 1000)
+    if lead_ms > MAX_CLOCK_LEAD_MS:
+        raise ValueError(f"born: found {heartbeat.born}, {lead_ms} ms from now")
     return Announcement(
         name,
         heartbeat.service,
@@ -95,7 +116,7 @@
         name = request.target.removeprefix(INSTANCES_PATH).decode("latin-1")
         if request.method == "PUT":
             self._handle_heartbeat(name, request, response)
-        elif request.method == "DELETE":
+        elif request.method == "DELETE" and 0 < len(name) <= MAX_NAME_CHARACTERS:
             self._kernel.get("upstreams").end_upstream(name)
             self._spawn(self._acknowledge_leave(name, response))
         else:
@@ -106,9 +127,9 @@
     ) -> None:
         try:
             announcement = decode_heartbeat(name, request.body)
+            self._check_service(announcement.service)
         except ValueError as error:
-            self._kernel.get("metrics").count("beat.malformed")
-            log_event(logger, Event.ANNOUNCEMENT_MALFORMED, upstream=name, error=error)
+            self._log_malformed(name, error)
             response.send(400, JSON_HEADERS, b'{"error":"not a heartbeat"}')
             return
         is_ready = announcement.status is UpstreamStatus.READY
@@ -117,6 +138,13 @@
             return
         self._apply_heartbeat(announcement, response)
 
+    def _check_service(self, service: str) -> None:
+        """Raise ``ValueError`` unless the settings or the configuration name it."""
+        routes = self._kernel.get("configuration").routes
+        is_named = routes.version == 0 or routes.get_pool(service) is not None
+        if not is_named and service != self._kernel.get("calls").own_service:
+            raise ValueError(f"service: found {service!r}, which is not configured")
+
     async def _postpone_heartbeat(
         self, announcement: Announcement, response: ServerResponse
     ) -> None:
@@ -136,6 +164,8 @@
     ) -> None:
         refusal = self._kernel.get("upstreams").announce(announcement)
         if refusal is not None:
+            if refusal.kind is ErrorKind.MALFORMED_REQUEST:
+                self._log_malformed(announcement.name, refusal.detail)
             body = json.dumps({"error": refusal.detail}).encode()
             response.send(refusal.answer.status, JSON_HEADERS, body)
             return
@@ -144,6 +174,10 @@
             return
         response.send(200, JSON_HEADERS, b"{}")
 
+    def _log_malformed(self, name: str, error: object) -> None:
+        self._kernel.get("metrics").count("beat.malformed")
+        log_event(logger, Event.ANNOUNCEMENT_MALFORMED, upstream=name, error=error)
+
     async def _acknowledge_leave(self, name: str, response: ServerResponse) -> None:
         """Respond once the leave is kept; refuse it if it isn't kept in time."""
         is_kept = await self._kernel.get("departures").record(name)
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -5,9 +5,10 @@
 import asyncio
 import logging
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
+from msgspec import Meta
 
 from flamingohead.addresses import check_address
 from flamingohead.core.bootstrap import (
@@ -30,6 +31,10 @@
 logger = logging.getLogger(__name__)
 
 HOST_PREFIX = "hosts/"
+# Prefix, group and host id.
+ROW_KEY_PARTS = 3
+# Year 2286, beyond the life of any row.
+MAX_WALL_SECONDS = 1e10
 TICK_PERIOD_SECONDS = 0.1
 SCAN_LIMIT = 1000
 # A store that does not respond must not delay the end of the process.
@@ -40,7 +45,7 @@
     """Describe the value of a host row; ``written_at`` is wall-clock time."""
 
     peer_address: str
-    written_at: float = 0.0
+    written_at: Annotated[float, Meta(ge=0, le=MAX_WALL_SECONDS)] = 0.0
 
     def __post_init__(self) -> None:
         check_address(self.peer_address)
@@ -142,15 +147,21 @@
         for row in scanned:
             parts = row.key.split("/")
             try:
+                if len(parts) != ROW_KEY_PARTS:
+                    raise msgspec.ValidationError(f"key {row.key!r}")
                 body = _ROW_DECODER.decode(row.value)
-            except DECODING_ERRORS:
+            except DECODING_ERRORS as error:
                 self._kernel.get("metrics").count("host_row.malformed")
+                log_event(
+                    logger, Event.HOST_ROW_MALFORMED, row=row.key[:80], error=error
+                )
                 continue
-            if parts[1] == group:
-                rows.append(HostRow(parts[2], body.peer_address, body.written_at))
+            _, row_group, host_id = parts
+            if row_group == group:
+                rows.append(HostRow(host_id, body.peer_address, body.written_at))
             else:
                 remote = self._kernel.get("summaries").remote
-                remote.add_contact(parts[1], body.peer_address, time.monotonic())
+                remote.add_contact(row_group, body.peer_address, time.monotonic())
         return rows
 
     async def _write_row(self) -> None:
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -238,6 +238,8 @@
     return {
         "service": host.service,
         "address": host.upstream,
+        "zone": "makola",
+        "version": "v1",
         "slots": 4,
         "state": "ready",
         "cold-remaining": "0ms",
--- a/flamingohead/tests/test_platform_processes.py
+++ b/flamingohead/tests/test_platform_processes.py
@@ -156,6 +156,32 @@
         mesh.set_faults()
 
 
+class TestOddHeartbeats:
+    """Guard against one odd heartbeat that takes a sound upstream out of use."""
+
+    def test_upstream_stays_in_use_after_odd_heartbeats(self, mesh):
+        host = mesh.hosts["h0"]
+        born = int(time.time() * 1000)
+        sound = build_heartbeat(host, born=born)
+        odd = [
+            ("i-h0", {**sound, "seq": 2**80}),
+            ("i-h0", {**sound, "born": 2**70}),
+            ("i-h0", {**sound, "slots": 2**40}),
+            ("i-h0", {**sound, "address": "127.0.0.1:99999"}),
+            ("i-odd", {**sound, "address": "127.0.0.1:-1"}),
+            ("i-odd", {**sound, "service": "unheard-of"}),
+            ("i-odd", {**sound, "state": "resting"}),
+        ]
+        for name, beat in odd:
+            assert send_announcement(host, "PUT", name, beat) == 400, beat
+        before = len(read_runs(host))
+        deadline = time.monotonic() + 3.0
+        while time.monotonic() < deadline:
+            assert call(mesh.hosts["h2"], "/ledger/odd", "r-odd")[0] == 200
+        assert len(read_runs(host)) > before
+        assert "Traceback" not in host.daemon.log_path.read_text()
+
+
 class TestMetrics:
     def test_counters_and_histograms_are_served(self, mesh):
         host = mesh.hosts["h0"]
