Carry no request again on a connection that has refused it

Cause: answers are matched by request id. A request that its upstream refused may return to it after two full hosts, on the same pooled connection. A copy of the first refusal then bears the id of the retry. Copies with other ids were refused before already.

Evidence: test_second_answers.py::TestRepeatedRefusals, on: the retry counted as not executed while the upstream had run it; the copy for another request was refused as malformed, with the execution unknown.

Change: a connection remembers the ids of the error responses that it has carried and is not chosen for these requests again. After 64 it is not reused, which bounds the memory.

New connections are opened only for retries at the same upstream.

--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -64,9 +64,14 @@
         self._idle: dict[str, list[ClientConnection]] = {}
 
     def acquire(
-        self, address: str, now: float, *, max_idle_seconds: float = math.inf
+        self,
+        address: str,
+        now: float,
+        *,
+        request: OutgoingRequest | None = None,
+        max_idle_seconds: float = math.inf,
     ) -> ClientConnection | None:
-        """Return an idle connection that may be reused, or ``None``.
+        """Return an idle connection that may carry a request, or ``None``.
 
         Its last complete response ended less than ``max_idle_seconds`` ago.
         """
@@ -76,6 +81,8 @@
             usable = connection.is_open and now < connection.idle_until
             if usable and now - connection.idle_since >= max_idle_seconds:
                 return None
+            if usable and request is not None and not connection.may_carry(request):
+                return None
             idle.pop()
             if usable:
                 return connection
@@ -145,7 +152,7 @@
         if not fresh:
             now = time.monotonic()
             connection = self._pool.acquire(
-                address, now, max_idle_seconds=max_idle_seconds
+                address, now, request=request, max_idle_seconds=max_idle_seconds
             )
         if connection is None:
             connection = await self._connect(address, request.deadline)
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -26,6 +26,9 @@
 
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 FIRST_FINAL_STATUS = 200
+FIRST_ERROR_STATUS = 400
+# A connection that has carried more errors is not reused.
+MAX_REFUSED_IDS = 64
 BODILESS_STATUSES = (204, 304)
 
 
@@ -65,6 +68,16 @@
         self._requires_id = False
         self._has_responded = False
         self._exchange_id: bytes | None = None
+        self._refused_ids: set[bytes] = set()
+
+    def may_carry(self, request: OutgoingRequest) -> bool:
+        """Return whether the response to a request could only be its own.
+
+        A duplicate of an earlier refusal bears the id of that request, so that a retry
+        of the request on the same connection could be taken for refused again.
+        """
+        request_id = find_header(request.headers, REQUEST_ID_HEADER)
+        return request_id is None or request_id not in self._refused_ids
 
     def exchange(
         self,
@@ -234,6 +247,9 @@
     def _finish(self, *, reusable: bool) -> None:
         sink, self._sink = self._sink, None
         self._has_responded = True
+        if self._status >= FIRST_ERROR_STATUS and self._request_id is not None:
+            self._refused_ids.add(self._request_id)
+            reusable = reusable and len(self._refused_ids) <= MAX_REFUSED_IDS
         if not reusable or self.transport.get_unsent_bytes():
             self.is_open = False
         sink.finish()
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from dataclasses import replace
 
 import pytest
 
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.kernel import Kernel
+from flamingohead.platform.dialect import PLATFORM_DIALECT
 from flamingohead.platform.store import RowKey, StoreClient
+from flamingohead.services.dispatch import ResponseRelay
 from flamingohead.services.eras import EraService
 from flamingohead.services.http_client import HttpClientService
-from flamingohead.services.http_connection import ClientConnection
+from flamingohead.services.http_connection import MAX_REFUSED_IDS, ClientConnection
 from flamingohead.services.http_messages import OutgoingRequest
 from flamingohead.services.metrics import MetricsService
 from flamingohead.testing.transports import FakeTransport, RecordingSink
+from flamingohead.tests.test_slots import FakeResponse
 
 
 def build_request(name, *, echoes_request_id=True):
@@ -88,6 +93,89 @@
         assert exchanges.ends == [None, None]
 
 
+REFUSAL = (
+    b"HTTP/1.1 503 No\r\nrequest-id: a\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+class _RepeatingUpstream:
+    """Refuse the first request; write the refusal again when the next one arrives."""
+
+    def __init__(self):
+        self.runs = []
+        self.connections = 0
+        self._requests = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        is_first_connection = self.connections == 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request_id = head.lower().partition(b"request-id: ")[2].split(b"\r")[0]
+                self._requests += 1
+                if self._requests == 1:
+                    writer.write(REFUSAL)
+                    continue
+                self.runs.append(request_id)
+                if is_first_connection:
+                    writer.write(REFUSAL)
+                writer.write(build_answer(request_id))
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+
+class _Response(FakeResponse):
+    def write(self, data):
+        pass
+
+
+class TestRepeatedRefusals:
+    """Guard against requests told "not run" by a repeated refusal, though they ran."""
+
+    async def send_twice(self, upstream, second_id):
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        client = HttpClientService()
+        results = []
+        for request_id in (b"a", second_id):
+            request = replace(
+                build_request(request_id), deadline=time.monotonic() + 5.0
+            )
+            relay = ResponseRelay(_Response(), PLATFORM_DIALECT)
+            refusal = await client.send(address, request, relay)
+            results.append((refusal, relay.not_executed))
+        await client.stop()
+        server.close()
+        return results
+
+    def test_retry_of_a_refused_request_takes_another_connection(self):
+        upstream = _RepeatingUpstream()
+        first, second = asyncio.run(self.send_twice(upstream, b"a"))
+        assert first == (None, True)
+        # The request ran, so that it must not count as refused again.
+        assert upstream.runs == [b"a"]
+        assert second == (None, False)
+        assert upstream.connections == 2
+
+    def test_repeated_refusal_is_not_that_of_another_request(self):
+        upstream = _RepeatingUpstream()
+        _, (refusal, not_executed) = asyncio.run(self.send_twice(upstream, b"b"))
+        assert upstream.connections == 1 and upstream.runs == [b"b"]
+        assert refusal.kind is ErrorKind.UPSTREAM_MALFORMED
+        assert refusal.ran is ExecutionStatus.UNKNOWN
+        assert not not_executed
+
+    def test_connection_with_many_errors_is_not_reused(self):
+        exchanges = _Exchanges()
+        for number in range(MAX_REFUSED_IDS + 1):
+            assert exchanges.connection.is_open
+            exchanges.send(b"%d" % number)
+            refusal = REFUSAL.replace(b"id: a", b"id: %d" % number)
+            exchanges.transport.deliver(refusal)
+        assert not exchanges.connection.is_open
+
+
 class TestStore:
     """Simulate a store that repeats the page of a read at the next request."""
 
