Let a heartbeat replace what a probe has found

A restarted daemon probes its upstream and records the service and address of its settings. Upstreams that send no start time have the incarnation of the probe, so a first heartbeat with another service, as after a replacement, would have been refused until the record expired. Records without a sequence no longer bind the heartbeats after them. The doc comment of the stop schedule says why relayed requests get no exception.

--- a/flamingohead/core/stopping.py
+++ b/flamingohead/core/stopping.py
@@ -126,8 +126,9 @@
     def compute_latest_start(self, deadline: float, *, relayed: bool) -> float:
         """Return the time until which a request with a deadline may start.
 
-        A ``relayed`` request comes from another daemon. Other hosts can run it, and its
-        caller may rely on that daemon not to be cut off long after its own stop began.
+        A ``relayed`` request comes from another daemon, which can send it to another
+        host. That daemon may also begin its own stop meanwhile, during which its caller
+        must not be cut off.
         """
         if deadline <= self.ends_at:
             return math.inf
--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -261,17 +261,16 @@
         A sequence far ahead is taken for real once a later announcement confirms it.
         """
         outlier = self._outliers.pop(later.name, None)
-        if later.incarnation != known.incarnation or not known.address:
+        # A probe has no sequence, and knows only what the settings say.
+        if later.incarnation != known.incarnation or not known.sequence:
             return None
         for name in ("service", "address"):
             found, expected = getattr(later, name), getattr(known, name)
             if found != expected:
                 detail = f"{name} of {known.name!r} is {found!r}, expected {expected!r}"
                 return Refusal(ErrorKind.MALFORMED_REQUEST, detail)
-        # A probe has no sequence.
-        step = later.sequence - known.sequence if known.sequence else 0
         is_confirmed = outlier is not None and later.sequence > outlier.sequence
-        if step <= MAX_SEQUENCE_STEP or is_confirmed:
+        if later.sequence <= known.sequence + MAX_SEQUENCE_STEP or is_confirmed:
             return None
         self._outliers[later.name] = later
         detail = f"sequence {later.sequence} of {known.name!r} after {known.sequence}"
