Count the deadline of a request from its receipt

Cause: a connection serves 8 requests at a time, and the deadline was counted from the start of a request, so that each batch had a whole timeout after that of the batch before it. Upstreams were told a deadline later than the client's.

Evidence: test_pipelining_processes.py on: 20 requests with a timeout of 1.2 s were answered after 3.6 s.

A request whose deadline has passed is answered at once and sent nowhere.

--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -206,7 +206,7 @@
         call = build_call(
             request,
             resolved,
-            time.monotonic(),
+            request.received_at,
             dialect=self._dialect,
             service=self._choose_service(resolved),
             own_service=self.own_service,
@@ -301,6 +301,9 @@
         started_at = time.monotonic()
         # Responses of other hosts are also cut off at the end of the stop.
         refusal = self._kernel.get("slots").check_stop(call)
+        if started_at >= call.deadline:
+            detail = "deadline passed behind other requests of the connection"
+            refusal = Refusal(ErrorKind.DEADLINE_PASSED, detail)
         if refusal is None:
             refusal = await service.serve(call, response)
         outcome = "answered" if refusal is None else refusal.kind.value
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -43,7 +43,10 @@
 
 @dataclass
 class IncomingRequest:
-    """Represent a complete request."""
+    """Represent a complete request, ``received_at`` in monotonic seconds.
+
+    It may wait behind others of its connection before it is served.
+    """
 
     method: str
     target: bytes
@@ -51,6 +54,7 @@
     body: bytes = b""
     keep_alive: bool = True
     version: str = "1.1"
+    received_at: float = 0.0
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` in lower case."""
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -144,6 +144,7 @@
 
     def _on_request(self, request: IncomingRequest) -> None:
         self._read_deadline = math.inf
+        request.received_at = self._factory.clock()
         self._pending_bytes += len(request.body)
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
             self._release_pending(request)
