Move the record of departures out of the platform's folder

The service decides nothing about the platform's wire: it uses the table, the peers and the membership by their own interfaces, and platform/ only translates. No behaviour changes; no test is changed or dropped.

--- a/flamingohead/decoding.py
+++ b/flamingohead/decoding.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,6 +18,14 @@
 _PATH_PART = re.compile(r"([^.\[\]]+)|\[(\d+)\]")
 MAX_VALUE_CHARACTERS = 60
 
+# Texts and numbers of other writers are bounded by what the store and the datagrams
+# between daemons can hold.
+MAX_NAME_CHARACTERS = 200
+MAX_NUMBER = 2**53
+
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+
 
 def describe_decoding_error(
     error: Exception, data: Any, decode: Callable[[Any], Any] = msgspec.json.decode
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -13,7 +13,6 @@
 from flamingohead.core.upstreams import UpstreamSettings
 from flamingohead.core.versions import Replica
 from flamingohead.mesh import add_bootstrap, add_mesh
-from flamingohead.platform.departures import DepartureService
 from flamingohead.platform.dialect import PLATFORM_DIALECT
 from flamingohead.platform.endpoints import InstanceEndpoint, ReadyEndpoint
 from flamingohead.platform.feed import ConfigurationFeed
@@ -23,6 +22,7 @@
 from flamingohead.platform.watch import SettingsWatcher
 from flamingohead.services.calls import CallService
 from flamingohead.services.configuration import ConfigurationService
+from flamingohead.services.departures import DepartureService
 from flamingohead.services.eras import EraService
 from flamingohead.services.group_attempts import GroupAttemptService
 from flamingohead.services.http_client import HttpClientService
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -15,15 +15,16 @@
 from flamingohead.core.errors import ErrorKind
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import Announcement
-from flamingohead.decoding import DECODING_ERRORS, describe_decoding_error
-from flamingohead.events import Event, log_event
-from flamingohead.platform.durations import DurationText
-from flamingohead.platform.messages import (
+from flamingohead.decoding import (
+    DECODING_ERRORS,
     MAX_NAME_CHARACTERS,
-    Message,
     Name,
     Number,
+    describe_decoding_error,
 )
+from flamingohead.events import Event, log_event
+from flamingohead.platform.durations import DurationText
+from flamingohead.platform.messages import Message
 from flamingohead.services.endpoint import Endpoint
 
 if TYPE_CHECKING:
--- a/flamingohead/platform/departures.py
+++ b/flamingohead/services/departures.py
@@ -1,6 +1,6 @@
 """Persistent record of the departure of the upstream on this host.
 
-The record is a row of the store and, while the store does not respond, a state of other
+The record is a row of the table and, while the table does not respond, a state of other
 daemons, so that a restarted daemon sends no new work to an upstream that is leaving.
 """
 
@@ -19,9 +19,8 @@
 from flamingohead.core.errors import Refusal
 from flamingohead.core.members import Departure, UpstreamStatus
 from flamingohead.core.upstreams import FINAL_SEQUENCE, Announcement
-from flamingohead.decoding import DECODING_ERRORS
+from flamingohead.decoding import DECODING_ERRORS, Name, Number
 from flamingohead.events import Event, log_event
-from flamingohead.platform.messages import Name, Number
 
 if TYPE_CHECKING:
     from flamingohead.core.members import Member
@@ -31,7 +30,7 @@
 
 # Below the 1 s that the upstream waits for the acknowledgement.
 RECORD_TIMEOUT_SECONDS = 0.6
-# A store that responds has stored the departure by then.
+# A table that responds has stored the departure by then.
 COPY_DELAY_SECONDS = 0.2
 COPY_TIMEOUT_SECONDS = 0.35
 # Peers that are asked to hold a departure; some of them may be unreachable.
@@ -110,7 +109,7 @@
         return True
 
     async def _wait_until_safe(self) -> None:
-        """Wait for the store, and after a short time for copies of peers instead."""
+        """Wait for the table, and after a short time for copies of peers instead."""
         try:
             async with asyncio.timeout(COPY_DELAY_SECONDS):
                 await self._is_safe.wait()
@@ -132,7 +131,7 @@
         else:
             self._is_safe.clear()
 
-    # Store
+    # Table
 
     def _start_write(self) -> None:
         if self._write_task is None or self._write_task.done():
--- a/flamingohead/tests/test_departures.py
+++ b/flamingohead/tests/test_departures.py
@@ -20,9 +20,9 @@
 from flamingohead.core.membership import Membership
 from flamingohead.core.messages import estimate_member_size
 from flamingohead.kernel import Kernel
-from flamingohead.platform import departures
-from flamingohead.platform.departures import DepartureService
 from flamingohead.protocol import codec
+from flamingohead.services import departures
+from flamingohead.services.departures import DepartureService
 from flamingohead.testing.hosts import (
     HostMesh,
     build_document,
