--- a/flamingohead/core/departures.py
+++ b/flamingohead/core/departures.py
@@ -38,14 +38,12 @@
     def record(self, name: str, incarnation: int, wall_ms: int) -> bool:
         """Record the departure of an upstream; return whether it is a new one."""
         latest = self.latest
-        if latest is not None and (latest.name, latest.incarnation) == (
-            name,
-            incarnation,
-        ):
+        if latest is None:
+            self._replace(Departure(wall_ms, name, incarnation))
+            return True
+        if latest.name == name and latest.incarnation == incarnation:
             return False
-        recorded_at = wall_ms
-        if latest is not None:
-            recorded_at = max(recorded_at, latest.recorded_at + 1)
+        recorded_at = max(wall_ms, latest.recorded_at + 1)
         self._replace(Departure(recorded_at, name, incarnation))
         return True
 
--- a/flamingohead/core/memberlist.py
+++ b/flamingohead/core/memberlist.py
@@ -174,7 +174,9 @@
                 member.host_id, member.departure, disseminate=disseminate
             )
         latest = self._departures.get(member.host_id)
-        return member if latest is None else replace(member, departure=latest)
+        if latest == member.departure:
+            return member
+        return replace(member, departure=latest)
 
     def _refute(self, member: Member) -> None:
         if member.incarnation < self.local_member.incarnation:
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -40,13 +40,11 @@
 INSTANCES_PATH = b"/v1/instances/"
 # Below the 1 s that the upstream waits for the acknowledgement.
 POSTPONE_TIMEOUT_SECONDS = 0.6
-JSON_HEADERS = [(b"content-type", b"application/json")]
-
-
 MAX_SLOTS = 1_000_000
 # By how much the wall clock of an upstream may be ahead of that of its daemon; a clock
 # in the wrong time zone is hours off.
 MAX_CLOCK_LEAD_MS = 86_400_000
+JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
 class _Heartbeat(Message):
@@ -70,7 +68,7 @@
 
 def decode_heartbeat(name: str, data: bytes) -> Announcement:
     """Decode a heartbeat to an announcement; raise ``ValueError``."""
-    if not 0 < len(name) <= MAX_NAME_CHARACTERS:
+    if not _is_usable_name(name):
         raise ValueError(f"name of {len(name)} characters")
     try:
         heartbeat = _HEARTBEAT_DECODER.decode(data)
@@ -91,6 +89,10 @@
     )
 
 
+def _is_usable_name(name: str) -> bool:
+    return 0 < len(name) <= MAX_NAME_CHARACTERS
+
+
 class ReadyEndpoint(Endpoint):
     """Report to the platform whether this daemon is ready for callers."""
 
@@ -118,7 +120,7 @@
         name = request.target.removeprefix(INSTANCES_PATH).decode("latin-1")
         if request.method == "PUT":
             self._handle_heartbeat(name, request, response)
-        elif request.method == "DELETE" and 0 < len(name) <= MAX_NAME_CHARACTERS:
+        elif request.method == "DELETE" and _is_usable_name(name):
             self._kernel.get("upstreams").end_upstream(name)
             self._spawn(self._acknowledge_leave(name, response))
         else:
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -299,11 +299,7 @@
         scoped = call.is_keyed and is_scoped_key(call.key)
         service = self._kernel.get("scopes" if scoped else "attempts")
         started_at = time.monotonic()
-        # Responses of other hosts are also cut off at the end of the stop.
-        refusal = self._kernel.get("slots").check_stop(call)
-        if started_at >= call.deadline:
-            detail = "deadline passed behind other requests of the connection"
-            refusal = Refusal(ErrorKind.DEADLINE_PASSED, detail)
+        refusal = self._check_start(call, started_at)
         if refusal is None:
             refusal = await service.serve(call, response)
         outcome = "answered" if refusal is None else refusal.kind.value
@@ -318,6 +314,14 @@
             self._log_refusal(Event.REQUEST_REFUSED, call, refusal)
         self._finish_response(response, refusal)
 
+    def _check_start(self, call: Call, now: float) -> Refusal | None:
+        """Return a refusal if it is too late to start a call, on any host."""
+        if now >= call.deadline:
+            detail = "deadline passed behind other requests of the connection"
+            return Refusal(ErrorKind.DEADLINE_PASSED, detail)
+        # Responses of other hosts are also cut off at the end of the stop.
+        return self._kernel.get("slots").check_stop(call)
+
     async def _serve_home(self, call: Call, response: ServerResponse) -> None:
         refusal = await self._kernel.get("scopes").serve_as_home(call, response)
         self._finish_response(response, refusal)
