Close the connections of the stand-ins of repeated answers

The stand-ins of test_second_answers.py left their writers open when the loop ended. The writers are now closed; no assertion changes.

--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -122,6 +122,8 @@
                     writer.write(REFUSAL)
                 writer.write(build_answer(request_id))
         except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
             writer.close()
 
 
@@ -184,13 +186,16 @@
 
     async def serve(self, reader, writer):
         answered = False
-        while True:
-            head = await reader.readuntil(b"\r\n\r\n")
-            if head.startswith(b"GET"):
-                writer.write(self.PAGE)
-            else:
-                writer.write(self.PAGE if answered else self.CONFLICT)
-            answered = True
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(b"GET"):
+                    writer.write(self.PAGE)
+                else:
+                    writer.write(self.PAGE if answered else self.CONFLICT)
+                answered = True
+        finally:
+            writer.close()
 
     async def write_after_a_read(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
