--- a/flamingohead/standins/store.py
+++ b/flamingohead/standins/store.py
@@ -26,7 +26,9 @@
     model_config = ConfigDict(extra="forbid")
 
     refuse: int = Field(0, description="status of every response, or 0")
-    silent: bool = Field(False, description="requests get no response")
+    silent: bool = Field(
+        False, description="responses are lost, and their connections stay open"
+    )
     lose_writes: int = Field(
         0, ge=0, description="number of writes applied without a response"
     )
@@ -160,6 +162,8 @@
         }
 
     async def _wait_for_rows(self, request) -> bytes:
+        if self.faults.silent:
+            await Deferred()
         table, after = _get(request, "table"), int(_get(request, "after"))
         deadline = time.monotonic() + int(_get(request, "wait-ms") or 0) / 1000
         while True:
@@ -173,8 +177,9 @@
             rows = self._list_changes(table, after)
             if self.faults.hold_feeds:
                 rows = []
-            remaining = deadline - time.monotonic()
-            if (rows or remaining <= 0) and not self.faults.silent:
+            if rows or deadline <= time.monotonic():
+                if self.faults.silent:
+                    await Deferred()
                 return json.dumps({**self._describe_state(), "rows": rows}).encode()
             await Deferred.fromFuture(asyncio.ensure_future(self._wait_for_change()))
 
