Show when the configuration source last responded

E219 logs a failed request to the feed with its age, the gauge source.responded_at holds the time of the last response, and E212 names the follower that was relied on last.

--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -65,6 +65,8 @@
         self._next_check_at = now
         self._covered_until = now + COVERAGE_TIMEOUT_SECONDS
         self._last_run_at: float | None = None
+        # The subscriber that this daemon relied on last.
+        self.confirmed_by = ""
 
     def detect_pause(self, at: float) -> bool:
         """Record a run of the periodic work; return whether the process was suspended.
@@ -122,6 +124,7 @@
             return
         if any(member.host_id == host_id for member in self._subscribers):
             self._has_check_response = True
+            self.confirmed_by = host_id
             self._covered_until = now + COVERAGE_TIMEOUT_SECONDS
 
 
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -48,6 +48,9 @@
     SOURCE_CONFLICT = EventKind(
         218, logging.ERROR, "source has other content for the version in force"
     )
+    SOURCE_FEED_LOST = EventKind(
+        219, logging.WARNING, "request to the feed of the source failed"
+    )
     PLATFORM_FAILED = EventKind(300, logging.WARNING, "platform request failed")
     PEER_FAILED = EventKind(301, logging.WARNING, "peer request failed")
     DATAGRAM_MALFORMED = EventKind(302, logging.WARNING, "malformed datagram")
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -113,6 +113,13 @@
             self._lacked_history = True
             return await self._read()
         if isinstance(page, Refusal):
+            log_event(
+                logger,
+                Event.SOURCE_FEED_LOST,
+                held=self._kernel.get("configuration").replica.version,
+                open_seconds=round(time.monotonic() - requested_at, 3),
+                reason=page.detail,
+            )
             self._record_failure()
             return None
         changed = self._apply_rows(page.rows, requested_at)
@@ -128,6 +135,7 @@
         """Apply the newest configuration in the rows; return whether there is one."""
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
         self._kernel.get("subscription").record_source_state(reached=True)
+        self._kernel.get("metrics").set_gauge("source.responded_at", time.time())
         configuration = self._kernel.get("configuration")
         values = [r for r in rows if r.key == CONFIGURATION_KEY and r.value is not None]
         if values:
--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -127,6 +127,7 @@
             Event.SUBSCRIPTION_CHANGED,
             asks_source=needed,
             chosen=self._subscription.is_subscriber,
+            confirmed_by=self._subscription.confirmed_by,
         )
 
     def _publish_source_state(self) -> None:
