Detect lost responses of the configuration feed

What callers saw: after the store was silent for a few seconds, requests on routes of later changes got 404, or ran as an older version allows, for up to 26 s at every daemon.

Cause: a request to the feed was allowed to stay open for 25 s, and a response that was lost on an open connection looks like a source without news. Keep-alive probes pass. The followers went on vouching for the source, so that no other daemon asked it either. The class: an absence of news is taken for news, without a deadline that follows the limit which it can break.

Change: polls last half of the deployment's stable-window (3 s), and their responses have to start by two thirds of it; the response to a read by a third. A response that has started may take longer, but not stall: a large document on a small link is not cut. After a failure the store is asked on a new connection, since idle ones may be as silent. A burst ends after a quiet time that spans several polls.

Why it works: a request lost at the last moment of an outage is repeated 2.1 s later at most, which leaves 0.9 s of the window for the daemons that are told by others (test_following.py::TestTimeouts replays the outages).

--- a/flamingohead/core/following.py
+++ b/flamingohead/core/following.py
@@ -1,4 +1,4 @@
-"""Pacing of requests to the configuration source for the next version.
+"""Pacing and time limits of requests to the configuration source.
 
 Bursts of changes to a configuration with many routes are the load that requires pacing.
 Each response contains the complete document, so that a request per version and daemon
@@ -9,14 +9,52 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 # Seconds between the response with the first change and the next request.
 INITIAL_INTERVAL_SECONDS = 0.15
 # Maximum delay of a change in seconds. Together with the response and its decoding on a
 # slow host, it stays below half of the tightest time limit for a change to take effect
 # (2 s).
 MAX_INTERVAL_SECONDS = 0.6
-# A request that stayed open for this many seconds without a change ends a burst.
+# Requests that stayed open for this many seconds without a change end a burst.
 QUIET_PERIOD_SECONDS = 1.5
+# Limits of the time to settle: polls cost calls of the source, and the platform allows
+# polls of 30 s.
+MIN_SETTLE_SECONDS = 1.0
+MAX_SETTLE_SECONDS = 60.0
+
+
+@dataclass(frozen=True)
+class SourceTimeouts:
+    """Bound requests to the source, in seconds.
+
+    The source may wait ``poll_seconds`` for a change, and the response to a poll has to
+    start within ``poll_response_seconds``. The response to a read has to start within
+    ``response_seconds``. Any response may stall for ``response_seconds``.
+    """
+
+    poll_seconds: float
+    poll_response_seconds: float
+    response_seconds: float
+    max_backoff_seconds: float
+
+
+def derive_timeouts(settle_seconds: float) -> SourceTimeouts:
+    """Return time limits for a deployment.
+
+    Daemons have to be up to date again ``settle_seconds`` after an outage, in which
+    responses may have been lost while their connections stay open. A lost one is
+    detected and requested again within two thirds of that time; the rest remains for
+    the daemons that are notified of changes.
+    """
+    settle_seconds = min(max(settle_seconds, MIN_SETTLE_SECONDS), MAX_SETTLE_SECONDS)
+    return SourceTimeouts(
+        poll_seconds=settle_seconds / 2,
+        poll_response_seconds=settle_seconds * 2 / 3,
+        response_seconds=settle_seconds / 3,
+        max_backoff_seconds=settle_seconds / 3,
+    )
 
 
 class RequestPacer:
@@ -24,12 +62,16 @@
 
     def __init__(self) -> None:
         self._interval = 0.0
+        # Start of the first request since the last change.
+        self._quiet_since: float | None = None
 
     def record_response(
         self, *, requested_at: float, now: float, changed: bool
     ) -> float:
         """Process a response and return the time of the next request."""
-        if now - requested_at >= QUIET_PERIOD_SECONDS:
+        quiet_since = requested_at if self._quiet_since is None else self._quiet_since
+        self._quiet_since = None if changed else quiet_since
+        if now - quiet_since >= QUIET_PERIOD_SECONDS:
             self._interval = 0.0
         if not changed:
             return now
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -7,6 +7,7 @@
 
 from flamingohead.core.bootstrap import BootstrapSettings
 from flamingohead.core.dissemination import Dissemination, DisseminationSettings
+from flamingohead.core.following import derive_timeouts
 from flamingohead.core.membership import MembershipSettings
 from flamingohead.core.placement import Placement
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
@@ -91,7 +92,9 @@
     _add_request_services(kernel, settings, generator)
     add_bootstrap(kernel, settings, generator, settings=BOOTSTRAP_SETTINGS)
     kernel.add("subscription", SubscriptionService(kernel))
-    kernel.add("feed", ConfigurationFeed(kernel))
+    kernel.add(
+        "feed", ConfigurationFeed(kernel, derive_timeouts(settings.settle_seconds))
+    )
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
     if settings.metrics_address:
         kernel.add("metrics_page", MetricsPage(kernel, settings.metrics_address))
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -51,6 +51,8 @@
     grace: DurationText = "6s"
     # Time in which requests may still reach an upstream whose leave was acknowledged.
     drain: DurationText = "2s"
+    # Time after an outage of the store within which a daemon has to be up to date.
+    stable_window: DurationText = "3s"
     retry_budget_ratio: NonNegative = 0.2
     budget_window: DurationText = "10s"
     budget_slack: NonNegative = 0.0
@@ -102,6 +104,7 @@
     retry_ratio: float
     retry_window: float
     retry_slack: float
+    settle_seconds: float
     capacity: int = 0
 
 
@@ -158,6 +161,7 @@
         retry_ratio=file.bounds.retry_budget_ratio,
         retry_window=_parse_seconds(file.bounds.budget_window),
         retry_slack=file.bounds.budget_slack,
+        settle_seconds=_parse_seconds(file.bounds.stable_window),
         capacity=compute_capacity(
             cores=file.limits.cpu_cores * file.limits.cpu_share,
             link_mbps=file.limits.link_mbps,
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from flamingohead.core.eras import StoreVersion
+    from flamingohead.core.following import SourceTimeouts
     from flamingohead.core.resources import Snapshot
     from flamingohead.kernel import Kernel
 
@@ -23,18 +24,15 @@
 
 TABLE = "op"
 CONFIGURATION_KEY = "config"
-# The platform allows long polls of 30 s. TCP keep-alive probes detect a dead connection
-# earlier.
-LONG_POLL_SECONDS = 25.0
 INITIAL_BACKOFF_SECONDS = 0.1
-MAX_BACKOFF_SECONDS = 1.0
 
 
 class ConfigurationFeed:
     """Pass each configuration that operators write to the configuration service."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, timeouts: SourceTimeouts) -> None:
         self._kernel = kernel
+        self._timeouts = timeouts
         self._task: asyncio.Task | None = None
         self._request: asyncio.Task | None = None
         self._lacked_history = False
@@ -77,7 +75,11 @@
         """Read the row; return the version of the store, or ``None`` on failure."""
         requested_at = time.monotonic()
         page = await self._kernel.get("store").read_rows(
-            TABLE, "", first_key=CONFIGURATION_KEY, limit=1
+            TABLE,
+            "",
+            first_key=CONFIGURATION_KEY,
+            limit=1,
+            response_timeout=self._timeouts.response_seconds,
         )
         if isinstance(page, Refusal):
             self._record_failure()
@@ -93,9 +95,7 @@
     async def _request_changes(
         self, version: StoreVersion
     ) -> RowPage | HistoryUnavailable | Refusal:
-        request = self._kernel.get("store").follow_rows(
-            TABLE, version, wait=LONG_POLL_SECONDS
-        )
+        request = self._kernel.get("store").follow_rows(TABLE, version, self._timeouts)
         self._request = asyncio.get_running_loop().create_task(request)
         # ``wait`` raises only if the feed itself is cancelled, not if the request is.
         await asyncio.wait([self._request])
@@ -185,4 +185,6 @@
 
     async def _back_off(self) -> None:
         await asyncio.sleep(random.uniform(0.5, 1.0) * self._backoff_seconds)
-        self._backoff_seconds = min(2 * self._backoff_seconds, MAX_BACKOFF_SECONDS)
+        self._backoff_seconds = min(
+            2 * self._backoff_seconds, self._timeouts.max_backoff_seconds
+        )
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import logging
+import math
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Annotated
@@ -21,14 +22,15 @@
 from flamingohead.services.http_messages import OutgoingRequest
 
 if TYPE_CHECKING:
+    from flamingohead.core.following import SourceTimeouts
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
 
 # A response usually takes some milliseconds; a slow store takes 50 times as long.
 REQUEST_TIMEOUT_SECONDS = 2.0
-# Time for a response of the feed beyond the requested duration of the long poll.
-FEED_TIMEOUT_MARGIN_SECONDS = 1.0
+# A page that arrives over a slow link may take this long, as long as it doesn't stall.
+FEED_TRANSFER_SECONDS = 8.0
 # A page contains up to 1 MB of rows, a third more in base64, and their keys.
 MAX_PAGE_BYTES = 2 * 1024 * 1024
 # The platform limits objects to 8 MiB.
@@ -128,30 +130,43 @@
         *,
         first_key: str = "",
         limit: int = MAX_PAGE_ROWS,
+        response_timeout: float = math.inf,
     ) -> RowPage | Refusal:
-        """Read a consistent page of rows with keys from ``first_key`` on."""
+        """Read a consistent page of rows with keys from ``first_key`` on.
+
+        The response must start within ``response_timeout`` seconds, and may stall as
+        long.
+        """
         query = {"table": table, "part": part, "limit": limit}
         if first_key:
             query["from"] = first_key
-        response = await self._call("GET", f"/v1/rows-get?{urlencode(query)}")
+        response = await self._call(
+            "GET",
+            f"/v1/rows-get?{urlencode(query)}",
+            start_timeout=response_timeout,
+            max_stall=response_timeout,
+        )
         if isinstance(response, Refusal):
             return response
         return self._read_page(response)
 
     async def follow_rows(
-        self, table: str, after: StoreVersion, *, wait: float
+        self, table: str, after: StoreVersion, timeouts: SourceTimeouts
     ) -> RowPage | HistoryUnavailable | Refusal:
-        """Wait up to ``wait`` seconds for rows that changed after a version.
+        """Wait for rows that changed after a version.
 
         Versions of an earlier era have no history.
         """
         if after.era != self._kernel.get("eras").current:
             return HistoryUnavailable()
-        query = {"table": table, "after": after.number, "wait-ms": round(wait * 1000)}
+        wait_ms = round(timeouts.poll_seconds * 1000)
+        query = {"table": table, "after": after.number, "wait-ms": wait_ms}
         response = await self._call(
             "GET",
             f"/v1/rows-feed?{urlencode(query)}",
-            timeout=wait + FEED_TIMEOUT_MARGIN_SECONDS,
+            timeout=timeouts.poll_response_seconds + FEED_TRANSFER_SECONDS,
+            start_timeout=timeouts.poll_response_seconds,
+            max_stall=timeouts.response_seconds,
         )
         if isinstance(response, Refusal):
             return response
@@ -237,22 +252,36 @@
         body: bytes = b"",
         *,
         timeout: float = REQUEST_TIMEOUT_SECONDS,
+        start_timeout: float = math.inf,
+        max_stall: float = math.inf,
         limit: int = MAX_PAGE_BYTES,
     ) -> CollectedResponse | Refusal:
         """Send a request; failures of the store or the network give a ``Refusal``.
 
         A request that changes data uses a new connection: responses of the store have
         no id, so that a delayed duplicate of another response could be mistaken for its
-        own.
+        own. So does each request after a failure, since all open connections may have
+        gone silent together.
         """
         call = path.partition("?")[0].split("/")[2]
         self._kernel.get("metrics").count(f"store.{call}")
         headers = ((b"content-type", b"application/json"),) if body else ()
-        deadline = time.monotonic() + timeout
+        now = time.monotonic()
         response = CollectedResponse(limit)
-        request = OutgoingRequest(method, path.encode(), headers, body, deadline)
+        request = OutgoingRequest(
+            method,
+            path.encode(),
+            headers,
+            body,
+            now + timeout,
+            start_deadline=now + start_timeout,
+            max_stall_seconds=max_stall,
+        )
         refusal = await self._kernel.get("http_client").send(
-            self._address, request, response, fresh=method != "GET"
+            self._address,
+            request,
+            response,
+            fresh=method != "GET" or not self._is_reachable,
         )
         if refusal is not None:
             not_sent = refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -117,6 +117,29 @@
         self._idle.clear()
 
 
+class _ExpiryTimer:
+    """Fail the exchange of a connection when its response counts as lost."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self._connection = connection
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        delay = self._connection.progress.expires_at - time.monotonic()
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(max(0.0, delay), self._check)
+
+    def stop(self) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _check(self) -> None:
+        if time.monotonic() >= self._connection.progress.expires_at:
+            self._connection.expire()
+        else:
+            self.start()
+
+
 class HttpClientService:
     """Run exchanges on new and on pooled connections."""
 
@@ -166,16 +189,14 @@
         self, connection: ClientConnection, request: OutgoingRequest, sink: ResponseSink
     ) -> Refusal | None:
         result: Refusal | None = Refusal(ErrorKind.INTERNAL, "exchange cancelled")
-        loop = asyncio.get_running_loop()
-        future = loop.create_future()
-        timer = loop.call_later(
-            max(0.0, request.deadline - time.monotonic()), connection.expire
-        )
+        future = asyncio.get_running_loop().create_future()
+        timer = _ExpiryTimer(connection)
         try:
             connection.exchange(request, sink, functools.partial(_resolve, future))
+            timer.start()
             result = await future
         finally:
-            timer.cancel()
+            timer.stop()
             self._pool.release(connection, result, time.monotonic())
         return result
 
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from typing import TYPE_CHECKING, Protocol as TypingProtocol
 
 import httptools
@@ -10,6 +12,7 @@
 
 from flamingohead.core.calls import REQUEST_ID_HEADER
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.response_progress import ResponseProgress
 from flamingohead.services.byte_bounds import FramingMeter
 from flamingohead.services.http_messages import (
     EXCHANGE_HEADER,
@@ -69,6 +72,7 @@
         self._has_responded = False
         self._exchange_id: bytes | None = None
         self._refused_ids: set[bytes] = set()
+        self.progress = ResponseProgress(math.inf)
 
     def may_carry(self, request: OutgoingRequest) -> bool:
         """Return whether the response to a request could only be its own.
@@ -99,11 +103,20 @@
         self._requires_id = request.echoes_request_id and self._has_responded
         self._exchange_id = find_header(request.headers, EXCHANGE_HEADER)
         self._on_done = on_done
+        self.progress = ResponseProgress(
+            request.deadline, request.start_deadline, request.max_stall_seconds
+        )
         self.transport.write(request.encode(self.address))
 
     def expire(self) -> None:
-        """Fail the exchange because its deadline has passed."""
-        self._fail(Refusal(ErrorKind.UPSTREAM_TIMEOUT, "deadline passed"))
+        """Fail the exchange because its response is overdue."""
+        if self.progress.expires_at >= self.progress.deadline:
+            detail = "deadline passed"
+        elif self.progress.received_at is None:
+            detail = "answer overdue"
+        else:
+            detail = "answer stalled"
+        self._fail(Refusal(ErrorKind.UPSTREAM_TIMEOUT, detail))
 
     def close(self) -> None:
         """Abort the connection and ignore any data that still arrives."""
@@ -132,6 +145,7 @@
             # No request is pending: the data can't be matched to a request.
             self.close()
             return
+        self.progress.record_data(time.monotonic())
         was_in_head, self._body_bytes = self._in_head, 0
         if was_in_head:
             self._head_bytes += len(data)
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 Headers = list[tuple[bytes, bytes]]
@@ -65,6 +66,9 @@
 class OutgoingRequest:
     """Represent a request to send, with its ``deadline`` in monotonic seconds.
 
+    The response has to start by ``start_deadline`` and then may stall for at most
+    ``max_stall_seconds``.
+
     An empty ``host`` sends the address of the connection as the Host header. An
     unframed response has neither Content-Length nor chunked coding and ends when the
     connection closes. If the upstream ``echoes_request_id``, a response without the
@@ -80,6 +84,8 @@
     host: bytes = b""
     allows_close_delimited: bool = False
     echoes_request_id: bool = False
+    start_deadline: float = math.inf
+    max_stall_seconds: float = math.inf
 
     def encode(self, host: str) -> bytes:
         """Return the encoded request; raise ``ValueError`` if it isn't exactly one."""
--- a/flamingohead/tests/test_following.py
+++ b/flamingohead/tests/test_following.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+import pytest
+
 from flamingohead.core.following import (
     INITIAL_INTERVAL_SECONDS,
     MAX_INTERVAL_SECONDS,
+    MAX_SETTLE_SECONDS,
+    MIN_SETTLE_SECONDS,
+    QUIET_PERIOD_SECONDS,
     RequestPacer,
+    derive_timeouts,
 )
+from flamingohead.platform.feed import INITIAL_BACKOFF_SECONDS
 
 # Interval between the changes of a burst and duration of the burst, in seconds.
 BURST_GAP = 0.19
@@ -60,3 +67,35 @@
             pace.record_response(requested_at=0.0, now=5.0, changed=True)
             == 5.0 + INITIAL_INTERVAL_SECONDS
         )
+
+    def test_burst_ends_while_polls_return_without_a_change(self):
+        pace, now, poll = RequestPacer(), 0.0, QUIET_PERIOD_SECONDS / 3
+        for _ in range(4):
+            now = pace.record_response(requested_at=now, now=now + 0.1, changed=True)
+        for _ in range(4):
+            now = pace.record_response(requested_at=now, now=now + poll, changed=False)
+        next_at = pace.record_response(requested_at=now, now=now + 0.1, changed=True)
+        assert next_at == pytest.approx(now + 0.1 + INITIAL_INTERVAL_SECONDS)
+
+
+class TestTimeouts:
+    """Replay an outage in which the source loses every response."""
+
+    @pytest.mark.parametrize("settle_seconds", [MIN_SETTLE_SECONDS, 3.0, 6.0])
+    @pytest.mark.parametrize("outage_seconds", [0.2, 4.0, 25.0])
+    def test_lost_request_is_repeated_within_the_time_to_settle(
+        self, settle_seconds, outage_seconds
+    ):
+        timeouts = derive_timeouts(settle_seconds)
+        # A poll is sent at time 0, at the beginning of the outage.
+        now, backoff = timeouts.poll_response_seconds, INITIAL_BACKOFF_SECONDS
+        while now + backoff < outage_seconds:
+            now += backoff + timeouts.response_seconds
+            backoff = min(2 * backoff, timeouts.max_backoff_seconds)
+        limit = settle_seconds * 2 / 3 + INITIAL_BACKOFF_SECONDS
+        assert now + backoff - outage_seconds <= limit
+
+    @pytest.mark.parametrize("settle_seconds", [0.0, 1e6])
+    def test_polls_have_limits(self, settle_seconds):
+        timeouts = derive_timeouts(settle_seconds)
+        assert MIN_SETTLE_SECONDS / 2 <= timeouts.poll_seconds <= MAX_SETTLE_SECONDS / 2
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -17,6 +17,7 @@
 from flamingohead.core.dissemination import Dissemination
 from flamingohead.core.eras import EraChange, StoreEras, StoreVersion
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
+from flamingohead.core.following import derive_timeouts
 from flamingohead.core.members import Member, UpstreamStatus
 from flamingohead.core.membership import Membership
 from flamingohead.core.routing import RouteTable
@@ -86,6 +87,7 @@
         settings = parse_settings(build_settings(HOST, "127.0.0.1:9", 7380))
         assert settings.announcement_period == 0.3
         assert settings.stop_timeout == 6.0
+        assert settings.settle_seconds == 3.0
         assert settings.peer_address == "127.0.0.1:7380"
         assert settings.ingress_address == HOST.ingress
 
@@ -228,9 +230,11 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.requests = []
+        self.options = []
 
     async def send(self, address, request, sink, **options):
         self.requests.append(request)
+        self.options.append(options)
         answer = self.answers.pop(0)
         if isinstance(answer, Refusal):
             return answer
@@ -255,6 +259,7 @@
     return kernel
 
 
+TIMEOUTS = derive_timeouts(3.0)
 ROW = {"table": "op", "part": "", "key": "config", "value": "aGk=", "ver": 4}
 KEY = RowKey("t", "p", "k")
 
@@ -263,15 +268,23 @@
     def test_feed_returns_changes_and_the_next_version(self):
         page = {"rows": [ROW, {**ROW, "deleted": True}], "ver": 9, "now": "1ms"}
         store = build_store((200, page)).get("store")
-        result = asyncio.run(store.follow_rows("op", StoreVersion(0, 3), wait=1.0))
+        result = asyncio.run(store.follow_rows("op", StoreVersion(0, 3), TIMEOUTS))
         assert result.version == StoreVersion(0, 9)
         assert [row.value for row in result.rows] == [b"hi", None]
 
     def test_dropped_history_is_reported(self):
         store = build_store((410, {})).get("store")
-        result = asyncio.run(store.follow_rows("op", StoreVersion(0, 3), wait=1.0))
+        result = asyncio.run(store.follow_rows("op", StoreVersion(0, 3), TIMEOUTS))
         assert isinstance(result, HistoryUnavailable)
 
+    def test_request_after_a_lost_response_takes_a_new_connection(self):
+        page = (200, {"ver": 9})
+        kernel = build_store(page, Refusal(ErrorKind.UPSTREAM_TIMEOUT), page, page)
+        for _ in range(4):
+            asyncio.run(kernel.get("store").read_rows("op", ""))
+        options = kernel.get("http_client").options
+        assert [option["fresh"] for option in options] == [False, False, True, False]
+
     @pytest.mark.parametrize("status", [429, 503])
     def test_refused_write_was_not_done(self, status):
         store = build_store((status, {})).get("store")
@@ -341,7 +354,7 @@
     PAGE = {"rows": [], "ver": 9}
 
     def follow(self, store, after):
-        return asyncio.run(store.follow_rows("op", after, wait=1.0))
+        return asyncio.run(store.follow_rows("op", after, TIMEOUTS))
 
     def test_reused_version_is_not_followed(self):
         kernel = build_store(
@@ -438,7 +451,7 @@
         kernel.add(
             "subscription", SimpleNamespace(record_source_state=lambda reached: None)
         )
-        feed = ConfigurationFeed(kernel)
+        feed = ConfigurationFeed(kernel, TIMEOUTS)
         with caplog.at_level(logging.INFO):
             for number, document in enumerate(documents):
                 row = StoredRow("config", document, StoreVersion(1, number))
--- a/properties/test_store_eras.py
+++ b/properties/test_store_eras.py
@@ -14,6 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from flamingohead.core.errors import Refusal
+from flamingohead.core.following import derive_timeouts
 from flamingohead.core.members import Member
 from flamingohead.core.membership import Membership
 from flamingohead.kernel import Kernel
@@ -160,7 +161,7 @@
                     self.followed_rows = {}
             else:
                 page = asyncio.run(
-                    self.client.follow_rows(TABLE, self.position, wait=0.0)
+                    self.client.follow_rows(TABLE, self.position, derive_timeouts(3.0))
                 )
             if isinstance(page, HistoryUnavailable):
                 self.position = None
