Await responses of a slow store while detecting lost ones

The response to a read of the configuration had to start within a third of stable-window (1 s) since the commit before, so that a store which is slower than that would never have been read. The limit was so short since the back-off of up to 1 s came on top of it.

The back-off now counts from the failed request on: a read that waited for a lost response is repeated at once, one that was refused after up to 1 s as before. So responses may take two thirds of the window, 2 s as before the incident, and a lost one is still repeated within 2.1 s (TestTimeouts, which also holds the number of requests to a source that refuses them).

--- a/flamingohead/core/following.py
+++ b/flamingohead/core/following.py
@@ -10,6 +10,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
 
 # Seconds between the response with the first change and the next request.
 INITIAL_INTERVAL_SECONDS = 0.15
@@ -19,6 +23,10 @@
 MAX_INTERVAL_SECONDS = 0.6
 # Requests that stayed open for this many seconds without a change end a burst.
 QUIET_PERIOD_SECONDS = 1.5
+# Interval before the first repetition of a failed request, in seconds, and the shortest
+# time between a failure and the next request.
+INITIAL_BACKOFF_SECONDS = 0.1
+MIN_RETRY_SECONDS = 0.05
 # Limits of the time to settle: polls cost calls of the source, and the platform allows
 # polls of 30 s.
 MIN_SETTLE_SECONDS = 1.0
@@ -29,14 +37,13 @@
 class SourceTimeouts:
     """Bound requests to the source, in seconds.
 
-    The source may wait ``poll_seconds`` for a change, and the response to a poll has to
-    start within ``poll_response_seconds``. The response to a read has to start within
-    ``response_seconds``. Any response may stall for ``response_seconds``.
+    The source may wait ``poll_seconds`` for a change. Each response has to start within
+    ``response_seconds`` of its request and may stall for ``stall_seconds``.
     """
 
     poll_seconds: float
-    poll_response_seconds: float
     response_seconds: float
+    stall_seconds: float
     max_backoff_seconds: float
 
 
@@ -51,12 +58,35 @@
     settle_seconds = min(max(settle_seconds, MIN_SETTLE_SECONDS), MAX_SETTLE_SECONDS)
     return SourceTimeouts(
         poll_seconds=settle_seconds / 2,
-        poll_response_seconds=settle_seconds * 2 / 3,
-        response_seconds=settle_seconds / 3,
+        response_seconds=settle_seconds * 2 / 3,
+        stall_seconds=settle_seconds / 3,
         max_backoff_seconds=settle_seconds / 3,
     )
 
 
+class RetryBackoff:
+    """Decide when to repeat a failed request; times are monotonic seconds.
+
+    The interval is counted from the failed request on: the time that a lost response
+    was awaited counts, so that the source isn't left alone after a long outage.
+    """
+
+    def __init__(self, *, random: Random, max_seconds: float) -> None:
+        self._random = random
+        self._max_seconds = max_seconds
+        self._seconds = INITIAL_BACKOFF_SECONDS
+
+    def record_success(self) -> None:
+        """Restart with the shortest interval."""
+        self._seconds = INITIAL_BACKOFF_SECONDS
+
+    def record_failure(self, *, requested_at: float, now: float) -> float:
+        """Return the time of the next request."""
+        interval = self._random.uniform(0.5, 1.0) * self._seconds
+        self._seconds = min(2 * self._seconds, self._max_seconds)
+        return max(requested_at + interval, now + MIN_RETRY_SECONDS)
+
+
 class RequestPacer:
     """Decide when to send the next request; times are monotonic seconds."""
 
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import Refusal
-from flamingohead.core.following import RequestPacer
+from flamingohead.core.following import RequestPacer, RetryBackoff
 from flamingohead.events import Event, log_event
 from flamingohead.platform.documents import DocumentReader
 from flamingohead.platform.store import HistoryUnavailable, RowPage, StoredRow
@@ -24,7 +24,6 @@
 
 TABLE = "op"
 CONFIGURATION_KEY = "config"
-INITIAL_BACKOFF_SECONDS = 0.1
 
 
 class ConfigurationFeed:
@@ -36,7 +35,10 @@
         self._task: asyncio.Task | None = None
         self._request: asyncio.Task | None = None
         self._lacked_history = False
-        self._backoff_seconds = INITIAL_BACKOFF_SECONDS
+        self._backoff = RetryBackoff(
+            random=random.Random(), max_seconds=timeouts.max_backoff_seconds
+        )
+        self._requested_at = 0.0
         self._reader = DocumentReader()
         self._pacer = RequestPacer()
 
@@ -73,13 +75,13 @@
 
     async def _read(self) -> StoreVersion | None:
         """Read the row; return the version of the store, or ``None`` on failure."""
-        requested_at = time.monotonic()
+        requested_at = self._requested_at = time.monotonic()
         page = await self._kernel.get("store").read_rows(
             TABLE,
             "",
             first_key=CONFIGURATION_KEY,
             limit=1,
-            response_timeout=self._timeouts.response_seconds,
+            start_timeout=self._timeouts.response_seconds,
         )
         if isinstance(page, Refusal):
             self._record_failure()
@@ -104,7 +106,7 @@
         return self._request.result()
 
     async def _follow(self, version: StoreVersion) -> StoreVersion | None:
-        requested_at = time.monotonic()
+        requested_at = self._requested_at = time.monotonic()
         page = await self._request_changes(version)
         lacked_history, self._lacked_history = self._lacked_history, False
         if isinstance(page, HistoryUnavailable):
@@ -133,7 +135,7 @@
 
     def _apply_rows(self, rows: tuple[StoredRow, ...], requested_at: float) -> bool:
         """Apply the newest configuration in the rows; return whether there is one."""
-        self._backoff_seconds = INITIAL_BACKOFF_SECONDS
+        self._backoff.record_success()
         self._kernel.get("subscription").record_source_state(reached=True)
         self._kernel.get("metrics").set_gauge("source.responded_at", time.time())
         configuration = self._kernel.get("configuration")
@@ -184,7 +186,6 @@
         self._kernel.get("configuration").record_source_read(succeeded=False)
 
     async def _back_off(self) -> None:
-        await asyncio.sleep(random.uniform(0.5, 1.0) * self._backoff_seconds)
-        self._backoff_seconds = min(
-            2 * self._backoff_seconds, self._timeouts.max_backoff_seconds
-        )
+        now = time.monotonic()
+        next_at = self._backoff.record_failure(requested_at=self._requested_at, now=now)
+        await asyncio.sleep(next_at - now)
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -130,22 +130,17 @@
         *,
         first_key: str = "",
         limit: int = MAX_PAGE_ROWS,
-        response_timeout: float = math.inf,
+        start_timeout: float = math.inf,
     ) -> RowPage | Refusal:
         """Read a consistent page of rows with keys from ``first_key`` on.
 
-        The response must start within ``response_timeout`` seconds, and may stall as
-        long.
+        The response must start within ``start_timeout`` seconds.
         """
         query = {"table": table, "part": part, "limit": limit}
         if first_key:
             query["from"] = first_key
-        response = await self._call(
-            "GET",
-            f"/v1/rows-get?{urlencode(query)}",
-            start_timeout=response_timeout,
-            max_stall=response_timeout,
-        )
+        path = f"/v1/rows-get?{urlencode(query)}"
+        response = await self._call("GET", path, start_timeout=start_timeout)
         if isinstance(response, Refusal):
             return response
         return self._read_page(response)
@@ -164,9 +159,9 @@
         response = await self._call(
             "GET",
             f"/v1/rows-feed?{urlencode(query)}",
-            timeout=timeouts.poll_response_seconds + FEED_TRANSFER_SECONDS,
-            start_timeout=timeouts.poll_response_seconds,
-            max_stall=timeouts.response_seconds,
+            timeout=timeouts.response_seconds + FEED_TRANSFER_SECONDS,
+            start_timeout=timeouts.response_seconds,
+            max_stall=timeouts.stall_seconds,
         )
         if isinstance(response, Refusal):
             return response
--- a/flamingohead/tests/test_following.py
+++ b/flamingohead/tests/test_following.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from flamingohead.core.following import (
+    INITIAL_BACKOFF_SECONDS,
     INITIAL_INTERVAL_SECONDS,
     MAX_INTERVAL_SECONDS,
     MAX_SETTLE_SECONDS,
     MIN_SETTLE_SECONDS,
     QUIET_PERIOD_SECONDS,
     RequestPacer,
+    RetryBackoff,
     derive_timeouts,
 )
-from flamingohead.platform.feed import INITIAL_BACKOFF_SECONDS
 
 # Interval between the changes of a burst and duration of the burst, in seconds.
 BURST_GAP = 0.19
@@ -87,13 +90,33 @@
         self, settle_seconds, outage_seconds
     ):
         timeouts = derive_timeouts(settle_seconds)
-        # A poll is sent at time 0, at the beginning of the outage.
-        now, backoff = timeouts.poll_response_seconds, INITIAL_BACKOFF_SECONDS
-        while now + backoff < outage_seconds:
-            now += backoff + timeouts.response_seconds
-            backoff = min(2 * backoff, timeouts.max_backoff_seconds)
+        backoff = RetryBackoff(
+            random=random.Random(1), max_seconds=timeouts.max_backoff_seconds
+        )
+        # A poll is sent at the beginning of the outage.
+        requested_at = 0.0
+        while requested_at < outage_seconds:
+            failed_at = requested_at + timeouts.response_seconds
+            requested_at = backoff.record_failure(
+                requested_at=requested_at, now=failed_at
+            )
         limit = settle_seconds * 2 / 3 + INITIAL_BACKOFF_SECONDS
-        assert now + backoff - outage_seconds <= limit
+        assert requested_at - outage_seconds <= limit
+
+    def test_source_that_refuses_requests_is_not_flooded(self):
+        timeouts = derive_timeouts(3.0)
+        backoff = RetryBackoff(
+            random=random.Random(1), max_seconds=timeouts.max_backoff_seconds
+        )
+        now, requests = 0.0, 0
+        while now < 60.0:
+            now = backoff.record_failure(requested_at=now, now=now + 0.005)
+            requests += 1
+        assert requests < 60.0 / (timeouts.max_backoff_seconds / 2)
+
+    def test_response_of_a_slow_source_is_awaited(self):
+        # The source of a deployment answers in 4 ms, and 50 times as slowly in trouble.
+        assert derive_timeouts(3.0).response_seconds > 5 * 50 * 0.004
 
     @pytest.mark.parametrize("settle_seconds", [0.0, 1e6])
     def test_polls_have_limits(self, settle_seconds):
