Bound the size of a message between daemons

What callers would see: a broken peer that announces a long message ends the daemon by its memory, and with it the requests of all callers there.

Cause: grpclib reads a message of whatever length its prefix announces, up to 4 GiB, and opens its window again as it goes.

Change: streams refuse to read a message over 12 MB, above the largest unpacked reply to a pull (10 MB), with RESOURCE_EXHAUSTED and E312. The library has no setting for it and names its stream class in one place, which is replaced.

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -73,6 +73,9 @@
     HEARTBEAT_POSTPONED = EventKind(
         311, logging.INFO, "heartbeat postponed: earlier departures are not known"
     )
+    PEER_MESSAGE_TOO_LARGE = EventKind(
+        312, logging.WARNING, "message of a peer refused for its size"
+    )
     MEMBER_CHANGED = EventKind(400, logging.INFO, "member changed")
     UPSTREAM_CHANGED = EventKind(401, logging.INFO, "upstream changed")
     DOMAIN_JOINED = EventKind(410, logging.INFO, "joined the failure domain")
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -17,6 +17,7 @@
 from flamingohead.protocol import codec, key_codec, peers_pb2 as pb
 from flamingohead.protocol.peers_grpc import PeersBase, PeersStub
 from flamingohead.services.channels import ChannelPool, PooledChannel
+from flamingohead.services.message_bounds import limit_messages
 from flamingohead.services.transport import bind
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
     """Serve calls from other daemons, and make calls to them."""
 
     def __init__(self, kernel: Kernel, address: str) -> None:
+        limit_messages()
         self._kernel = kernel
         self._address = address
         self._server: Server | None = None
