Check the next follower when the checked one does not respond

Cause: a daemon checks one follower at a time, which then sends it what it missed, and turns to the next one when it gets no response. Any datagram of any follower counted as that response, so that a daemon which hears others by the membership stayed with the dead one and was sent nothing.

The new test fails on the code before.

Change: only a datagram of the follower that was checked is its response.

--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -61,6 +61,7 @@
         self._domain_members: list[Member] = []
         self._subscribers: list[Member] = []
         self._check_index = 0
+        self._checked_host_id = ""
         self._has_check_response = True
         self._next_check_at = now
         self._covered_until = now + COVERAGE_TIMEOUT_SECONDS
@@ -116,14 +117,17 @@
         if not self._has_check_response:
             self._check_index += 1
         self._has_check_response = False
-        return self._subscribers[self._check_index % len(self._subscribers)].host_id
+        checked = self._subscribers[self._check_index % len(self._subscribers)]
+        self._checked_host_id = checked.host_id
+        return checked.host_id
 
     def record_heartbeat(self, host_id: str, *, is_current: bool, now: float) -> None:
         """Record that a host is alive; ``is_current`` if it reaches the source."""
         if not is_current or not self._subscribers:
             return
         if any(member.host_id == host_id for member in self._subscribers):
-            self._has_check_response = True
+            if host_id == self._checked_host_id:
+                self._has_check_response = True
             self.confirmed_by = host_id
             self._covered_until = now + COVERAGE_TIMEOUT_SECONDS
 
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -179,6 +179,22 @@
         assert subscription.detect_pause(105.0)
         assert not subscription.detect_pause(105.25)
 
+    def test_next_subscriber_is_checked_while_others_than_the_checked_one_respond(self):
+        members = build_members(39)
+        subscriptions = build_subscriptions(members)
+        chosen = list_chosen(subscriptions)
+        name = next(name for name in subscriptions if name not in chosen)
+        subscription = subscriptions[name]
+        first, *others = [m.host_id for m in subscription._subscribers]
+        checked, now = [], 0.0
+        while now < 3 * CHECK_INTERVAL_SECONDS:
+            checked.append(subscription.choose_check_target(now))
+            for other in others:
+                # Membership datagrams arrive from others than the checked daemon.
+                subscription.record_heartbeat(other, is_current=True, now=now)
+            now += 0.1
+        assert [host for host in checked if host][:2] == [first, others[0]]
+
     def test_confirmation_from_an_unchosen_daemon_is_ignored(self):
         members = build_members(39)
         subscriptions = build_subscriptions(members)
