Let one follower of a failure domain poll often, the others once in 25 s

One live feed in a failure domain suffices to detect a loss, as long as somebody polls when its daemon is lost. Followers behind the first keep a long request open, check four times a second that a follower before them reaches the store, and 0.7 s after the last good answer they read the row and poll as often as the first. A daemon that was paused asks the store again at once too.

--- a/flamingohead/core/following.py
+++ b/flamingohead/core/following.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -27,6 +27,8 @@
 # time between a failure and the next request.
 INITIAL_BACKOFF_SECONDS = 0.1
 MIN_RETRY_SECONDS = 0.05
+# The platform allows polls of 30 s.
+LONG_POLL_SECONDS = 25.0
 # Limits of the time to settle: polls cost calls of the source, and the platform allows
 # polls of 30 s.
 MIN_SETTLE_SECONDS = 1.0
@@ -46,6 +48,15 @@
     stall_seconds: float
     max_backoff_seconds: float
 
+    def lengthen_polls(self) -> SourceTimeouts:
+        """Return the limits of a daemon whose lost responses others detect."""
+        margin = self.response_seconds - self.poll_seconds
+        return replace(
+            self,
+            poll_seconds=LONG_POLL_SECONDS,
+            response_seconds=LONG_POLL_SECONDS + margin,
+        )
+
 
 def derive_timeouts(settle_seconds: float) -> SourceTimeouts:
     """Return time limits for a deployment.
--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -9,6 +9,10 @@
 changes that they missed, and send requests to the source themselves if no subscriber
 responds.
 
+The first subscriber requests changes in short polls, so that a lost response is
+detected in time. The others hold a long poll each while a subscriber before them
+confirms that it reaches the source, and otherwise poll like the first.
+
 A change that is too large for a notification is pulled from the daemon that sent the
 notification: the compressed change is a tenth of the size of the source's document,
 which a small host may be unable to process in time while serving requests.
@@ -33,6 +37,10 @@
 CHECK_INTERVAL_SECONDS = 0.5
 # Three checks without a response; a change has to take effect within 2 s.
 COVERAGE_TIMEOUT_SECONDS = 1.4
+# The same for subscribers, whose long polls may have been lost: after they poll again,
+# the daemons that rely on them still have to be notified in time.
+SUBSCRIBER_CHECK_INTERVAL_SECONDS = 0.25
+SUBSCRIBER_COVERAGE_TIMEOUT_SECONDS = 0.7
 # A process whose periodic work was delayed for longer than this was suspended, and its
 # connections may have been lost without notification.
 PAUSE_THRESHOLD_SECONDS = 1.0
@@ -96,6 +104,10 @@
             return False
         return any(member.host_id == self._host_id for member in self._subscribers)
 
+    def polls_often(self, now: float) -> bool:
+        """Return whether no other daemon would detect a lost response for this one."""
+        return not self._list_check_targets() or now >= self._covered_until
+
     def needs_source(self, now: float) -> bool:
         """Return whether this daemon has to follow the source itself."""
         return self.is_subscriber or now >= self._covered_until
@@ -111,25 +123,38 @@
 
     def choose_check_target(self, now: float) -> str | None:
         """Return the host to check now, or ``None`` if no check is due."""
-        if self.is_subscriber or not self._subscribers or now < self._next_check_at:
+        targets = self._list_check_targets()
+        if not targets or now < self._next_check_at:
             return None
-        self._next_check_at = now + CHECK_INTERVAL_SECONDS
+        self._next_check_at = now + (
+            SUBSCRIBER_CHECK_INTERVAL_SECONDS
+            if self.is_subscriber
+            else CHECK_INTERVAL_SECONDS
+        )
         if not self._has_check_response:
             self._check_index += 1
         self._has_check_response = False
-        checked = self._subscribers[self._check_index % len(self._subscribers)]
-        self._checked_host_id = checked.host_id
-        return checked.host_id
+        self._checked_host_id = targets[self._check_index % len(targets)]
+        return self._checked_host_id
+
+    def _list_check_targets(self) -> list[str]:
+        """Return the subscribers before this daemon, or all if it is none."""
+        host_ids = [member.host_id for member in self._subscribers]
+        if self._host_id in host_ids:
+            return host_ids[: host_ids.index(self._host_id)]
+        return host_ids
 
     def record_heartbeat(self, host_id: str, *, is_current: bool, now: float) -> None:
         """Record that a host is alive; ``is_current`` if it reaches the source."""
-        if not is_current or not self._subscribers:
-            return
-        if any(member.host_id == host_id for member in self._subscribers):
+        if is_current and host_id in self._list_check_targets():
             if host_id == self._checked_host_id:
                 self._has_check_response = True
             self.confirmed_by = host_id
-            self._covered_until = now + COVERAGE_TIMEOUT_SECONDS
+            self._covered_until = now + (
+                SUBSCRIBER_COVERAGE_TIMEOUT_SECONDS
+                if self.is_subscriber
+                else COVERAGE_TIMEOUT_SECONDS
+            )
 
 
 def _select_subscribers(members: list[Member]) -> list[Member]:
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -44,6 +44,7 @@
 
     async def start(self) -> None:
         self._kernel.get("eras").listeners.append(self._cancel_request)
+        self._kernel.get("subscription").listeners.append(self._cancel_request)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def stop(self) -> None:
@@ -97,7 +98,10 @@
     async def _request_changes(
         self, version: StoreVersion
     ) -> RowPage | HistoryUnavailable | Refusal:
-        request = self._kernel.get("store").follow_rows(TABLE, version, self._timeouts)
+        timeouts = self._timeouts
+        if not self._kernel.get("subscription").polls_often:
+            timeouts = timeouts.lengthen_polls()
+        request = self._kernel.get("store").follow_rows(TABLE, version, timeouts)
         self._request = asyncio.get_running_loop().create_task(request)
         # ``wait`` raises only if the feed itself is cancelled, not if the request is.
         await asyncio.wait([self._request])
--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -15,6 +15,8 @@
 from flamingohead.services.ticks import PeriodicTimer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingohead.core.messages import Datagram
     from flamingohead.core.versions import VersionRecord
     from flamingohead.kernel import Kernel
@@ -38,6 +40,9 @@
         self._ticks = PeriodicTimer(self._tick)
         self._source_needed = asyncio.Event()
         self._is_source_reachable = False
+        self.polls_often = True
+        # Called when an open request to the source may have been lost without notice.
+        self.listeners: list[Callable[[], None]] = []
 
     async def start(self) -> None:
         gossip = self._kernel.get("gossip")
@@ -105,6 +110,7 @@
             # The process was suspended and its connections may be lost. Other daemons
             # must not rely on this one until the source has responded again.
             self.record_source_state(reached=False)
+            self._report_possible_loss()
         self._subscription.set_members(
             [gossip.membership.local_member, *gossip.membership.list_usable()]
         )
@@ -112,6 +118,18 @@
         if host_id is not None:
             gossip.ping(host_id)
         self._set_source_needed(self._subscription.needs_source(now))
+        self._set_polls_often(self._subscription.polls_often(now))
+
+    def _set_polls_often(self, often: bool) -> None:
+        if often == self.polls_often:
+            return
+        self.polls_often = often
+        if often:
+            self._report_possible_loss()
+
+    def _report_possible_loss(self) -> None:
+        for listener in self.listeners:
+            listener()
 
     def _set_source_needed(self, needed: bool) -> None:
         if needed == self.needs_source:
--- a/flamingohead/tests/test_silent_store.py
+++ b/flamingohead/tests/test_silent_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import zlib
 
 import pytest
 
@@ -72,3 +73,17 @@
         mesh.write_row("op", "config", build_document(3, build_routes("after")))
         hosts = mesh.hosts.values()
         assert wait_for_path(hosts, "/after/x", seconds=IN_FORCE_SECONDS)
+
+
+class TestStandbyFollowers:
+    """Replay a silence after which the only daemon that polls often is lost."""
+
+    def test_change_after_the_first_follower_was_killed_is_in_force(self, mesh):
+        mesh.write_row("op", "config", build_document(3, build_routes("before")))
+        silence_store(mesh, 1.0)
+        time.sleep(STABLE_WINDOW_SECONDS)
+        hosts = sorted(mesh.hosts.values(), key=lambda h: zlib.crc32(h.name.encode()))
+        hosts.pop(0).daemon.kill()
+        document = build_document(4, build_routes("before", "after"))
+        mesh.write_row("op", "config", document)
+        assert wait_for_path(hosts, "/after/x", seconds=IN_FORCE_SECONDS)
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -27,6 +27,7 @@
 from flamingohead.core.subscription import (
     CHECK_INTERVAL_SECONDS,
     COVERAGE_TIMEOUT_SECONDS,
+    SUBSCRIBER_COVERAGE_TIMEOUT_SECONDS,
     SUBSCRIBERS_PER_DOMAIN,
     Subscription,
     compute_capacity,
@@ -204,6 +205,47 @@
         assert subscription.needs_source(COVERAGE_TIMEOUT_SECONDS)
 
 
+class TestStandby:
+    """Replay the followers behind the first, whose long polls may be lost unnoticed."""
+
+    def build(self):
+        subscriptions = build_subscriptions(build_members(39))
+        names = [m.host_id for m in subscriptions[f"{DOMAIN}-0"]._subscribers]
+        return names, [subscriptions[name] for name in names]
+
+    def replay(self, subscription, *, until, confirmed_by=(), seconds=10.0):
+        """Return when a subscriber polls often, from when it does not on."""
+        now, polls = 0.0, []
+        while now < seconds:
+            checked = subscription.choose_check_target(now)
+            if checked in confirmed_by and now < until:
+                subscription.record_heartbeat(checked, is_current=True, now=now)
+            polls.append((round(now, 1), subscription.polls_often(now)))
+            now += 0.1
+        return [at for at, often in polls if often]
+
+    def test_first_subscriber_polls_often(self):
+        names, (first, *_) = self.build()
+        times = self.replay(first, until=10.0, confirmed_by=names)
+        assert len(times) == len(self.replay(first, until=0.0))
+
+    @pytest.mark.parametrize("rank", [1, 2])
+    def test_others_poll_often_once_the_first_is_lost(self, rank):
+        names, subscriptions = self.build()
+        times = self.replay(subscriptions[rank], until=5.0, confirmed_by=names[:1])
+        lost_at = 5.0 + SUBSCRIBER_COVERAGE_TIMEOUT_SECONDS
+        assert 5.0 < min(times) <= lost_at
+
+    def test_subscriber_does_not_rely_on_a_later_one(self):
+        names, subscriptions = self.build()
+        times = self.replay(subscriptions[1], until=10.0, confirmed_by=names[2:])
+        assert min(times) == pytest.approx(COVERAGE_TIMEOUT_SECONDS)
+
+    def test_third_relies_on_the_second(self):
+        names, subscriptions = self.build()
+        assert not self.replay(subscriptions[2], until=10.0, confirmed_by=names[1:2])
+
+
 def build_snapshot(version, *paths):
     resources = [
         Service("x"),
@@ -516,7 +558,9 @@
         kernel = Kernel()
         membership = Membership(build_members(2)[0], random=random.Random(1))
         membership.merge(build_members(2), 0.0)
-        kernel.add("gossip", SimpleNamespace(membership=membership, listeners=[]))
+        gossip = SimpleNamespace(membership=membership, listeners=[])
+        gossip.ping = lambda host_id: None
+        kernel.add("gossip", gossip)
         kernel.add("configuration", build_configuration(Replica()))
         service = SubscriptionService(kernel)
         asyncio.run(self.start(service))
@@ -538,3 +582,14 @@
         assert not membership._datagrams.follows_source
         service.record_source_state(reached=True)
         assert membership._datagrams.follows_source
+
+    def test_paused_daemon_repeats_its_request_to_the_source(self, monkeypatch):
+        clock, repeated = [100.0], []
+        monkeypatch.setattr(time, "clock_gettime", lambda _: clock[0])
+        service, _ = self.build_service()
+        service.listeners.append(lambda: repeated.append(clock[0]))
+        service._tick()
+        assert not repeated
+        clock[0] += 30.0
+        service._tick()
+        assert repeated == [130.0]
