Count the back-off of the feed from its own request

A read for a missed change, made beside the feed, set the time from which the feed counts its back-off: after a lost response the feed would wait up to 1 s longer and miss the end of the stable window (2.1 s of 3 s become 3 s).

The feed keeps the time of its own request. The new test, a read that begins just before the feed's response is given up, fails on the code before.

--- a/flamingohead/core/following.py
+++ b/flamingohead/core/following.py
@@ -27,10 +27,8 @@
 # time between a failure and the next request.
 INITIAL_BACKOFF_SECONDS = 0.1
 MIN_RETRY_SECONDS = 0.05
-# The platform allows polls of 30 s.
+# The platform allows polls of 30 s, half of the longest time to settle.
 LONG_POLL_SECONDS = 25.0
-# Limits of the time to settle: polls cost calls of the source, and the platform allows
-# polls of 30 s.
 MIN_SETTLE_SECONDS = 1.0
 MAX_SETTLE_SECONDS = 60.0
 
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -38,7 +38,6 @@
         self._backoff = RetryBackoff(
             random=random.Random(), max_seconds=timeouts.max_backoff_seconds
         )
-        self._requested_at = 0.0
         self._reader = DocumentReader()
         self._pacer = RequestPacer()
 
@@ -53,10 +52,12 @@
 
     async def _run(self) -> None:
         while True:
+            requested_at = time.monotonic()
             version = await self._read()
             while version is not None:
+                requested_at = time.monotonic()
                 version = await self._follow_if_needed(version)
-            await self._back_off()
+            await self._back_off(requested_at)
 
     async def read(self) -> None:
         """Read the newest configuration once."""
@@ -76,7 +77,7 @@
 
     async def _read(self) -> StoreVersion | None:
         """Read the row; return the version of the store, or ``None`` on failure."""
-        requested_at = self._requested_at = time.monotonic()
+        requested_at = time.monotonic()
         page = await self._kernel.get("store").read_rows(
             TABLE,
             "",
@@ -110,12 +111,12 @@
         return self._request.result()
 
     async def _follow(self, version: StoreVersion) -> StoreVersion | None:
-        requested_at = self._requested_at = time.monotonic()
+        requested_at = time.monotonic()
         page = await self._request_changes(version)
         lacked_history, self._lacked_history = self._lacked_history, False
         if isinstance(page, HistoryUnavailable):
             if lacked_history:
-                await self._back_off()
+                await self._back_off(requested_at)
             self._lacked_history = True
             return await self._read()
         if isinstance(page, Refusal):
@@ -189,7 +190,7 @@
         self._kernel.get("subscription").record_source_state(reached=False)
         self._kernel.get("configuration").record_source_read(succeeded=False)
 
-    async def _back_off(self) -> None:
+    async def _back_off(self, requested_at: float) -> None:
         now = time.monotonic()
-        next_at = self._backoff.record_failure(requested_at=self._requested_at, now=now)
+        next_at = self._backoff.record_failure(requested_at=requested_at, now=now)
         await asyncio.sleep(next_at - now)
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -17,7 +17,11 @@
 from flamingohead.core.dissemination import Dissemination
 from flamingohead.core.eras import EraChange, StoreEras, StoreVersion
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
-from flamingohead.core.following import derive_timeouts
+from flamingohead.core.following import (
+    MIN_RETRY_SECONDS,
+    RetryBackoff,
+    derive_timeouts,
+)
 from flamingohead.core.members import Member, UpstreamStatus
 from flamingohead.core.membership import Membership
 from flamingohead.core.routing import RouteTable
@@ -476,6 +480,43 @@
         assert 218 not in events and events.count(200) == 1
 
 
+class TestRepeatedReads:
+    """Replay lost responses while reads are also requested for missed changes."""
+
+    def test_read_for_a_missed_change_does_not_delay_the_next_request(self):
+        assert asyncio.run(self.follow()) < 2 * MIN_RETRY_SECONDS
+
+    async def follow(self):
+        """Return the seconds from a lost response to the next request of the feed."""
+        loop, calls, kernel = asyncio.get_running_loop(), [], Kernel()
+
+        async def read_rows(*arguments, **options):
+            calls.append(loop.time())
+            await asyncio.sleep(0.3 if len(calls) == 1 else 0.0)
+            return Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "no response")
+
+        kernel.add("store", SimpleNamespace(read_rows=read_rows))
+        kernel.add(
+            "subscription", SimpleNamespace(record_source_state=lambda reached: None)
+        )
+        kernel.add(
+            "configuration",
+            SimpleNamespace(record_source_read=lambda succeeded: None),
+        )
+        feed = ConfigurationFeed(kernel, TIMEOUTS)
+        feed._backoff = RetryBackoff(
+            random=SimpleNamespace(uniform=lambda low, high: 0.2), max_seconds=1.0
+        )
+        for _ in range(5):
+            feed._backoff.record_failure(requested_at=0.0, now=0.0)
+        task = loop.create_task(feed._run())
+        await asyncio.sleep(0.25)
+        await feed.read()
+        await asyncio.sleep(0.25)
+        task.cancel()
+        return calls[2] - (calls[0] + 0.3)
+
+
 class TestLeavesInARestoredStore:
     def build(self, *answers):
         kernel = build_store(*answers)
