--- a/flamingohead/tests/test_silent_store.py
+++ b/flamingohead/tests/test_silent_store.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from flamingohead.testing.hosts import HostMesh, build_document
+from flamingohead.testing.hosts import build_document
+from flamingohead.tests.test_store_restored import build_routes, run_mesh
 from flamingohead.tests.test_subscription_processes import (
     IN_FORCE_SECONDS,
     wait_for_path,
 )
 
-START_SECONDS = 30.0
 SILENCE_SECONDS = 4.0
 # Time limit of a deployment for daemons to be up to date after an outage of the store.
 STABLE_WINDOW_SECONDS = 3.0
@@ -22,19 +22,10 @@
 DELAY_SECONDS = STABLE_WINDOW_SECONDS - IN_FORCE_SECONDS
 
 
-def build_routes(*names):
-    return {"/a/": "ledger", **{f"/{name}/": "ledger" for name in names}}
-
-
 @pytest.fixture()
 def mesh(tmp_path):
-    with HostMesh(tmp_path) as mesh:
-        for number in range(5):
-            mesh.add_host(f"h{number}", "ledger")
-        mesh.write_row("op", "config", build_document(2, build_routes()))
-        assert wait_for_path(mesh.hosts.values(), "/a/x", seconds=START_SECONDS)
-        # Daemons that started alone query the source until they have joined each other.
-        time.sleep(4.0)
+    # Daemons that started alone query the source until they have joined each other.
+    with run_mesh(tmp_path, settle_seconds=4.0) as mesh:
         yield mesh
 
 
--- a/flamingohead/tests/test_store_restored.py
+++ b/flamingohead/tests/test_store_restored.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import contextmanager
 
 import pytest
 
@@ -27,15 +28,22 @@
     return {"/a/": "ledger", **{f"/{name}/": "ledger" for name in names}}
 
 
-@pytest.fixture()
-def mesh(tmp_path):
-    with HostMesh(tmp_path) as mesh:
+@contextmanager
+def run_mesh(directory, *, settle_seconds):
+    """Run five daemons that serve a configuration and have joined each other."""
+    with HostMesh(directory) as mesh:
         for number in range(5):
             mesh.add_host(f"h{number}", "ledger")
         mesh.write_row("op", "config", build_document(2, build_routes()))
         assert wait_for_path(mesh.hosts.values(), "/a/x", seconds=START_SECONDS)
-        # Daemons that started alone write their rows after they have joined each other.
-        time.sleep(2.0)
+        time.sleep(settle_seconds)
+        yield mesh
+
+
+@pytest.fixture()
+def mesh(tmp_path):
+    # Daemons that started alone write their rows after they have joined each other.
+    with run_mesh(tmp_path, settle_seconds=2.0) as mesh:
         yield mesh
 
 
