Test repeated refusals from the caller's request to the promise

Change: a request may ask the stand-in for refusals, and for a duplicate of each: after some milliseconds, or in front of the next response of the connection.

--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -73,6 +73,11 @@
         self._on_pause: Callable[[], None] | None = None
         self.on_resume: Callable[[], None] | None = None
 
+    @property
+    def connection(self) -> HttpServerProtocol:
+        """Return the connection on which the response is sent."""
+        return self._protocol
+
     @property
     def on_pause(self) -> Callable[[], None] | None:
         return self._on_pause
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -7,8 +7,9 @@
 import logging
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qsl, urlsplit
 
 from flamingohead.addresses import split_address
 from flamingohead.core.errors import Refusal
@@ -21,14 +22,37 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.3
 STATUS_PATH = b"/standin/runs"
+REFUSALS_PATH = b"/standin/refusals"
 MAX_RESPONSE_BYTES = 4096
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nrequest-id: %b\r\nnot-executed: 1\r\n"
+    b"content-length: 0\r\n\r\n"
+)
+
+
+@dataclass(frozen=True)
+class _Behaviour:
+    """Hold what the query of a request asks of the stand-in.
+
+    The first ``refusals`` arrivals of its id are refused as not executed. A duplicate
+    of each refusal follows after ``duplicate_seconds``, or without these, before the
+    response to the next request of the connection.
+    """
+
+    work_seconds: float = 0.0
+    refusals: int = 0
+    duplicates: bool = False
+    duplicate_seconds: float | None = None
 
 
 @dataclass
 class InstanceStandin:
     """Execute requests on ``slots`` slots, and record the requests executed.
 
-    A request with ``work-ms`` in its query is executed for that time.
+    The query of a request may ask for an execution time (``work-ms=50``), for refusals
+    (``refusals=1``) and for a duplicate of each of them: some time later
+    (``duplicate=20``, in milliseconds) or when the connection carries its next request
+    (``duplicate=next``).
     """
 
     name: str
@@ -45,6 +69,10 @@
     journal: str = ""
     clock_offset_ms: int = 0
     runs: list[dict] = field(default_factory=list)
+    refusals: list[dict] = field(default_factory=list)
+    _arrivals: Counter[bytes] = field(default_factory=Counter)
+    _pending_duplicates: dict[object, list[bytes]] = field(default_factory=dict)
+    _connections: dict[object, int] = field(default_factory=dict)
     _sequence: int = 0
     _in_use: int = 0
     _born: int = 0
@@ -112,33 +140,67 @@
         if request.target == STATUS_PATH:
             response.send(200, [], json.dumps(self.runs).encode())
             return
+        if request.target == REFUSALS_PATH:
+            response.send(200, [], json.dumps(self.refusals).encode())
+            return
         if request.target == b"/healthz":
             load = b"%d,0,%d" % (self._in_use, self.slots)
             headers = [(b"instance-id", self.name.encode()), (b"instance-load", load)]
             response.send(200, headers, b"")
             return
+        connection = response.connection
+        for duplicate in self._pending_duplicates.pop(connection, ()):
+            connection.write(duplicate)
+        request_id = request.get_header(b"request-id") or b""
         expected = request.get_header(b"expect-instance")
         if expected is not None and expected != self.name.encode():
-            response.send(421, [(b"instance-id", self.name.encode())], b"")
+            headers = [
+                (b"request-id", request_id),
+                (b"instance-id", self.name.encode()),
+            ]
+            response.send(421, headers, b"")
             return
-        if self._in_use >= self.slots:
-            response.send(503, [(b"not-executed", b"1")], b"")
+        behaviour = _read_behaviour(request.target)
+        self._arrivals[request_id] += 1
+        is_refused = self._arrivals[request_id] <= behaviour.refusals
+        if is_refused or self._in_use >= self.slots:
+            self._refuse(request_id, response, behaviour)
             return
         self._in_use += 1
-        self._record_event("run", (request.get_header(b"request-id") or b"").decode())
+        self._record_event("run", request_id.decode())
         self.runs.append(
             {
-                "id": (request.get_header(b"request-id") or b"").decode(),
+                "id": request_id.decode(),
                 "path": request.target.decode(),
                 "host": (request.get_header(b"host") or b"").decode(),
                 "caller": (request.get_header(b"caller-service") or b"").decode(),
                 "deadline": (request.get_header(b"request-deadline") or b"").decode(),
+                "connection": self._number_connection(connection),
             }
         )
         loop = asyncio.get_running_loop()
-        seconds = _read_work_seconds(request.target) or self.work_seconds
+        seconds = behaviour.work_seconds or self.work_seconds
         loop.call_later(seconds, self._finish, request, response)
 
+    def _refuse(self, request_id: bytes, response, behaviour: _Behaviour) -> None:
+        connection = response.connection
+        number = self._number_connection(connection)
+        self.refusals.append({"id": request_id.decode(), "connection": number})
+        self._record_event("refused", request_id.decode())
+        headers = [(b"request-id", request_id), (b"not-executed", b"1")]
+        response.send(503, headers, b"")
+        if not behaviour.duplicates:
+            return
+        duplicate = REFUSAL % request_id
+        if behaviour.duplicate_seconds is None:
+            self._pending_duplicates.setdefault(connection, []).append(duplicate)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(behaviour.duplicate_seconds, connection.write, duplicate)
+
+    def _number_connection(self, connection) -> int:
+        return self._connections.setdefault(connection, len(self._connections))
+
     def _finish(self, request, response) -> None:
         self._in_use -= 1
         if random.random() < self.lost_share:
@@ -152,7 +214,13 @@
         response.send(200, headers, b"answer to " + request_id + request.body)
 
 
-def _read_work_seconds(target: bytes) -> float:
-    """Return the execution time that a request asks for, or 0."""
-    query = parse_qs(urlsplit(target.decode("latin-1")).query)
-    return int(query.get("work-ms", ["0"])[0]) / 1000
+def _read_behaviour(target: bytes) -> _Behaviour:
+    query = dict(parse_qsl(urlsplit(target.decode("latin-1")).query))
+    duplicate = query.get("duplicate")
+    is_delayed = duplicate not in (None, "next")
+    return _Behaviour(
+        work_seconds=int(query.get("work-ms", 0)) / 1000,
+        refusals=int(query.get("refusals", 0)),
+        duplicates=duplicate is not None,
+        duplicate_seconds=int(duplicate) / 1000 if is_delayed else None,
+    )
