Log on which connection an upstream declined a request

The log could not tell an upstream that refuses a request twice from one that writes a copy of its first refusal: no line named the connection.

Change: E524 for each response that states "not executed", with its connection and exchange; E526 for data that no request awaits; E527 when a pooled connection is kept from a request that it has refused. A response with the id of a refused request of its connection is told apart in the detail of its 502. What is sent and decided stays as it was.

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -101,6 +101,15 @@
         522, logging.INFO, "request not admitted on this host"
     )
     REQUEST_NOT_ROUTED = EventKind(523, logging.INFO, "request not routed")
+    UPSTREAM_DECLINED = EventKind(
+        524, logging.INFO, "upstream stated that it did not execute a request"
+    )
+    SURPLUS_RESPONSE = EventKind(
+        526, logging.WARNING, "data of an upstream or daemon without a pending request"
+    )
+    CONNECTION_AVOIDED = EventKind(
+        527, logging.INFO, "connection not reused for a request that it has refused"
+    )
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream readmitted")
 
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import TYPE_CHECKING
 
 from flamingohead.core.connection_reuse import get_max_idle_seconds
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.events import Event, log_event
 from flamingohead.services.byte_bounds import MAX_DISCARDED_BYTES, ByteBound
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.http_messages import RELAY_PREFIX, OutgoingRequest
@@ -20,6 +22,9 @@
     from flamingohead.services.http_response import ServerResponse
 
 
+logger = logging.getLogger(__name__)
+
+
 class ResponseRelay:
     """Forward a response to the caller as it arrives.
 
@@ -36,7 +41,7 @@
         self.headers: Headers = []
         self.not_executed = False
         self.is_complete = False
-        self.dispatched = False
+        self.connection: ClientConnection | None = None
         self._discarded = ByteBound(MAX_DISCARDED_BYTES)
 
     @property
@@ -49,7 +54,7 @@
 
     def attach(self, connection: ClientConnection) -> None:
         """Pause reading from the connection while the caller's write buffer is full."""
-        self.dispatched = True
+        self.connection = connection
         self._response.on_pause = connection.pause
         self._response.on_resume = connection.resume
 
@@ -108,5 +113,14 @@
         on_connection=relay.attach,
     )
     if refusal is None and relay.not_executed:
+        log_event(
+            logger,
+            Event.UPSTREAM_DECLINED,
+            request=call.request_id,
+            upstream=upstream,
+            status=relay.status,
+            connection=relay.connection.number,
+            exchange=relay.connection.exchange_count,
+        )
         return Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
     return refusal
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import functools
+import logging
 import math
 import time
 from typing import TYPE_CHECKING
 
 from flamingohead.addresses import split_address
+from flamingohead.core.calls import REQUEST_ID_HEADER
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.events import Event, log_event
 from flamingohead.services.byte_bounds import ByteBound
 from flamingohead.services.http_connection import ClientConnection
-from flamingohead.services.http_messages import OutgoingRequest
+from flamingohead.services.http_messages import OutgoingRequest, find_header
 from flamingohead.services.transport import connect
 
 if TYPE_CHECKING:
@@ -25,6 +28,8 @@
 
 __all__ = ["HttpClientService", "OutgoingRequest"]
 
+logger = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_SECONDS = 0.5
 MAX_IDLE_SECONDS = 8.0
 # Subtracted from the Keep-Alive timeout of a peer, which may close right at that time.
@@ -82,6 +87,7 @@
             if usable and now - connection.idle_since >= max_idle_seconds:
                 return None
             if usable and request is not None and not connection.may_carry(request):
+                _log_avoided(connection, request)
                 return None
             idle.pop()
             if usable:
@@ -217,6 +223,17 @@
         return connection
 
 
+def _log_avoided(connection: ClientConnection, request: OutgoingRequest) -> None:
+    request_id = find_header(request.headers, REQUEST_ID_HEADER) or b""
+    log_event(
+        logger,
+        Event.CONNECTION_AVOIDED,
+        request=request_id.decode("latin-1"),
+        address=connection.address,
+        connection=connection.number,
+    )
+
+
 def _resolve(future: asyncio.Future, result: Refusal | None) -> None:
     # The waiting task may have been cancelled in the same iteration of the loop.
     if not future.done():
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import logging
 import math
 import time
 from typing import TYPE_CHECKING, Protocol as TypingProtocol
@@ -13,6 +15,7 @@
 from flamingohead.core.calls import REQUEST_ID_HEADER
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.response_progress import ResponseProgress
+from flamingohead.events import Event, log_event
 from flamingohead.services.byte_bounds import FramingMeter
 from flamingohead.services.http_messages import (
     EXCHANGE_HEADER,
@@ -27,6 +30,8 @@
 
     from flamingohead.services.http_messages import Headers, OutgoingRequest
 
+logger = logging.getLogger(__name__)
+
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 FIRST_FINAL_STATUS = 200
 FIRST_ERROR_STATUS = 400
@@ -34,6 +39,8 @@
 MAX_REFUSED_IDS = 64
 BODILESS_STATUSES = (204, 304)
 
+_connection_numbers = itertools.count(1)
+
 
 class ResponseSink(TypingProtocol):
     """Receive a response as it arrives."""
@@ -46,10 +53,15 @@
 
 
 class ClientConnection(Protocol):
-    """Run one exchange at a time; not reusable after an abort or a timeout."""
+    """Run one exchange at a time; not reusable after an abort or a timeout.
+
+    ``number`` and ``exchange_count`` identify an exchange in the logs of the process.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.number = next(_connection_numbers)
+        self.exchange_count = 0
         self.idle_until = 0.0
         self.idle_since = 0.0
         self.is_open = True
@@ -91,6 +103,7 @@
     ) -> None:
         """Send a request; ``on_done`` gets ``None`` when the response is complete."""
         self._parser = httptools.HttpResponseParser(self)
+        self.exchange_count += 1
         self._sink = sink
         self._headers = []
         self._head_bytes = 0
@@ -143,6 +156,8 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self._sink is None:
             # No request is pending: the data can't be matched to a request.
+            if self.is_open:
+                self._log_surplus()
             self.close()
             return
         self.progress.record_data(time.monotonic())
@@ -176,6 +191,7 @@
     def on_message_begin(self) -> None:
         if self._sink is None:
             # A second response to the same request: the connection is not reused.
+            self._log_surplus()
             self.is_open = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -249,9 +265,21 @@
         expected = self._request_id
         if expected is None or response_id == expected:
             return
+        if response_id in self._refused_ids:
+            self._reject("answer to another request, which was refused")
         if response_id is not None or self._requires_id:
             self._reject("answer to another request")
 
+    def _log_surplus(self) -> None:
+        log_event(
+            logger,
+            Event.SURPLUS_RESPONSE,
+            address=self.address,
+            connection=self.number,
+            exchange=self.exchange_count,
+            last_status=self._status,
+        )
+
     def _reject(self, detail: str) -> None:
         self._refusal = Refusal(ErrorKind.UPSTREAM_MALFORMED, detail)
         raise ValueError(detail)
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from dataclasses import replace
 
@@ -71,10 +72,12 @@
         assert exchanges.sinks[1].body == b""
         assert not exchanges.connection.is_open
 
-    def test_duplicate_after_the_answer_closes_the_connection(self):
+    def test_duplicate_after_the_answer_closes_the_connection(self, caplog):
         exchanges = _Exchanges()
         exchanges.send(b"a")
-        exchanges.transport.deliver(2 * build_answer(b"a"))
+        with caplog.at_level(logging.INFO):
+            exchanges.transport.deliver(2 * build_answer(b"a"))
+        assert [record.event for record in caplog.records] == [526]
         assert exchanges.ends == [None]
         assert exchanges.sinks[0].body == b"yes"
         assert not exchanges.connection.is_open
@@ -168,6 +171,22 @@
         assert refusal.ran is ExecutionStatus.UNKNOWN
         assert not not_executed
 
+    def test_log_names_the_connection_that_refused_the_request(self, caplog):
+        with caplog.at_level(logging.INFO):
+            asyncio.run(self.send_twice(_RepeatingUpstream(), b"a"))
+        avoided = [r.fields for r in caplog.records if r.event == 527]
+        assert [fields["request"] for fields in avoided] == ["a"]
+
+    def test_log_tells_the_copy_of_a_refusal_from_other_mismatches(self):
+        exchanges = _Exchanges()
+        exchanges.send(b"a")
+        exchanges.transport.deliver(REFUSAL)
+        exchanges.send(b"b")
+        exchanges.transport.deliver(REFUSAL)
+        assert exchanges.ends[1].detail.endswith(
+            "answer to another request, which was refused"
+        )
+
     def test_connection_with_many_errors_is_not_reused(self):
         exchanges = _Exchanges()
         for number in range(MAX_REFUSED_IDS + 1):
