Send a request again only if each refusal states "not run"

Callers: a request that may run once could run twice, or be refused with 503 though it ran.

Cause: the tracker of attempts moved on after `draining`, `host_unreachable`, `upstream_unreachable`, `queue_full` and `deadline_unreachable` before it looked at the state of the execution. The state follows these kinds only by default; a refusal of another daemon without a readable `flamingohead-ran` counts as unknown, and was sent to another upstream like one that had not run.

Change: the state is checked first, whatever the kind. An attempt that may have run counts as one, also for idempotent requests, so that the next is charged to the retry budget. RetryBudget.allow_retry checked the state already.

Found by reading; no run is known in which a daemon sent such a refusal.

--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -13,7 +13,6 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from flamingohead.core.ejection import OVERLOAD_KINDS
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 
 if TYPE_CHECKING:
@@ -91,16 +90,15 @@
             self.retry_at = refusal.retry_at if is_earlier else self.retry_at
         if now >= self.deadline:
             return Step.GIVE_UP
-        if refusal.kind in OVERLOAD_KINDS and refusal.kind is not (
-            ErrorKind.UPSTREAM_SHED
-        ):
+        may_have_run = refusal.ran is not ExecutionStatus.NO
+        if may_have_run and not self.idempotent:
+            return Step.GIVE_UP
+        if refusal.kind in FULL_KINDS and not may_have_run:
             return self._record_overload(waited)
-        if refusal.kind in MOVE_KINDS:
+        if refusal.kind in MOVE_KINDS and not may_have_run:
             self._moves += 1
             return Step.MOVE if self._moves <= MAX_MOVES else Step.GIVE_UP
         self.upstreams += 1
-        if refusal.ran is not ExecutionStatus.NO and not self.idempotent:
-            return Step.GIVE_UP
         if self.upstreams >= self.max_upstreams:
             return Step.GIVE_UP
         return Step.REPEAT
--- a/flamingohead/tests/test_attempt_plan.py
+++ b/flamingohead/tests/test_attempt_plan.py
@@ -5,7 +5,9 @@
 import pytest
 
 from flamingohead.core.attempts import (
+    FULL_KINDS,
     MAX_IMMEDIATE_ATTEMPTS,
+    MOVE_KINDS,
     AttemptTracker,
     OverloadCache,
     Step,
@@ -54,6 +56,20 @@
         assert shed.ran is ExecutionStatus.NO
         assert plan.record(("a", "u"), shed, 0.0, waited=False) is Step.REPEAT
 
+    @pytest.mark.parametrize("waited", [False, True])
+    @pytest.mark.parametrize("kind", sorted(MOVE_KINDS | FULL_KINDS, key=str))
+    def test_refusal_that_may_have_run_is_not_sent_again(self, kind, waited):
+        refusal = Refusal(kind, ran_override=ExecutionStatus.UNKNOWN)
+        plan = build_plan(idempotent=False)
+        assert plan.record(("a", "u"), refusal, 0.0, waited=waited) is Step.GIVE_UP
+
+    @pytest.mark.parametrize("kind", sorted(MOVE_KINDS | FULL_KINDS, key=str))
+    def test_attempt_after_one_that_may_have_run_is_charged(self, kind):
+        refusal = Refusal(kind, ran_override=ExecutionStatus.UNKNOWN)
+        plan = build_plan(max_upstreams=2)
+        assert plan.record(("a", "u"), refusal, 0.0, waited=False) is Step.REPEAT
+        assert plan.record(("b", "u"), refusal, 0.0, waited=False) is Step.GIVE_UP
+
     def test_route_limits_the_number_of_upstreams(self):
         plan = build_plan(max_upstreams=2)
         assert plan.record(("a", "u"), CUT, 0.0, waited=False) is Step.REPEAT
