State for all attempts of a request whether it ran

Callers: a request that may be repeated and had perhaps run got 503 "not run": its first attempt was cut after it had been sent, or its host still had it queued, and the last attempt was refused by a full host.

Cause: the final refusal was that of the last attempt, with its state alone.

Change: the state of each attempt is merged into that of the request, by the tracker of a group and by AttemptService; `no` stays only if every attempt was `no`. The final refusal keeps its kind and the earliest time to come back. A merged refusal drops `key_checked`: an attempt with the same call id that was cut may still run. The cache of full ranks keeps the refusal without the state of the request that filled it.

--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -51,7 +51,8 @@
 class AttemptTracker:
     """Track the attempts of a request and decide on the next one.
 
-    At most ``max_upstreams`` upstreams may work on the request.
+    At most ``max_upstreams`` upstreams may work on the request. ``ran`` states whether
+    any of the attempts was executed.
     """
 
     idempotent: bool
@@ -60,6 +61,7 @@
     excluded: set[UpstreamKey] = field(default_factory=set)
     upstreams: int = 0
     retry_at: float | None = None
+    ran: ExecutionStatus = ExecutionStatus.NO
     _immediate_attempts: int = 0
     _queue_refusals: int = 0
     _moves: int = 0
@@ -84,6 +86,7 @@
         charged to the retry budget.
         """
         self._last_refusal = refusal
+        self.ran = self.ran.merge(refusal.ran)
         self.excluded.add(key)
         if refusal.retry_at is not None:
             is_earlier = self.retry_at is None or refusal.retry_at < self.retry_at
@@ -114,11 +117,17 @@
         return Step.MOVE if self._queue_refusals < MAX_QUEUE_REFUSALS else Step.GIVE_UP
 
     def build_final_refusal(self) -> Refusal | None:
-        """Return the final refusal, with the earliest time at which to retry."""
+        """Return the final refusal, for all attempts.
+
+        It has the earliest time at which to retry, and states "not run" only if no
+        attempt may have run.
+        """
         last = self._last_refusal
-        if last is None or self.retry_at is None or last.ran is not ExecutionStatus.NO:
-            return last
-        return Refusal(last.kind, last.detail, self.retry_at, last.ran_override)
+        if last is None:
+            return None
+        if last.ran is ExecutionStatus.NO and self.retry_at is not None:
+            last = replace(last, retry_at=self.retry_at)
+        return last.merge_ran(self.ran)
 
 
 class OverloadCache:
@@ -136,6 +145,8 @@
     def record(self, service: str, rank: str, refusal: Refusal, now: float) -> None:
         """Record the final refusal of a request that was offered to hosts."""
         if refusal.kind in FULL_KINDS:
+            # The state of its attempts is not that of other requests.
+            refusal = Refusal(refusal.kind, refusal.detail, refusal.retry_at)
             self._refusals[service, rank] = now + self._period, refusal
 
     def find(self, service: str, rank: str, now: float) -> Refusal | None:
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 
@@ -13,6 +13,13 @@
     YES = "yes"
     UNKNOWN = "unknown"
 
+    def merge(self, other: ExecutionStatus) -> ExecutionStatus:
+        """Return the state of a request whose attempts have these two states."""
+        for status in (ExecutionStatus.YES, ExecutionStatus.UNKNOWN):
+            if status in (self, other):
+                return status
+        return ExecutionStatus.NO
+
 
 class ErrorKind(Enum):
     """Enumerate the reasons for which a request or an operation is refused."""
@@ -133,6 +140,13 @@
     def ran(self) -> ExecutionStatus:
         return self.ran_override or self.answer.ran
 
+    def merge_ran(self, earlier: ExecutionStatus) -> Refusal:
+        """Return the refusal of a request with this one and earlier attempts."""
+        ran = self.ran.merge(earlier)
+        if ran is self.ran:
+            return self
+        return replace(self, ran_override=ran, key_checked=False)
+
     def compute_retry_after_ms(self, now: float) -> int | None:
         """Return the milliseconds after which a retry may succeed, or ``None``."""
         if self.retry_at is None:
--- a/flamingohead/services/attempts.py
+++ b/flamingohead/services/attempts.py
@@ -9,7 +9,7 @@
 
 from flamingohead.core.connection_reuse import get_max_idle_seconds
 from flamingohead.core.ejection import OVERLOAD_KINDS
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.core.retries import RetryBudget, may_repeat_on_same_upstream
 from flamingohead.events import Event, log_event
 from flamingohead.services.relay import (
@@ -69,9 +69,11 @@
                 self._kernel.get("metrics").count_retry(refusal)
                 call = _mark_attempt(call, attempts + 1)
             attempts += 1
+            earlier = ExecutionStatus.NO if refusal is None else refusal.ran
             refusal = await self._attempt(candidate, call, response)
             if refusal is None or response.started:
                 return refusal
+            refusal = refusal.merge_ran(earlier)
             excluded.add(candidate.key)
             now = time.monotonic()
             if now >= call.deadline or not budget.allow_retry(
--- a/flamingohead/tests/test_attempt_plan.py
+++ b/flamingohead/tests/test_attempt_plan.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from flamingohead.core.attempts import (
@@ -42,6 +44,15 @@
         plan.record(("b", "u"), later, 0.0, waited=True)
         assert plan.build_final_refusal().retry_at == 4.0
 
+    def test_request_that_may_have_run_earlier_is_not_denied(self):
+        plan = build_plan()
+        plan.record(("a", "u"), CUT, 0.0, waited=False)
+        plan.record(("b", "u"), FULL, 0.0, waited=True)
+        refusal = plan.build_final_refusal()
+        assert refusal.kind is ErrorKind.QUEUE_FULL
+        assert refusal.ran is ExecutionStatus.UNKNOWN
+        assert refusal.retry_at == 4.0
+
     @pytest.mark.parametrize(("idempotent", "step"), [(True, "REPEAT"), (False, None)])
     def test_call_that_may_have_run_is_retried_only_if_idempotent(
         self, idempotent, step
@@ -102,6 +113,12 @@
         full.record("s", "search", CUT, 0.0)
         assert full.find("s", "search", 0.0) is None
 
+    def test_state_of_earlier_attempts_is_not_that_of_other_requests(self):
+        full = OverloadCache()
+        refusal = replace(FULL, ran_override=ExecutionStatus.UNKNOWN)
+        full.record("s", "search", refusal, 0.0)
+        assert full.find("s", "search", 0.0) == FULL
+
 
 class TestSharedRetryBudget:
     SETTINGS = SharedBudgetSettings(ratio=0.2, slack=58, window=10.0)
--- a/flamingohead/tests/test_attempts.py
+++ b/flamingohead/tests/test_attempts.py
@@ -6,9 +6,11 @@
 import random
 import time
 
+import pytest
+
 from flamingohead.core.balancing import Balancer
 from flamingohead.core.calls import Call
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.core.members import Member, UpstreamState, UpstreamStatus
 from flamingohead.core.overflow import Overflow
 from flamingohead.core.summaries import RelayPoint, RemoteSummary
@@ -17,6 +19,8 @@
 from flamingohead.services.metrics import MetricsService
 
 SERVICE = "stall-ledger"
+CUT = Refusal(ErrorKind.HOST_CUT)
+FULL = Refusal(ErrorKind.QUEUE_FULL)
 
 
 class FakeSummaries:
@@ -99,6 +103,14 @@
         assert serve(service, build_call(((ATTEMPT_HEADER, b"2"),))) is refusal
         assert len(service.tried) == 1
 
+    @pytest.mark.parametrize("hosts", [("a", "b"), ("b", "a")])
+    def test_request_that_may_have_run_earlier_is_not_denied(self, hosts):
+        refusals = dict(zip(hosts, (CUT, FULL), strict=True))
+        service = RecordingAttemptService(refusals, hosts=["a", "b"])
+        refusal = serve(service, build_call())
+        assert {host for host, _ in service.tried} == {"a", "b"}
+        assert refusal.ran is ExecutionStatus.UNKNOWN
+
 
 class TestOverflow:
     def test_service_without_local_upstream_overflows(self):
