Deny an execution by status only where it is known not to have happened

Callers: 503, which promises "not run", where the same response said `flamingohead-ran: unknown`: for keys whose claim or home can't be reached, for retries under a key, and for requests of which an earlier attempt may have run.

Cause: the status followed the kind of the refusal alone, while the state of the execution may be replaced for one request, or is unknown for the kind.

Change: Refusal.caller_status gives 408, 421, 429 or 503 only if the state is `no`, and 502 otherwise; kind and time to come back stay. Every refusal to a caller goes through ServerResponse.refuse, whose parameter for another state had no users and is removed. The operators' endpoint and the announcements of upstreams keep the statuses of the table: no request of a caller goes there.

--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+BAD_GATEWAY = 502
+# Statuses by which a caller learns that a request was not executed and never will be.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class ExecutionStatus(Enum):
     """State whether a refused request was executed by an upstream."""
@@ -140,6 +144,14 @@
     def ran(self) -> ExecutionStatus:
         return self.ran_override or self.answer.ran
 
+    @property
+    def caller_status(self) -> int:
+        """Return the status for a caller, who must not take "unknown" for "not run"."""
+        status = self.answer.status
+        if status in NOT_RUN_STATUSES and self.ran is not ExecutionStatus.NO:
+            return BAD_GATEWAY
+        return status
+
     def merge_ran(self, earlier: ExecutionStatus) -> Refusal:
         """Return the refusal of a request with this one and earlier attempts."""
         ran = self.ran.merge(earlier)
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingohead.core.errors import ExecutionStatus, Refusal
+    from flamingohead.core.errors import Refusal
     from flamingohead.services.http_messages import Headers, IncomingRequest
     from flamingohead.services.http_server import HttpServerProtocol
 
@@ -222,14 +222,12 @@
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             self.pause()
 
-    def refuse(
-        self, refusal: Refusal, now: float, *, ran: ExecutionStatus | None = None
-    ) -> None:
+    def refuse(self, refusal: Refusal, now: float) -> None:
         """Send the final response for a refusal."""
         headers: Headers = [
             (b"content-type", b"text/plain; charset=utf-8"),
             (REFUSAL_HEADER, refusal.kind.value.encode()),
-            (RAN_HEADER, (ran or refusal.ran).value.encode()),
+            (RAN_HEADER, refusal.ran.value.encode()),
         ]
         if refusal.key_checked:
             headers.append((KEY_CHECKED_HEADER, b"yes"))
@@ -238,7 +236,7 @@
             headers.append((b"retry-after", self._format_seconds(retry_after_ms)))
             headers.append((b"flamingohead-retry-after-ms", b"%d" % retry_after_ms))
         body = f"{refusal.kind.value}: {refusal.detail}\n".encode()
-        self.send(refusal.answer.status, headers, body)
+        self.send(refusal.caller_status, headers, body)
 
     def _format_seconds(self, milliseconds: int) -> bytes:
         if self._protocol.sends_fractional_retry_after:
--- a/flamingohead/tests/test_errors.py
+++ b/flamingohead/tests/test_errors.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from flamingohead.core.errors import ERROR_RESPONSES, ErrorKind, Refusal
+from flamingohead.core.errors import (
+    ERROR_RESPONSES,
+    ErrorKind,
+    ExecutionStatus,
+    Refusal,
+)
+from flamingohead.testing.http import FakeCaller
 from flamingohead.testing.processes import ROOT
 
 
@@ -40,3 +46,29 @@
         refusal = Refusal(ErrorKind.QUEUE_FULL, retry_at=10.25)
         assert refusal.compute_retry_after_ms(10.0) == 250
         assert refusal.compute_retry_after_ms(11.0) == 0
+
+
+def send_refusal(refusal):
+    """Return the status and the headers that a caller gets for a refusal."""
+    caller = FakeCaller(lambda request, response: response.refuse(refusal, 0.0))
+    caller.deliver(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    [response] = caller.parse_responses()
+    return response.status, dict(response.headers)
+
+
+class TestStatusesOfCallers:
+    @pytest.mark.parametrize("ran", [None, *ExecutionStatus], ids=str)
+    @pytest.mark.parametrize("kind", list(ErrorKind), ids=str)
+    def test_status_denies_no_execution_that_is_possible(self, kind, ran):
+        status, headers = send_refusal(Refusal(kind, ran_override=ran))
+        if headers[b"flamingohead-ran"] == b"no":
+            assert status == ERROR_RESPONSES[kind].status
+        else:
+            assert status not in (408, 421, 429, 503)
+
+    def test_time_to_come_back_is_kept(self):
+        refusal = Refusal(
+            ErrorKind.QUEUE_FULL, retry_at=2.0, ran_override=ExecutionStatus.UNKNOWN
+        )
+        status, headers = send_refusal(refusal)
+        assert (status, headers[b"retry-after"]) == (502, b"2")
