Log refusals of upstreams that do not state that the request did not run

The logs of the daemon hold nothing of such a request.

Change: event 525 with request, upstream and status, and the counter `upstream.execution_not_stated`. Which statuses count belongs to the dialect; the platform's are core.errors.NOT_RUN_STATUSES, the same that a refusal of the daemon may have only for a request that has not run. The product's callers read `flamingohead-ran`, which no upstream can send, so its dialect names none. What callers get is unchanged.

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -101,6 +101,11 @@
         522, logging.INFO, "request not admitted on this host"
     )
     REQUEST_NOT_ROUTED = EventKind(523, logging.INFO, "request not routed")
+    EXECUTION_NOT_STATED = EventKind(
+        525,
+        logging.WARNING,
+        "upstream refused a request without stating that it did not run",
+    )
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream readmitted")
 
--- a/flamingohead/platform/dialect.py
+++ b/flamingohead/platform/dialect.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from flamingohead.core.errors import NOT_RUN_STATUSES
 from flamingohead.services.dialects import Dialect
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
     upstream=b"expect-instance",
     caller_service=b"caller-service",
     states_not_executed=states_not_executed,
+    not_run_statuses=NOT_RUN_STATUSES,
     find_parent=find_parent,
     preserves_host=True,
     reads_keys=False,
--- a/flamingohead/services/dialects.py
+++ b/flamingohead/services/dialects.py
@@ -27,9 +27,10 @@
     the name of the only upstream that may execute the request, and ``caller_service``
     the service on whose host the request originated. ``states_not_executed`` returns
     whether the status and headers of an upstream's response state that it did not
-    execute the request. ``find_parent`` returns the id of the request that may have
-    made the request with the given id. With ``echo_request_ids``, upstreams repeat
-    the id of a request in its response.
+    execute the request. ``not_run_statuses`` are the statuses that callers take for
+    this statement, also in the response of an upstream that lacks it. ``find_parent``
+    returns the id of the request that may have made the request with the given id. With
+    ``echo_request_ids``, upstreams repeat the id of a request in its response.
     """
 
     deadline: bytes = b"request-timeout-ms"
@@ -38,6 +39,7 @@
     states_not_executed: Callable[[int, Headers], bool] = field(
         default=_states_not_executed
     )
+    not_run_statuses: frozenset[int] = frozenset()
     find_parent: Callable[[str], str] = field(default=_find_no_parent)
     preserves_host: bool = False
     reads_keys: bool = True
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -2,29 +2,34 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import TYPE_CHECKING
 
 from flamingohead.core.connection_reuse import get_max_idle_seconds
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.events import Event, log_event
 from flamingohead.services.byte_bounds import MAX_DISCARDED_BYTES, ByteBound
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.http_messages import RELAY_PREFIX, OutgoingRequest
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
+    from flamingohead.kernel import Kernel
     from flamingohead.services.dialects import Dialect
-    from flamingohead.services.http_client import HttpClientService
     from flamingohead.services.http_connection import ClientConnection
     from flamingohead.services.http_messages import Headers
     from flamingohead.services.http_response import ServerResponse
 
+logger = logging.getLogger(__name__)
+
 
 class ResponseRelay:
     """Forward a response to the caller as it arrives.
 
     Discards a response by which the upstream states that it did not execute the
-    request, so that the request can be tried elsewhere.
+    request, so that the request can be tried elsewhere. ``lacks_statement`` is true if
+    callers would take its status for this statement, which the upstream did not make.
     """
 
     def __init__(
@@ -35,6 +40,7 @@
         self.status = 0
         self.headers: Headers = []
         self.not_executed = False
+        self.lacks_statement = False
         self.is_complete = False
         self.dispatched = False
         self._discarded = ByteBound(MAX_DISCARDED_BYTES)
@@ -60,6 +66,7 @@
         if self._dialect.states_not_executed(status, headers):
             self.not_executed = True
             return
+        self.lacks_statement = status in self._dialect.not_run_statuses
         self._response.start(status, headers, length=length)
 
     def write(self, data: bytes) -> None:
@@ -75,7 +82,7 @@
 
 
 async def dispatch_call(
-    client: HttpClientService,
+    kernel: Kernel,
     address: str,
     call: Call,
     relay: ResponseRelay,
@@ -98,7 +105,7 @@
         allows_close_delimited=dialect.allows_close_delimited_responses,
         echoes_request_id=dialect.echo_request_ids,
     )
-    refusal = await client.send(
+    refusal = await kernel.get("http_client").send(
         address,
         request,
         relay,
@@ -107,6 +114,15 @@
         ),
         on_connection=relay.attach,
     )
+    if relay.lacks_statement:
+        kernel.get("metrics").count("upstream.execution_not_stated")
+        log_event(
+            logger,
+            Event.EXECUTION_NOT_STATED,
+            request=call.request_id,
+            upstream=upstream,
+            status=relay.status,
+        )
     if refusal is None and relay.not_executed:
         return Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
     return refusal
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -286,7 +286,7 @@
         relay.record_admission(ticket.admitted_at)
         try:
             return await dispatch_call(
-                self._kernel.get("http_client"),
+                self._kernel,
                 upstream.address,
                 call,
                 relay,
--- /dev/null
+++ b/flamingohead/tests/test_dispatch.py
@@ -0,0 +1,78 @@
+"""Tests of an upstream's response on its way to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import pytest
+
+from flamingohead.core.calls import REQUEST_ID_HEADER, Call
+from flamingohead.events import Event
+from flamingohead.kernel import Kernel
+from flamingohead.platform.dialect import NOT_EXECUTED_HEADER, PLATFORM_DIALECT
+from flamingohead.services.buffered_response import BufferedResponse
+from flamingohead.services.dispatch import ResponseRelay, dispatch_call
+from flamingohead.services.metrics import MetricsService
+from flamingohead.tests.test_slots import FakeResponse
+
+COUNTER = "upstream.execution_not_stated"
+
+
+class FakeUpstream:
+    """Answer every request with the same status and headers."""
+
+    def __init__(self, status, headers=()):
+        self.status = status
+        self.headers = list(headers)
+
+    async def send(self, address, request, sink, **options):
+        sink.start(self.status, self.headers, 0)
+        sink.finish()
+
+
+class Dispatch:
+    """Dispatch a call to an upstream with a scripted response."""
+
+    def __init__(self, *answer):
+        kernel = Kernel()
+        self.metrics = MetricsService()
+        kernel.add("metrics", self.metrics)
+        kernel.add("http_client", FakeUpstream(*answer))
+        headers = ((REQUEST_ID_HEADER, b"r-1"),)
+        deadline = time.monotonic() + 5.0
+        call = Call("s", "urgent", "POST", b"/", headers, b"", deadline, False)
+        self.response = BufferedResponse(FakeResponse())
+        relay = ResponseRelay(self.response, PLATFORM_DIALECT)
+        self.refusal = asyncio.run(
+            dispatch_call(
+                kernel,
+                "10.0.0.1:1",
+                call,
+                relay,
+                upstream="u",
+                dialect=PLATFORM_DIALECT,
+            )
+        )
+
+
+class TestUnstatedRefusals:
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_status_that_denies_execution_is_logged(self, status, caplog):
+        with caplog.at_level(logging.INFO):
+            dispatch = Dispatch(status)
+        [record] = caplog.records
+        assert record.event == Event.EXECUTION_NOT_STATED.value.number
+        assert record.fields == {"request": "r-1", "upstream": "u", "status": status}
+        assert dispatch.metrics.counters[COUNTER] == 1
+
+    @pytest.mark.parametrize(
+        "answer",
+        [(200,), (404,), (500,), (421,), (503, [(NOT_EXECUTED_HEADER, b"1")])],
+    )
+    def test_other_responses_are_not_logged(self, answer, caplog):
+        with caplog.at_level(logging.INFO):
+            dispatch = Dispatch(*answer)
+        assert not caplog.records
+        assert not dispatch.metrics.counters
