Withhold refusals of upstreams that do not state that the request did not run

Cause: only the header states it; the daemon used the header to decide on another attempt, and passed everything else on as it was.

Change: a response whose status means "not run" to callers, without the statement, is withheld. The request counts as `upstream_failed`, `unknown`: one that may run once is refused with 502, without the upstream's stamp; one that may be repeated is tried elsewhere within the budget, like after a server error. A 421 needs no header and moves on as before. The product's dialect is unchanged.

--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.connection_reuse import get_max_idle_seconds
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.events import Event, log_event
 from flamingohead.services.byte_bounds import MAX_DISCARDED_BYTES, ByteBound
 from flamingohead.services.dialects import PRODUCT_DIALECT
@@ -28,8 +28,8 @@
     """Forward a response to the caller as it arrives.
 
     Discards a response by which the upstream states that it did not execute the
-    request, so that the request can be tried elsewhere. ``lacks_statement`` is true if
-    callers would take its status for this statement, which the upstream did not make.
+    request, so that the request can be tried elsewhere, and one whose status callers
+    would take for this statement although it lacks it (``lacks_statement``).
     """
 
     def __init__(
@@ -49,6 +49,11 @@
     def started(self) -> bool:
         return self._response.started
 
+    @property
+    def is_discarded(self) -> bool:
+        """Return whether the caller gets no part of the response."""
+        return self.not_executed or self.lacks_statement
+
     def record_admission(self, now: float) -> None:
         """Record the time at which the request was admitted."""
         self._response.admitted_at = now
@@ -63,21 +68,21 @@
         headers = [h for h in headers if not h[0].startswith(RELAY_PREFIX)]
         self.status = status
         self.headers = headers
-        if self._dialect.states_not_executed(status, headers):
-            self.not_executed = True
-            return
-        self.lacks_statement = status in self._dialect.not_run_statuses
-        self._response.start(status, headers, length=length)
+        self.not_executed = self._dialect.states_not_executed(status, headers)
+        is_denial = status in self._dialect.not_run_statuses
+        self.lacks_statement = is_denial and not self.not_executed
+        if not self.is_discarded:
+            self._response.start(status, headers, length=length)
 
     def write(self, data: bytes) -> None:
-        if self.not_executed:
+        if self.is_discarded:
             self._discarded.add(len(data))
             return
         self._response.write(data)
 
     def finish(self) -> None:
         self.is_complete = True
-        if not self.not_executed:
+        if not self.is_discarded:
             self._response.finish()
 
 
@@ -125,4 +130,10 @@
         )
     if refusal is None and relay.not_executed:
         return Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
+    if refusal is None and relay.lacks_statement:
+        return Refusal(
+            ErrorKind.UPSTREAM_FAILED,
+            f"the upstream answered {relay.status} and may have executed it",
+            ran_override=ExecutionStatus.UNKNOWN,
+        )
     return refusal
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -36,10 +36,12 @@
 
     The first ``refusals`` arrivals of its id are refused as not executed. A duplicate
     of each refusal follows after ``duplicate_seconds``, or without these, before the
-    response to the next request of the connection.
+    response to the next request of the connection. ``status`` is that of the response
+    after execution.
     """
 
     work_seconds: float = 0.0
+    status: int = 200
     refusals: int = 0
     duplicates: bool = False
     duplicate_seconds: float | None = None
@@ -49,10 +51,10 @@
 class InstanceStandin:
     """Execute requests on ``slots`` slots, and record the requests executed.
 
-    The query of a request may ask for an execution time (``work-ms=50``), for refusals
-    (``refusals=1``) and for a duplicate of each of them: some time later
-    (``duplicate=20``, in milliseconds) or when the connection carries its next request
-    (``duplicate=next``).
+    The query of a request may ask for an execution time (``work-ms=50``), for the
+    status of the response (``status=503``), for refusals (``refusals=1``) and for a
+    duplicate of each of them: some time later (``duplicate=20``, in milliseconds) or
+    when the connection carries its next request (``duplicate=next``).
     """
 
     name: str
@@ -180,7 +182,7 @@
         )
         loop = asyncio.get_running_loop()
         seconds = behaviour.work_seconds or self.work_seconds
-        loop.call_later(seconds, self._finish, request, response)
+        loop.call_later(seconds, self._finish, request, response, behaviour.status)
 
     def _refuse(self, request_id: bytes, response, behaviour: _Behaviour) -> None:
         connection = response.connection
@@ -201,7 +203,7 @@
     def _number_connection(self, connection) -> int:
         return self._connections.setdefault(connection, len(self._connections))
 
-    def _finish(self, request, response) -> None:
+    def _finish(self, request, response, status: int) -> None:
         self._in_use -= 1
         if random.random() < self.lost_share:
             response.abort()
@@ -211,7 +213,7 @@
             (b"request-id", request_id),
             (b"response-stamp", self.name.encode()),
         ]
-        response.send(200, headers, b"answer to " + request_id + request.body)
+        response.send(status, headers, b"answer to " + request_id + request.body)
 
 
 def _read_behaviour(target: bytes) -> _Behaviour:
@@ -220,6 +222,7 @@
     is_delayed = duplicate not in (None, "next")
     return _Behaviour(
         work_seconds=int(query.get("work-ms", 0)) / 1000,
+        status=int(query.get("status", 200)),
         refusals=int(query.get("refusals", 0)),
         duplicates=duplicate is not None,
         duplicate_seconds=int(duplicate) / 1000 if is_delayed else None,
--- a/flamingohead/tests/test_dispatch.py
+++ b/flamingohead/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 import pytest
 
 from flamingohead.core.calls import REQUEST_ID_HEADER, Call
+from flamingohead.core.errors import ErrorKind, ExecutionStatus
 from flamingohead.events import Event
 from flamingohead.kernel import Kernel
 from flamingohead.platform.dialect import NOT_EXECUTED_HEADER, PLATFORM_DIALECT
@@ -67,6 +68,20 @@
         assert record.fields == {"request": "r-1", "upstream": "u", "status": status}
         assert dispatch.metrics.counters[COUNTER] == 1
 
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_upstream_denies_no_execution_by_its_status_alone(self, status):
+        dispatch = Dispatch(status)
+        assert dispatch.refusal.kind is ErrorKind.UPSTREAM_FAILED
+        assert dispatch.refusal.ran is ExecutionStatus.UNKNOWN
+        assert not dispatch.response.is_complete
+
+    @pytest.mark.parametrize("status", [200, 404, 500, 502, 504])
+    def test_response_that_denies_nothing_is_passed_on(self, status):
+        dispatch = Dispatch(status)
+        assert dispatch.refusal is None
+        assert dispatch.response.is_complete
+        assert dispatch.response.status == status
+
     @pytest.mark.parametrize(
         "answer",
         [(200,), (404,), (500,), (421,), (503, [(NOT_EXECUTED_HEADER, b"1")])],
