--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -37,11 +37,12 @@
     The first ``refusals`` arrivals of its id are refused as not executed. A duplicate
     of each refusal follows after ``duplicate_seconds``, or without these, before the
     response to the next request of the connection. ``status`` is that of the response
-    after execution.
+    after execution, in place of which ``is_cut`` closes the connection.
     """
 
     work_seconds: float = 0.0
     status: int = 200
+    is_cut: bool = False
     refusals: int = 0
     duplicates: bool = False
     duplicate_seconds: float | None = None
@@ -52,9 +53,10 @@
     """Execute requests on ``slots`` slots, and record the requests executed.
 
     The query of a request may ask for an execution time (``work-ms=50``), for the
-    status of the response (``status=503``), for refusals (``refusals=1``) and for a
-    duplicate of each of them: some time later (``duplicate=20``, in milliseconds) or
-    when the connection carries its next request (``duplicate=next``).
+    status of the response (``status=503``) or a cut in its place (``cut=1``), for
+    refusals (``refusals=1``) and for a duplicate of each of them: some time later
+    (``duplicate=20``, in milliseconds) or when the connection carries its next request
+    (``duplicate=next``).
     """
 
     name: str
@@ -182,7 +184,7 @@
         )
         loop = asyncio.get_running_loop()
         seconds = behaviour.work_seconds or self.work_seconds
-        loop.call_later(seconds, self._finish, request, response, behaviour.status)
+        loop.call_later(seconds, self._finish, request, response, behaviour)
 
     def _refuse(self, request_id: bytes, response, behaviour: _Behaviour) -> None:
         connection = response.connection
@@ -203,9 +205,9 @@
     def _number_connection(self, connection) -> int:
         return self._connections.setdefault(connection, len(self._connections))
 
-    def _finish(self, request, response, status: int) -> None:
+    def _finish(self, request, response, behaviour: _Behaviour) -> None:
         self._in_use -= 1
-        if random.random() < self.lost_share:
+        if behaviour.is_cut or random.random() < self.lost_share:
             response.abort()
             return
         request_id = request.get_header(b"request-id") or b""
@@ -213,7 +215,9 @@
             (b"request-id", request_id),
             (b"response-stamp", self.name.encode()),
         ]
-        response.send(status, headers, b"answer to " + request_id + request.body)
+        response.send(
+            behaviour.status, headers, b"answer to " + request_id + request.body
+        )
 
 
 def _read_behaviour(target: bytes) -> _Behaviour:
@@ -223,6 +227,7 @@
     return _Behaviour(
         work_seconds=int(query.get("work-ms", 0)) / 1000,
         status=int(query.get("status", 200)),
+        is_cut="cut" in query,
         refusals=int(query.get("refusals", 0)),
         duplicates=duplicate is not None,
         duplicate_seconds=int(duplicate) / 1000 if is_delayed else None,
