--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -9,11 +9,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from flamingohead.core.ejection import OVERLOAD_KINDS
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 
 if TYPE_CHECKING:
@@ -52,7 +51,8 @@
 class AttemptTracker:
     """Track the attempts of a request and decide on the next one.
 
-    At most ``max_upstreams`` upstreams may work on the request.
+    At most ``max_upstreams`` upstreams may work on the request. ``ran`` states whether
+    any of the attempts was executed.
     """
 
     idempotent: bool
@@ -61,6 +61,7 @@
     excluded: set[UpstreamKey] = field(default_factory=set)
     upstreams: int = 0
     retry_at: float | None = None
+    ran: ExecutionStatus = ExecutionStatus.NO
     _immediate_attempts: int = 0
     _queue_refusals: int = 0
     _moves: int = 0
@@ -85,22 +86,22 @@
         charged to the retry budget.
         """
         self._last_refusal = refusal
+        self.ran = self.ran.merge(refusal.ran)
         self.excluded.add(key)
         if refusal.retry_at is not None:
             is_earlier = self.retry_at is None or refusal.retry_at < self.retry_at
             self.retry_at = refusal.retry_at if is_earlier else self.retry_at
         if now >= self.deadline:
             return Step.GIVE_UP
-        if refusal.kind in OVERLOAD_KINDS and refusal.kind is not (
-            ErrorKind.UPSTREAM_SHED
-        ):
+        may_have_run = refusal.ran is not ExecutionStatus.NO
+        if may_have_run and not self.idempotent:
+            return Step.GIVE_UP
+        if refusal.kind in FULL_KINDS and not may_have_run:
             return self._record_overload(waited)
-        if refusal.kind in MOVE_KINDS:
+        if refusal.kind in MOVE_KINDS and not may_have_run:
             self._moves += 1
             return Step.MOVE if self._moves <= MAX_MOVES else Step.GIVE_UP
         self.upstreams += 1
-        if refusal.ran is not ExecutionStatus.NO and not self.idempotent:
-            return Step.GIVE_UP
         if self.upstreams >= self.max_upstreams:
             return Step.GIVE_UP
         return Step.REPEAT
@@ -116,11 +117,17 @@
         return Step.MOVE if self._queue_refusals < MAX_QUEUE_REFUSALS else Step.GIVE_UP
 
     def build_final_refusal(self) -> Refusal | None:
-        """Return the final refusal, with the earliest time at which to retry."""
+        """Return the final refusal, for all attempts.
+
+        It has the earliest time at which to retry, and states "not run" only if no
+        attempt may have run.
+        """
         last = self._last_refusal
-        if last is None or self.retry_at is None or last.ran is not ExecutionStatus.NO:
-            return last
-        return Refusal(last.kind, last.detail, self.retry_at, last.ran_override)
+        if last is None:
+            return None
+        if last.ran is ExecutionStatus.NO and self.retry_at is not None:
+            last = replace(last, retry_at=self.retry_at)
+        return last.merge_ran(self.ran)
 
 
 class OverloadCache:
@@ -138,6 +145,8 @@
     def record(self, service: str, rank: str, refusal: Refusal, now: float) -> None:
         """Record the final refusal of a request that was offered to hosts."""
         if refusal.kind in FULL_KINDS:
+            # The state of its attempts is not that of other requests.
+            refusal = Refusal(refusal.kind, refusal.detail, refusal.retry_at)
             self._refusals[service, rank] = now + self._period, refusal
 
     def find(self, service: str, rank: str, now: float) -> Refusal | None:
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
+BAD_GATEWAY = 502
+# Statuses by which a caller learns that a request was not executed and never will be.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class ExecutionStatus(Enum):
     """State whether a refused request was executed by an upstream."""
@@ -13,6 +17,13 @@
     YES = "yes"
     UNKNOWN = "unknown"
 
+    def merge(self, other: ExecutionStatus) -> ExecutionStatus:
+        """Return the state of a request whose attempts have these two states."""
+        for status in (ExecutionStatus.YES, ExecutionStatus.UNKNOWN):
+            if status in (self, other):
+                return status
+        return ExecutionStatus.NO
+
 
 class ErrorKind(Enum):
     """Enumerate the reasons for which a request or an operation is refused."""
@@ -133,6 +144,21 @@
     def ran(self) -> ExecutionStatus:
         return self.ran_override or self.answer.ran
 
+    @property
+    def caller_status(self) -> int:
+        """Return the status for a caller, who must not take "unknown" for "not run"."""
+        status = self.answer.status
+        if status in NOT_RUN_STATUSES and self.ran is not ExecutionStatus.NO:
+            return BAD_GATEWAY
+        return status
+
+    def merge_ran(self, earlier: ExecutionStatus) -> Refusal:
+        """Return the refusal of a request with this one and earlier attempts."""
+        ran = self.ran.merge(earlier)
+        if ran is self.ran:
+            return self
+        return replace(self, ran_override=ran, key_checked=False)
+
     def compute_retry_after_ms(self, now: float) -> int | None:
         """Return the milliseconds after which a retry may succeed, or ``None``."""
         if self.retry_at is None:
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -104,6 +104,11 @@
     UPSTREAM_DECLINED = EventKind(
         524, logging.INFO, "upstream stated that it did not execute a request"
     )
+    EXECUTION_NOT_STATED = EventKind(
+        525,
+        logging.WARNING,
+        "upstream refused a request without stating that it did not run",
+    )
     SURPLUS_RESPONSE = EventKind(
         526, logging.WARNING, "data of an upstream or daemon without a pending request"
     )
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.connection_reuse import get_max_idle_seconds
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.events import Event, log_event
 from flamingohead.services.byte_bounds import MAX_DISCARDED_BYTES, ByteBound
 from flamingohead.services.dialects import PRODUCT_DIALECT
@@ -15,13 +15,12 @@
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
+    from flamingohead.kernel import Kernel
     from flamingohead.services.dialects import Dialect
-    from flamingohead.services.http_client import HttpClientService
     from flamingohead.services.http_connection import ClientConnection
     from flamingohead.services.http_messages import Headers
     from flamingohead.services.http_response import ServerResponse
 
-
 logger = logging.getLogger(__name__)
 
 
@@ -29,7 +28,8 @@
     """Forward a response to the caller as it arrives.
 
     Discards a response by which the upstream states that it did not execute the
-    request, so that the request can be tried elsewhere.
+    request, so that the request can be tried elsewhere, and one whose status callers
+    would take for this statement although it lacks it (``lacks_statement``).
     """
 
     def __init__(
@@ -40,6 +40,7 @@
         self.status = 0
         self.headers: Headers = []
         self.not_executed = False
+        self.lacks_statement = False
         self.is_complete = False
         self.connection: ClientConnection | None = None
         self._discarded = ByteBound(MAX_DISCARDED_BYTES)
@@ -48,6 +49,11 @@
     def started(self) -> bool:
         return self._response.started
 
+    @property
+    def is_discarded(self) -> bool:
+        """Return whether the caller gets no part of the response."""
+        return self.not_executed or self.lacks_statement
+
     def record_admission(self, now: float) -> None:
         """Record the time at which the request was admitted."""
         self._response.admitted_at = now
@@ -62,25 +68,26 @@
         headers = [h for h in headers if not h[0].startswith(RELAY_PREFIX)]
         self.status = status
         self.headers = headers
-        if self._dialect.states_not_executed(status, headers):
-            self.not_executed = True
-            return
-        self._response.start(status, headers, length=length)
+        self.not_executed = self._dialect.states_not_executed(status, headers)
+        is_denial = status in self._dialect.not_run_statuses
+        self.lacks_statement = is_denial and not self.not_executed
+        if not self.is_discarded:
+            self._response.start(status, headers, length=length)
 
     def write(self, data: bytes) -> None:
-        if self.not_executed:
+        if self.is_discarded:
             self._discarded.add(len(data))
             return
         self._response.write(data)
 
     def finish(self) -> None:
         self.is_complete = True
-        if not self.not_executed:
+        if not self.is_discarded:
             self._response.finish()
 
 
 async def dispatch_call(
-    client: HttpClientService,
+    kernel: Kernel,
     address: str,
     call: Call,
     relay: ResponseRelay,
@@ -103,7 +110,7 @@
         allows_close_delimited=dialect.allows_close_delimited_responses,
         echoes_request_id=dialect.echo_request_ids,
     )
-    refusal = await client.send(
+    refusal = await kernel.get("http_client").send(
         address,
         request,
         relay,
@@ -112,15 +119,31 @@
         ),
         on_connection=relay.attach,
     )
-    if refusal is None and relay.not_executed:
-        log_event(
-            logger,
-            Event.UPSTREAM_DECLINED,
-            request=call.request_id,
-            upstream=upstream,
-            status=relay.status,
-            connection=relay.connection.number,
-            exchange=relay.connection.exchange_count,
+    if refusal is None and relay.is_discarded:
+        return _refuse_discarded(kernel, call, relay, upstream)
+    return refusal
+
+
+def _refuse_discarded(
+    kernel: Kernel, call: Call, relay: ResponseRelay, upstream: str
+) -> Refusal:
+    """Return the refusal for a response that the caller doesn't get."""
+    event = Event.UPSTREAM_DECLINED
+    refusal = Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
+    if relay.lacks_statement:
+        event = Event.EXECUTION_NOT_STATED
+        detail = f"the upstream answered {relay.status} and may have executed it"
+        refusal = Refusal(
+            ErrorKind.UPSTREAM_FAILED, detail, ran_override=ExecutionStatus.UNKNOWN
         )
-        return Refusal(ErrorKind.UPSTREAM_SHED, "the upstream did not execute it")
+        kernel.get("metrics").count("upstream.execution_not_stated")
+    log_event(
+        logger,
+        event,
+        request=call.request_id,
+        upstream=upstream,
+        status=relay.status,
+        connection=relay.connection.number,
+        exchange=relay.connection.exchange_count,
+    )
     return refusal
--- a/flamingohead/tests/test_attempt_plan.py
+++ b/flamingohead/tests/test_attempt_plan.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from flamingohead.core.attempts import (
+    FULL_KINDS,
     MAX_IMMEDIATE_ATTEMPTS,
+    MOVE_KINDS,
     AttemptTracker,
     OverloadCache,
     Step,
@@ -40,6 +44,15 @@
         plan.record(("b", "u"), later, 0.0, waited=True)
         assert plan.build_final_refusal().retry_at == 4.0
 
+    def test_request_that_may_have_run_earlier_is_not_denied(self):
+        plan = build_plan()
+        plan.record(("a", "u"), CUT, 0.0, waited=False)
+        plan.record(("b", "u"), FULL, 0.0, waited=True)
+        refusal = plan.build_final_refusal()
+        assert refusal.kind is ErrorKind.QUEUE_FULL
+        assert refusal.ran is ExecutionStatus.UNKNOWN
+        assert refusal.retry_at == 4.0
+
     @pytest.mark.parametrize(("idempotent", "step"), [(True, "REPEAT"), (False, None)])
     def test_call_that_may_have_run_is_retried_only_if_idempotent(
         self, idempotent, step
@@ -54,6 +67,20 @@
         assert shed.ran is ExecutionStatus.NO
         assert plan.record(("a", "u"), shed, 0.0, waited=False) is Step.REPEAT
 
+    @pytest.mark.parametrize("waited", [False, True])
+    @pytest.mark.parametrize("kind", sorted(MOVE_KINDS | FULL_KINDS, key=str))
+    def test_refusal_that_may_have_run_is_not_sent_again(self, kind, waited):
+        refusal = Refusal(kind, ran_override=ExecutionStatus.UNKNOWN)
+        plan = build_plan(idempotent=False)
+        assert plan.record(("a", "u"), refusal, 0.0, waited=waited) is Step.GIVE_UP
+
+    @pytest.mark.parametrize("kind", sorted(MOVE_KINDS | FULL_KINDS, key=str))
+    def test_attempt_after_one_that_may_have_run_is_charged(self, kind):
+        refusal = Refusal(kind, ran_override=ExecutionStatus.UNKNOWN)
+        plan = build_plan(max_upstreams=2)
+        assert plan.record(("a", "u"), refusal, 0.0, waited=False) is Step.REPEAT
+        assert plan.record(("b", "u"), refusal, 0.0, waited=False) is Step.GIVE_UP
+
     def test_route_limits_the_number_of_upstreams(self):
         plan = build_plan(max_upstreams=2)
         assert plan.record(("a", "u"), CUT, 0.0, waited=False) is Step.REPEAT
@@ -86,6 +113,12 @@
         full.record("s", "search", CUT, 0.0)
         assert full.find("s", "search", 0.0) is None
 
+    def test_state_of_earlier_attempts_is_not_that_of_other_requests(self):
+        full = OverloadCache()
+        refusal = replace(FULL, ran_override=ExecutionStatus.UNKNOWN)
+        full.record("s", "search", refusal, 0.0)
+        assert full.find("s", "search", 0.0) == FULL
+
 
 class TestSharedRetryBudget:
     SETTINGS = SharedBudgetSettings(ratio=0.2, slack=58, window=10.0)
