Count a stated refusal by the statement, not by its status or request id

Callers: a request that an upstream had refused as not executed was told "not run" (or run again) by a duplicate of that refusal, though it ran.

Cause: a connection remembered the ids of responses with status 400 or above. Three refusals left no trace: of a request without an id, without the id of their request, and with a status below 400 (the platform's dialect reads the header alone). The product's daemons retry on the same upstream (may_repeat_on_same_upstream), mostly on the same connection. A request without an id also took any duplicate there.

Change: the relay that reads the statement reports it to its connection, whatever the status. A refusal that doesn't bear the id of its request ends the connection; a request without an id takes no connection that has carried an error.

Why it works: a duplicate comes on the connection of its refusal. After it that connection carries only requests whose ids differ from those refused.

--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -38,6 +38,7 @@
         self.is_complete = False
         self.dispatched = False
         self._discarded = ByteBound(MAX_DISCARDED_BYTES)
+        self._connection: ClientConnection | None = None
 
     @property
     def started(self) -> bool:
@@ -50,6 +51,7 @@
     def attach(self, connection: ClientConnection) -> None:
         """Pause reading from the connection while the caller's write buffer is full."""
         self.dispatched = True
+        self._connection = connection
         self._response.on_pause = connection.pause
         self._response.on_resume = connection.resume
 
@@ -59,6 +61,8 @@
         self.headers = headers
         if self._dialect.states_not_executed(status, headers):
             self.not_executed = True
+            if self._connection is not None:
+                self._connection.record_refusal()
             return
         self._response.start(status, headers, length=length)
 
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -70,6 +70,8 @@
         self._request_id: bytes | None = None
         self._requires_id = False
         self._has_responded = False
+        self._is_refused = False
+        self._is_id_echoed = False
         self._exchange_id: bytes | None = None
         self._refused_ids: set[bytes] = set()
         self.progress = ResponseProgress(math.inf)
@@ -78,10 +80,17 @@
         """Return whether the response to a request could only be its own.
 
         A duplicate of an earlier refusal bears the id of that request, so that a retry
-        of the request on the same connection could be taken for refused again.
+        of the request on the same connection could be taken for refused again. The
+        response to a request without an id can't be told from any duplicate.
         """
         request_id = find_header(request.headers, REQUEST_ID_HEADER)
-        return request_id is None or request_id not in self._refused_ids
+        if request_id is None:
+            return not self._refused_ids
+        return request_id not in self._refused_ids
+
+    def record_refusal(self) -> None:
+        """Record that the response states that its request was not executed."""
+        self._is_refused = True
 
     def exchange(
         self,
@@ -102,6 +111,8 @@
         self._request_id = find_header(request.headers, REQUEST_ID_HEADER)
         self._requires_id = request.echoes_request_id and self._has_responded
         self._exchange_id = find_header(request.headers, EXCHANGE_HEADER)
+        self._is_refused = False
+        self._is_id_echoed = False
         self._on_done = on_done
         self.progress = ResponseProgress(
             request.deadline, request.start_deadline, request.max_stall_seconds
@@ -247,6 +258,7 @@
             self._headers.remove((EXCHANGE_HEADER, self._exchange_id))
         response_id = find_header(self._headers, REQUEST_ID_HEADER)
         expected = self._request_id
+        self._is_id_echoed = response_id is not None and response_id == expected
         if expected is None or response_id == expected:
             return
         if response_id is not None or self._requires_id:
@@ -261,7 +273,11 @@
     def _finish(self, *, reusable: bool) -> None:
         sink, self._sink = self._sink, None
         self._has_responded = True
-        if self._status >= FIRST_ERROR_STATUS and self._request_id is not None:
+        if self._is_refused and not self._is_id_echoed:
+            # A duplicate of it could be taken for the next response.
+            reusable = False
+        is_error = self._is_refused or self._status >= FIRST_ERROR_STATUS
+        if is_error and self._request_id is not None:
             self._refused_ids.add(self._request_id)
             reusable = reusable and len(self._refused_ids) <= MAX_REFUSED_IDS
         if not reusable or self.transport.get_unsent_bytes():
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -23,7 +23,7 @@
 
 
 def build_request(name, *, echoes_request_id=True):
-    headers = ((b"request-id", name),)
+    headers = ((b"request-id", name),) if name else ()
     return OutgoingRequest(
         "GET", b"/", headers, b"", 1.0, echoes_request_id=echoes_request_id
     )
@@ -98,12 +98,13 @@
 )
 
 
-class _RepeatingUpstream:
+class RepeatingUpstream:
     """Refuse the first request; write the refusal again when the next one arrives."""
 
-    def __init__(self):
+    def __init__(self, refusal=REFUSAL):
         self.runs = []
         self.connections = 0
+        self._refusal = refusal
         self._requests = 0
 
     async def serve(self, reader, writer):
@@ -115,11 +116,11 @@
                 request_id = head.lower().partition(b"request-id: ")[2].split(b"\r")[0]
                 self._requests += 1
                 if self._requests == 1:
-                    writer.write(REFUSAL)
+                    writer.write(self._refusal)
                     continue
                 self.runs.append(request_id)
                 if is_first_connection:
-                    writer.write(REFUSAL)
+                    writer.write(self._refusal)
                 writer.write(build_answer(request_id))
         except (asyncio.IncompleteReadError, OSError):
             pass
@@ -135,24 +136,27 @@
 class TestRepeatedRefusals:
     """Guard against requests told "not run" by a repeated refusal, though they ran."""
 
-    async def send_twice(self, upstream, second_id):
+    async def send_twice(self, upstream, second_id, *, echoes_request_id=True):
         server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         client = HttpClientService()
         results = []
         for request_id in (b"a", second_id):
             request = replace(
-                build_request(request_id), deadline=time.monotonic() + 5.0
+                build_request(request_id, echoes_request_id=echoes_request_id),
+                deadline=time.monotonic() + 5.0,
             )
             relay = ResponseRelay(_Response(), PLATFORM_DIALECT)
-            refusal = await client.send(address, request, relay)
+            refusal = await client.send(
+                address, request, relay, on_connection=relay.attach
+            )
             results.append((refusal, relay.not_executed))
         await client.stop()
         server.close()
         return results
 
     def test_retry_of_a_refused_request_takes_another_connection(self):
-        upstream = _RepeatingUpstream()
+        upstream = RepeatingUpstream()
         first, second = asyncio.run(self.send_twice(upstream, b"a"))
         assert first == (None, True)
         # The request ran, so that it must not count as refused again.
@@ -161,13 +165,30 @@
         assert upstream.connections == 2
 
     def test_repeated_refusal_is_not_that_of_another_request(self):
-        upstream = _RepeatingUpstream()
+        upstream = RepeatingUpstream()
         _, (refusal, not_executed) = asyncio.run(self.send_twice(upstream, b"b"))
         assert upstream.connections == 1 and upstream.runs == [b"b"]
         assert refusal.kind is ErrorKind.UPSTREAM_MALFORMED
         assert refusal.ran is ExecutionStatus.UNKNOWN
         assert not not_executed
 
+    @pytest.mark.parametrize(
+        "refusal, second_id",
+        [(REFUSAL, b""), (REFUSAL.replace(b"request-id: a\r\n", b""), b"b")],
+        ids=["request without an id", "refusal without an id"],
+    )
+    def test_request_that_no_id_tells_apart_takes_another_connection(
+        self, refusal, second_id
+    ):
+        upstream = RepeatingUpstream(refusal)
+        first, second = asyncio.run(
+            self.send_twice(upstream, second_id, echoes_request_id=False)
+        )
+        assert first == (None, True)
+        assert second == (None, False)
+        assert upstream.runs == [second_id]
+        assert upstream.connections == 2
+
     def test_connection_with_many_errors_is_not_reused(self):
         exchanges = _Exchanges()
         for number in range(MAX_REFUSED_IDS + 1):
