--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -69,6 +69,8 @@
         self.status = status
         self.headers = headers
         self.not_executed = self._dialect.states_not_executed(status, headers)
+        if self.not_executed and self.connection is not None:
+            self.connection.record_refusal()
         is_denial = status in self._dialect.not_run_statuses
         self.lacks_statement = is_denial and not self.not_executed
         if not self.is_discarded:
