Keep connections between daemons after errors

Callers: none saw it. Each refusal that a daemon relayed counted towards the 64 errors after which its connection is closed, and a retry by way of the same daemon opened another connection; a request without an id would take a new one after each error.

Cause: the ids of errors are remembered for upstreams, which echo only the request id. Between daemons each exchange has an id of its own, which the response must bear, so that a duplicate never passes there.

Change: a connection remembers no ids of requests that bear an exchange id.

The test failed before (the connection refused the retry); a duplicate with the earlier exchange id ends as malformed.

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -277,7 +277,9 @@
             # A duplicate of it could be taken for the next response.
             reusable = False
         is_error = self._is_refused or self._status >= FIRST_ERROR_STATUS
-        if is_error and self._request_id is not None:
+        # Between daemons, the id of the exchange tells a duplicate from the response.
+        needs_record = self._request_id is not None and self._exchange_id is None
+        if is_error and needs_record:
             self._refused_ids.add(self._request_id)
             reusable = reusable and len(self._refused_ids) <= MAX_REFUSED_IDS
         if not reusable or self.transport.get_unsent_bytes():
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -16,7 +16,7 @@
 from flamingohead.services.eras import EraService
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.http_connection import MAX_REFUSED_IDS, ClientConnection
-from flamingohead.services.http_messages import OutgoingRequest
+from flamingohead.services.http_messages import EXCHANGE_HEADER, OutgoingRequest
 from flamingohead.services.metrics import MetricsService
 from flamingohead.testing.transports import FakeTransport, RecordingSink
 from flamingohead.tests.test_slots import FakeResponse
@@ -48,8 +48,10 @@
         self.sinks = []
 
     def send(self, name, **options):
+        self.send_request(build_request(name, **options))
+
+    def send_request(self, request):
         self.sinks.append(RecordingSink())
-        request = build_request(name, **options)
         self.connection.exchange(request, self.sinks[-1], self.ends.append)
 
 
@@ -199,6 +201,26 @@
         assert not exchanges.connection.is_open
 
 
+class TestDaemons:
+    REFUSAL = REFUSAL.replace(b"content", b"flamingohead-exchange: 1\r\ncontent")
+
+    def build_request(self, request_id, exchange_id):
+        headers = ((b"request-id", request_id), (EXCHANGE_HEADER, exchange_id))
+        return replace(build_request(b""), headers=headers)
+
+    def test_connection_carries_a_refused_request_again(self):
+        exchanges = _Exchanges()
+        exchanges.send_request(self.build_request(b"a", b"1"))
+        exchanges.transport.deliver(self.REFUSAL)
+        assert exchanges.ends == [None] and exchanges.connection.is_open
+        retry = self.build_request(b"a", b"2")
+        assert exchanges.connection.may_carry(retry)
+        exchanges.send_request(retry)
+        exchanges.transport.deliver(self.REFUSAL)
+        assert exchanges.ends[1].kind is ErrorKind.UPSTREAM_MALFORMED
+        assert exchanges.ends[1].ran is ExecutionStatus.UNKNOWN
+
+
 class TestStore:
     """Simulate a store that repeats the page of a read at the next request."""
 
