Reject a response with an id to a request without one

Callers: none saw it. A request without an id, sent to an upstream on a connection in use before, got the duplicate of an earlier response, with the id of that request, as its own answer.

Cause: the ids of responses were compared only if the request had an id.

Change: where upstreams echo request ids, a response with an id that the request doesn't bear is rejected in any case; an empty id counts as none on both sides. The product's upstreams need not echo ids and may make up their own: unchanged.

Evidence: the test failed before (the exchange ended without an error); the tests of second answers and the properties of the HTTP client pass.

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -68,6 +68,7 @@
         self._is_close_delimited = False
         self._allows_close_delimited = False
         self._request_id: bytes | None = None
+        self._echoes_id = False
         self._requires_id = False
         self._has_responded = False
         self._is_refused = False
@@ -84,7 +85,7 @@
         response to a request without an id can't be told from any duplicate.
         """
         request_id = find_header(request.headers, REQUEST_ID_HEADER)
-        if request_id is None:
+        if not request_id:
             return not self._refused_ids
         return request_id not in self._refused_ids
 
@@ -108,7 +109,8 @@
         self._method = request.method
         self._is_close_delimited = False
         self._allows_close_delimited = request.allows_close_delimited
-        self._request_id = find_header(request.headers, REQUEST_ID_HEADER)
+        self._request_id = find_header(request.headers, REQUEST_ID_HEADER) or None
+        self._echoes_id = request.echoes_request_id
         self._requires_id = request.echoes_request_id and self._has_responded
         self._exchange_id = find_header(request.headers, EXCHANGE_HEADER)
         self._is_refused = False
@@ -256,10 +258,10 @@
             if find_header(self._headers, EXCHANGE_HEADER) != self._exchange_id:
                 self._reject("answer to another exchange")
             self._headers.remove((EXCHANGE_HEADER, self._exchange_id))
-        response_id = find_header(self._headers, REQUEST_ID_HEADER)
+        response_id = find_header(self._headers, REQUEST_ID_HEADER) or None
         expected = self._request_id
         self._is_id_echoed = response_id is not None and response_id == expected
-        if expected is None or response_id == expected:
+        if response_id == expected or (expected is None and not self._echoes_id):
             return
         if response_id is not None or self._requires_id:
             self._reject("answer to another request")
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -73,7 +73,8 @@
     unframed response has neither Content-Length nor chunked coding and ends when the
     connection closes. If the upstream ``echoes_request_id``, a response without the
     request id is rejected unless it is the first on its connection: it may be a
-    duplicate of the previous response.
+    duplicate of the previous response. A response with an id is then also rejected if
+    the request has none.
     """
 
     method: str
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -73,6 +73,22 @@
         assert exchanges.sinks[1].body == b""
         assert not exchanges.connection.is_open
 
+    def test_duplicate_is_not_the_answer_of_a_request_without_an_id(self):
+        exchanges = _Exchanges()
+        exchanges.send(b"a")
+        exchanges.transport.deliver(build_answer(b"a"))
+        exchanges.send(b"")
+        exchanges.transport.deliver(build_answer(b"a"))
+        assert exchanges.ends[1].kind is ErrorKind.UPSTREAM_MALFORMED
+        assert exchanges.sinks[1].body == b""
+
+    def test_empty_id_counts_as_none(self):
+        exchanges = _Exchanges()
+        exchanges.send(b"")
+        answer = build_answer(b"-").replace(b"request-id: -", b"request-id:")
+        exchanges.transport.deliver(answer)
+        assert exchanges.ends == [None]
+
     def test_duplicate_after_the_answer_closes_the_connection(self):
         exchanges = _Exchanges()
         exchanges.send(b"a")
