Keep an upstream in use after a late leave of its earlier start

Callers saw a healthy upstream that got no requests after its daemon had been restarted, until the upstream itself started again.

Cause: a "draining" heartbeat of an earlier incarnation, which arrives after the later one has registered under the same name, was ignored by the registry, as it should be. Its acknowledgement however recorded the departure by name, with the newest incarnation known under it. The row and the copies at other daemons then named the incarnation in service, and the next daemon of the host ended it for good.

A leave is now recorded only if the newest incarnation of the upstream drains or is gone; the late one is acknowledged without effect. A repeated leave of the same incarnation still waits until the departure is kept.

The test plays it with three daemons, a store and a restart. It failed before: "assert 1 == (1 + 1)", the upstream was never ready again. After the change the tests of departures, the adapter and the upstreams pass (165).

--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -34,6 +34,7 @@
     LOST = "lost"
 
 
+ENDING_STAGES = (UpstreamStage.DRAINING, UpstreamStage.GONE)
 PUBLISHED_STATUSES = {
     UpstreamStage.WARMING: UpstreamStatus.WARMING,
     UpstreamStage.READY: UpstreamStatus.READY,
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -173,7 +173,9 @@
             body = json.dumps({"error": refusal.detail}).encode()
             response.send(refusal.answer.status, JSON_HEADERS, body)
             return
-        if announcement.status is UpstreamStatus.DRAINING:
+        # A late message of an earlier incarnation leaves the later one in use.
+        is_leaving = self._kernel.get("upstreams").is_leaving(announcement.name)
+        if announcement.status is UpstreamStatus.DRAINING and is_leaving:
             self._spawn(self._acknowledge_leave(announcement.name, response))
             return
         response.send(200, JSON_HEADERS, b"{}")
--- a/flamingohead/services/upstreams.py
+++ b/flamingohead/services/upstreams.py
@@ -8,6 +8,7 @@
 
 from flamingohead.core.errors import Refusal
 from flamingohead.core.upstreams import (
+    ENDING_STAGES,
     Announcement,
     UpstreamChanged,
     UpstreamRegistry,
@@ -50,6 +51,10 @@
         """Return the incarnation of a known upstream."""
         return self._registry.get_incarnation(name)
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the newest incarnation of an upstream drains or is gone."""
+        return self._registry.get_stage(name) in ENDING_STAGES
+
     def announce(self, announcement: Announcement) -> Refusal | None:
         """Apply an announcement; it has taken effect when this returns."""
         result = self._registry.announce(announcement, time.monotonic())
--- a/flamingohead/tests/test_departures.py
+++ b/flamingohead/tests/test_departures.py
@@ -376,6 +376,21 @@
         while send_announcement(host, "DELETE", "i-left", {}) != 200:
             assert time.monotonic() < deadline
 
+    def test_late_leave_of_an_earlier_start_does_not_end_the_later_one(self, mesh):
+        # An upstream starts again under its name, then its earlier leave arrives.
+        host = mesh.hosts["h1"]
+        host.instance.kill()
+        born = int(time.time() * 1000)
+        leave = {**build_heartbeat(host, born=born, sequence=9), "state": "draining"}
+        later = build_heartbeat(host, born=born + 1)
+        assert send_announcement(host, "PUT", "i-again", later) == 200
+        assert send_announcement(host, "PUT", "i-again", leave) == 200
+        uses = count_uses(host, "i-again")
+        host.daemon.kill()
+        mesh.start_daemon(host)
+        announce_late(host, "i-again", born + 1)
+        assert count_uses(host, "i-again") == uses + 1
+
     def test_upstream_of_a_restarted_daemon_is_used_again(self, mesh):
         host = mesh.hosts["h1"]
         uses = count_uses(host, "i-h1")
