Write to the table on connections of their own

A keyed request could run twice, or a change could be reported as a conflict, where the table service repeats a response on a connection that is in use again.

Cause: the client of the table and object services pools its connections, and nothing but the connection pairs a response with its request. Twisted drops surplus bytes that arrive with a response and reads those that arrive after the next request as its response. A repeated 201 granted a claim that another daemon held, a repeated 412 denied an insert that was done.

Calls that change data now use new connections; reads keep the pool.

Both tests failed before: "[True, True] == [True, False]" and "[True, True, False] == [True, False, True]".

--- a/flamingohead/services/platform.py
+++ b/flamingohead/services/platform.py
@@ -56,17 +56,30 @@
         return endpoint_type(reactor, host, uri.port, timeout=CONNECT_TIMEOUT_SECONDS)
 
 
+def _build_client(pool: HTTPConnectionPool) -> HTTPClient:
+    return HTTPClient(Agent.usingEndpointFactory(reactor, _EndpointFactory(), pool))
+
+
 class _PlatformClient:
+    """Send requests; one that changes data uses a new connection.
+
+    Responses have no id, so that a delayed duplicate of an earlier response could be
+    taken for that of a write.
+    """
+
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
         self._pool: HTTPConnectionPool | None = None
-        self._client: HTTPClient | None = None
+        self._read_client: HTTPClient | None = None
+        self._write_client: HTTPClient | None = None
 
     async def start(self) -> None:
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
-        agent = Agent.usingEndpointFactory(reactor, _EndpointFactory(), self._pool)
-        self._client = HTTPClient(agent)
+        self._read_client = _build_client(self._pool)
+        self._write_client = _build_client(
+            HTTPConnectionPool(reactor, persistent=False)
+        )
 
     async def stop(self) -> None:
         if self._pool is not None:
@@ -84,8 +97,9 @@
     ) -> _Response | Refusal:
         loop = asyncio.get_running_loop()
         url = self._base_url + path
+        client = self._read_client if method == "GET" else self._write_client
         try:
-            deferred = self._client.request(method, url, data=body, headers=headers)
+            deferred = client.request(method, url, data=body, headers=headers)
             return await asyncio.wait_for(
                 self._read(deferred, loop), REQUEST_TIMEOUT_SECONDS
             )
--- a/flamingohead/tests/test_platform.py
+++ b/flamingohead/tests/test_platform.py
@@ -46,6 +46,53 @@
             connection.close()
 
 
+class _RepeatingTable:
+    """Repeat the previous response in front of the next one of a connection."""
+
+    def __init__(self):
+        self.keys = set()
+
+    async def serve(self, reader, writer):
+        previous = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = head.lower().partition(b"content-length: ")[2]
+                await reader.readexactly(int(length.split(b"\r")[0] or 0))
+                response = self.respond(*head.split(b" ")[:2])
+                writer.write(previous + response)
+                previous = response
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    def respond(self, method, path):
+        status = 412 if path in self.keys else 201
+        if method == b"PUT":
+            self.keys.add(path)
+        return b"HTTP/1.1 %d Done\r\nContent-Length: 0\r\n\r\n" % status
+
+
+class TestRepeatedResponses:
+    """Guard against writes that count as done by the response to an earlier call."""
+
+    async def insert(self, *keys):
+        server = await asyncio.start_server(_RepeatingTable().serve, "127.0.0.1", 0)
+        table = TableClient("http://127.0.0.1:%d" % server.sockets[0].getsockname()[1])
+        await table.start()
+        results = [await table.insert(key, b"claim") for key in keys]
+        await table.stop()
+        server.close()
+        return results
+
+    def test_repeated_success_does_not_grant_a_second_claim(self):
+        assert run(self.insert("a", "a")) == [True, False]
+
+    def test_repeated_conflict_does_not_deny_an_insert(self):
+        assert run(self.insert("a", "a", "b")) == [True, False, True]
+
+
 class TestBounds:
     @pytest.mark.parametrize(("size", "is_accepted"), [(1000, True), (1001, False)])
     def test_answer_over_the_limit_is_refused(self, monkeypatch, size, is_accepted):
