Let no write performed late replace a later departure

An acknowledged departure of an upstream could be lost: the next daemon of the host would put the leaving upstream back into use (DRAIN).

Cause: the row of the departure was replaced without a condition. The store may perform a call without a response seconds later if its condition still holds, and no condition always holds. A first write without a response, its successful repetition and the write of the next departure were followed by the first write, which took the row back to the earlier departure, though the later one had been acknowledged as stored.

The row is now written on condition of the version that was read. A write whose outcome is unknown is followed by a read, so that at most one of two writes from the same version is performed. The unconditional write of the table adapter had no other caller and is gone. A daemon reads the row at its start in any case, so that its first departure costs no further call; a later one, or one after an unknown write, costs one read. A write that the store refuses without doing it is repeated as before.

Tests of departures in a restored store answer the read that now precedes the first write; what they assert is unchanged, counted over writes.

--- a/flamingohead/platform/tables.py
+++ b/flamingohead/platform/tables.py
@@ -49,10 +49,6 @@
         """Replace a row if its tag is ``tag``; return whether it was written."""
         return await self._write(key, value, StoreVersion.parse(tag))
 
-    async def replace(self, key: str, value: bytes) -> bool | Refusal:
-        """Write a row unconditionally."""
-        return await self._commit(values={_build_row_key(key): value})
-
     async def delete(self, key: str, tag: str | None = None) -> bool | Refusal:
         """Delete a row; return whether the transaction was applied.
 
--- a/flamingohead/services/departures.py
+++ b/flamingohead/services/departures.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from flamingohead.core.departures import DepartureTracker
-from flamingohead.core.errors import Refusal
+from flamingohead.core.errors import ExecutionStatus, Refusal
 from flamingohead.core.members import Departure, UpstreamStatus
 from flamingohead.core.upstreams import FINAL_SEQUENCE, Announcement
 from flamingohead.decoding import DECODING_ERRORS, Name, Number
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from flamingohead.core.members import Member
+    from flamingohead.core.rows import Row
     from flamingohead.kernel import Kernel
 
 logger = logging.getLogger(__name__)
@@ -57,6 +58,9 @@
         self._key = f"departures/{host_id}"
         self._tracker = DepartureTracker()
         self._is_safe = asyncio.Event()
+        # The row as read last, unless a write may have changed it since.
+        self._row: Row | None = None
+        self._is_row_known = False
         self._write_task: asyncio.Task | None = None
         self._copy_task: asyncio.Task | None = None
         self._load_task: asyncio.Task | None = None
@@ -120,6 +124,7 @@
     def _handle_store_restored(self) -> None:
         """Write the departure again, since the restored store may lack it."""
         self._tracker.handle_store_restored()
+        self._is_row_known = False
         self._update_safety()
         if self._tracker.latest is not None:
             self._start_write()
@@ -141,22 +146,45 @@
     async def _write_until_stored(self) -> None:
         while not self._tracker.is_stored:
             departure = self._tracker.latest
-            value = json.dumps(asdict(departure)).encode()
-            result = await self._kernel.get("table").replace(self._key, value)
-            if result is True:
+            if await self._write(json.dumps(asdict(departure)).encode()):
                 self._tracker.confirm_stored(departure)
                 self._update_safety()
             else:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _write(self, value: bytes) -> bool:
+        """Replace the row as it was read; return whether the table holds the value.
+
+        The condition also holds off an earlier write without a response, which the
+        table may still perform.
+        """
+        if not self._is_row_known and not await self._read_row():
+            return False
+        row = self._row
+        if row is not None and row.value == value:
+            return True
+        table = self._kernel.get("table")
+        self._is_row_known = False
+        if row is None:
+            result = await table.insert(self._key, value)
+        else:
+            result = await table.update(self._key, value, row.tag)
+        if isinstance(result, Refusal):
+            self._is_row_known = result.ran is ExecutionStatus.NO
+        return result is True
+
+    async def _read_row(self) -> bool:
+        row = await self._kernel.get("table").read(self._key)
+        if isinstance(row, Refusal):
+            return False
+        self._row, self._is_row_known = row, True
+        return True
+
     async def _load(self) -> None:
-        while True:
-            row = await self._kernel.get("table").read(self._key)
-            if not isinstance(row, Refusal):
-                break
+        while not await self._read_row():
             await asyncio.sleep(RETRY_SECONDS)
-        if row is not None:
-            self._apply_row(row.value)
+        if self._row is not None:
+            self._apply_row(self._row.value)
         self._tracker.note_table_read(time.monotonic())
 
     def _apply_row(self, value: bytes) -> None:
--- a/flamingohead/tests/test_departures.py
+++ b/flamingohead/tests/test_departures.py
@@ -200,7 +200,7 @@
     async def read(self, key):
         await asyncio.Event().wait()
 
-    async def replace(self, key, value):
+    async def insert(self, key, value):
         await asyncio.Event().wait()
 
 
@@ -231,9 +231,9 @@
         self.departures.append(departure)
 
 
-def build_service(*members, reachable=()):
+def build_service(*members, reachable=(), table=None):
     kernel = Kernel()
-    kernel.add("table", SilentTable())
+    kernel.add("table", table or SilentTable())
     kernel.add("peers", FakePeers(*reachable))
     kernel.add("gossip", FakeGossip(*members))
     kernel.add("eras", SimpleNamespace(listeners=[]))
@@ -273,13 +273,17 @@
         kernel, service = build_service("a")
         written = []
 
+        async def read(key):
+            return None
+
         async def refuse_then_store(key, value):
             written.append((key, value))
             is_first = len(written) == 1
             return Refusal(ErrorKind.PLATFORM_UNAVAILABLE) if is_first else True
 
         monkeypatch.setattr(departures, "RETRY_SECONDS", 0.0)
-        monkeypatch.setattr(kernel.get("table"), "replace", refuse_then_store)
+        monkeypatch.setattr(kernel.get("table"), "read", read)
+        monkeypatch.setattr(kernel.get("table"), "insert", refuse_then_store)
 
         async def run():
             await service.start()
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -518,6 +518,9 @@
 
 
 class TestLeavesInARestoredStore:
+    NO_ROW = (200, {"rows": [], "ver": 4})
+    DONE = (200, {"ver": 5})
+
     def build(self, *answers):
         kernel = build_store(*answers)
         upstreams = SimpleNamespace(incarnations={"i": 7}, announced=[])
@@ -528,7 +531,8 @@
         return kernel, DepartureService(kernel, "h")
 
     def read_written(self, kernel):
-        bodies = [json.loads(r.body) for r in kernel.get("http_client").requests]
+        requests = kernel.get("http_client").requests
+        bodies = [json.loads(r.body) for r in requests if r.method == "POST"]
         values = [row["value"] for body in bodies for row in body["set-keys"]]
         leaves = [json.loads(base64.b64decode(value)) for value in values]
         assert all(leave.pop("recorded_at") > 0 for leave in leaves)
@@ -536,11 +540,12 @@
 
     def test_leave_is_rewritten(self, monkeypatch):
         monkeypatch.setattr(departures, "RETRY_SECONDS", 0.0)
-        success = (200, {"ver": 5})
         kernel, recorder = self.build(
-            (*success, build_era_header(1)),
+            (*self.NO_ROW, build_era_header(1)),
+            (*self.DONE, build_era_header(1)),
+            (*self.NO_ROW, build_era_header(2)),
             (503, {}, build_era_header(2)),
-            (*success, build_era_header(2)),
+            (*self.DONE, build_era_header(2)),
         )
 
         async def run():
@@ -554,7 +559,7 @@
 
     def test_write_of_a_leave_is_retried(self, monkeypatch):
         monkeypatch.setattr(departures, "RETRY_SECONDS", 0.0)
-        kernel, recorder = self.build((503, {}), (503, {}), (200, {"ver": 5}))
+        kernel, recorder = self.build(self.NO_ROW, (503, {}), (503, {}), self.DONE)
 
         async def run():
             await recorder.record("i")
@@ -567,11 +572,11 @@
         self, monkeypatch
     ):
         monkeypatch.setattr(departures, "RETRY_SECONDS", 0.0)
-        kernel, recorder = self.build((503, {}), (200, {"ver": 5}))
+        kernel, recorder = self.build(self.NO_ROW, (503, {}), self.DONE)
 
         async def run():
             first = asyncio.create_task(recorder.record("i"))
-            while not kernel.get("http_client").requests:
+            while len(kernel.get("http_client").requests) < 2:
                 await asyncio.sleep(0)
             kernel.get("upstreams").incarnations["i"] = 8
             await recorder.record("i")
@@ -583,7 +588,7 @@
 
     def test_leave_is_acknowledged_only_once_it_is_kept(self, monkeypatch):
         monkeypatch.setattr(departures, "RECORD_TIMEOUT_SECONDS", 0.05)
-        kernel, recorder = self.build((503, {}), (200, {"ver": 5}))
+        kernel, recorder = self.build(self.NO_ROW, (503, {}), self.DONE)
 
         async def run():
             assert not await recorder.record("i")
