Send a request without an id on a connection of its own

A caller that sends no request id could get the answer to another request (MIXED), or be told that its request had not run by the refusal of another one.

Cause: where upstreams echo ids, an answer that isn't the first of its connection must bear the id of its request. A request without an id skipped that check, and nothing else tells a copy of an earlier answer from its own.

Such a request is now carried only by a connection that has completed no response. Where upstreams echo no ids, nothing changes.

The test failed before: the second caller got "answer to <a>".

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -78,10 +78,13 @@
         """Return whether the response to a request could only be its own.
 
         A duplicate of an earlier refusal bears the id of that request, so that a retry
-        of the request on the same connection could be taken for refused again.
+        of the request on the same connection could be taken for refused again. For a
+        request without an id, nothing but a new connection shows whose response it is.
         """
         request_id = find_header(request.headers, REQUEST_ID_HEADER)
-        return request_id is None or request_id not in self._refused_ids
+        if request_id is None:
+            return not (request.echoes_request_id and self._has_responded)
+        return request_id not in self._refused_ids
 
     def exchange(
         self,
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -23,7 +23,7 @@
 
 
 def build_request(name, *, echoes_request_id=True):
-    headers = ((b"request-id", name),)
+    headers = ((b"request-id", name),) if name else ()
     return OutgoingRequest(
         "GET", b"/", headers, b"", 1.0, echoes_request_id=echoes_request_id
     )
@@ -93,6 +93,49 @@
         assert exchanges.ends == [None, None]
 
 
+class TestRequestsWithoutAnId:
+    """Guard against the answer to another request for a request without an id."""
+
+    async def serve(self, reader, writer):
+        previous = b""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                name = head.partition(b"request-id: ")[2].split(b"\r")[0]
+                answer = build_answer(name, b"answer to <%b>" % name)
+                writer.write(previous + answer)
+                previous = answer
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def send_all(self, *names):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        client = HttpClientService()
+        bodies = []
+        for name in names:
+            request = replace(build_request(name), deadline=time.monotonic() + 5.0)
+            sink = RecordingSink()
+            assert await client.send(address, request, sink) is None
+            bodies.append(sink.body)
+        await client.stop()
+        server.close()
+        return bodies
+
+    def test_repeated_answer_to_another_request_is_not_theirs(self):
+        bodies = asyncio.run(self.send_all(b"a", b""))
+        assert bodies == [b"answer to <a>", b"answer to <>"]
+
+    def test_connection_is_reused_where_no_ids_are_echoed(self):
+        exchanges = _Exchanges()
+        exchanges.send(b"a", echoes_request_id=False)
+        exchanges.transport.deliver(build_answer(b""))
+        request = build_request(b"", echoes_request_id=False)
+        assert exchanges.connection.may_carry(request)
+
+
 REFUSAL = (
     b"HTTP/1.1 503 No\r\nrequest-id: a\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
 )
