Keep connections between daemons after refusals

While hosts turn requests away, the connections to them were opened anew: after 65 errors on a connection, and for each request that returned to a host that had refused it.

Cause: the memory of refused ids, by which a connection carries no request again that it has seen refused, was kept for all connections. It stands in for an id of the exchange where upstreams give none. Between daemons each exchange has one, which differs for each attempt, so that a copy of an earlier refusal is never taken for a later one.

The memory is now kept only where exchanges have no id. Connections to upstreams are as before.

The test failed before (the connection no longer carried the request that it had seen refused).

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -264,7 +264,9 @@
     def _finish(self, *, reusable: bool) -> None:
         sink, self._sink = self._sink, None
         self._has_responded = True
-        if self._status >= FIRST_ERROR_STATUS and self._request_id is not None:
+        is_error = self._status >= FIRST_ERROR_STATUS
+        # Where exchanges have ids, a duplicate can't be taken for another response.
+        if is_error and self._request_id is not None and self._exchange_id is None:
             self._refused_ids.add(self._request_id)
             reusable = reusable and len(self._refused_ids) <= MAX_REFUSED_IDS
         if not reusable or self.transport.get_unsent_bytes():
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -16,7 +16,7 @@
 from flamingohead.services.eras import EraService
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.http_connection import MAX_REFUSED_IDS, ClientConnection
-from flamingohead.services.http_messages import OutgoingRequest
+from flamingohead.services.http_messages import EXCHANGE_HEADER, OutgoingRequest
 from flamingohead.services.metrics import MetricsService
 from flamingohead.testing.transports import FakeTransport, RecordingSink
 from flamingohead.tests.test_slots import FakeResponse
@@ -221,6 +221,22 @@
         assert not exchanges.connection.is_open
 
 
+class TestConnectionsBetweenDaemons:
+    """Guard against connections that are closed though their exchanges are paired."""
+
+    def test_refusals_of_other_exchanges_do_not_end_a_connection(self):
+        connection = ClientConnection("127.0.0.1:1")
+        transport = FakeTransport(connection)
+        for number in range(2 * MAX_REFUSED_IDS):
+            exchange = (EXCHANGE_HEADER, b"%d" % number)
+            request = build_request(b"%d" % number, echoes_request_id=False)
+            request = replace(request, headers=(*request.headers, exchange))
+            connection.exchange(request, RecordingSink(), lambda result: None)
+            refusal = REFUSAL.replace(b"request-id: a", b"%b: %b" % exchange)
+            transport.deliver(refusal)
+            assert connection.is_open and connection.may_carry(request)
+
+
 class TestStore:
     """Simulate a store that repeats the page of a read at the next request."""
 
