Merge the pairing of other responses with their requests

The memory of refused ids is the one of the branch of the ways back; a request without an id is carried only by a connection without a response (where ids are echoed) and without a refusal. E527 says so for both.

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -113,7 +113,9 @@
         526, logging.WARNING, "data of an upstream or daemon without a pending request"
     )
     CONNECTION_AVOIDED = EventKind(
-        527, logging.INFO, "connection not reused for a request that it has refused"
+        527,
+        logging.INFO,
+        "connection not reused: a duplicate could pass for its next response",
     )
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream readmitted")
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -93,12 +93,13 @@
         """Return whether the response to a request could only be its own.
 
         A duplicate of an earlier refusal bears the id of that request, so that a retry
-        of the request on the same connection could be taken for refused again. The
-        response to a request without an id can't be told from any duplicate.
+        of the request on the same connection could be taken for refused again. For a
+        request without an id, nothing but a new connection shows whose response it is.
         """
         request_id = find_header(request.headers, REQUEST_ID_HEADER)
         if not request_id:
-            return not self._refused_ids
+            is_paired = not (request.echoes_request_id and self._has_responded)
+            return is_paired and not self._refused_ids
         return request_id not in self._refused_ids
 
     def record_refusal(self) -> None:
--- a/flamingohead/tests/test_departures.py
+++ b/flamingohead/tests/test_departures.py
@@ -200,7 +200,7 @@
     async def read(self, key):
         await asyncio.Event().wait()
 
-    async def replace(self, key, value):
+    async def insert(self, key, value):
         await asyncio.Event().wait()
 
 
@@ -231,9 +231,9 @@
         self.departures.append(departure)
 
 
-def build_service(*members, reachable=()):
+def build_service(*members, reachable=(), table=None):
     kernel = Kernel()
-    kernel.add("table", SilentTable())
+    kernel.add("table", table or SilentTable())
     kernel.add("peers", FakePeers(*reachable))
     kernel.add("gossip", FakeGossip(*members))
     kernel.add("eras", SimpleNamespace(listeners=[]))
@@ -273,13 +273,17 @@
         kernel, service = build_service("a")
         written = []
 
+        async def read(key):
+            return None
+
         async def refuse_then_store(key, value):
             written.append((key, value))
             is_first = len(written) == 1
             return Refusal(ErrorKind.PLATFORM_UNAVAILABLE) if is_first else True
 
         monkeypatch.setattr(departures, "RETRY_SECONDS", 0.0)
-        monkeypatch.setattr(kernel.get("table"), "replace", refuse_then_store)
+        monkeypatch.setattr(kernel.get("table"), "read", read)
+        monkeypatch.setattr(kernel.get("table"), "insert", refuse_then_store)
 
         async def run():
             await service.start()
@@ -376,6 +380,21 @@
         while send_announcement(host, "DELETE", "i-left", {}) != 200:
             assert time.monotonic() < deadline
 
+    def test_late_leave_of_an_earlier_start_does_not_end_the_later_one(self, mesh):
+        # An upstream starts again under its name, then its earlier leave arrives.
+        host = mesh.hosts["h1"]
+        host.instance.kill()
+        born = int(time.time() * 1000)
+        leave = {**build_heartbeat(host, born=born, sequence=9), "state": "draining"}
+        later = build_heartbeat(host, born=born + 1)
+        assert send_announcement(host, "PUT", "i-again", later) == 200
+        assert send_announcement(host, "PUT", "i-again", leave) == 200
+        uses = count_uses(host, "i-again")
+        host.daemon.kill()
+        mesh.start_daemon(host)
+        announce_late(host, "i-again", born + 1)
+        assert count_uses(host, "i-again") == uses + 1
+
     def test_upstream_of_a_restarted_daemon_is_used_again(self, mesh):
         host = mesh.hosts["h1"]
         uses = count_uses(host, "i-h1")
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -114,6 +114,49 @@
         assert exchanges.ends == [None, None]
 
 
+class TestRequestsWithoutAnId:
+    """Guard against the answer to another request for a request without an id."""
+
+    async def serve(self, reader, writer):
+        previous = b""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                name = head.partition(b"request-id: ")[2].split(b"\r")[0]
+                answer = build_answer(name, b"answer to <%b>" % name)
+                writer.write(previous + answer)
+                previous = answer
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def send_all(self, *names):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        client = HttpClientService()
+        bodies = []
+        for name in names:
+            request = replace(build_request(name), deadline=time.monotonic() + 5.0)
+            sink = RecordingSink()
+            assert await client.send(address, request, sink) is None
+            bodies.append(sink.body)
+        await client.stop()
+        server.close()
+        return bodies
+
+    def test_repeated_answer_to_another_request_is_not_theirs(self):
+        bodies = asyncio.run(self.send_all(b"a", b""))
+        assert bodies == [b"answer to <a>", b"answer to <>"]
+
+    def test_connection_is_reused_where_no_ids_are_echoed(self):
+        exchanges = _Exchanges()
+        exchanges.send(b"a", echoes_request_id=False)
+        exchanges.transport.deliver(build_answer(b""))
+        request = build_request(b"", echoes_request_id=False)
+        assert exchanges.connection.may_carry(request)
+
+
 REFUSAL = (
     b"HTTP/1.1 503 No\r\nrequest-id: a\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"
 )
@@ -236,7 +279,9 @@
         assert not exchanges.connection.is_open
 
 
-class TestDaemons:
+class TestConnectionsBetweenDaemons:
+    """Guard against connections that are closed though their exchanges are paired."""
+
     REFUSAL = REFUSAL.replace(b"content", b"flamingohead-exchange: 1\r\ncontent")
 
     def build_request(self, request_id, exchange_id):
@@ -255,6 +300,18 @@
         assert exchanges.ends[1].kind is ErrorKind.UPSTREAM_MALFORMED
         assert exchanges.ends[1].ran is ExecutionStatus.UNKNOWN
 
+    def test_refusals_of_other_exchanges_do_not_end_a_connection(self):
+        connection = ClientConnection("127.0.0.1:1")
+        transport = FakeTransport(connection)
+        for number in range(2 * MAX_REFUSED_IDS):
+            exchange = (EXCHANGE_HEADER, b"%d" % number)
+            request = build_request(b"%d" % number, echoes_request_id=False)
+            request = replace(request, headers=(*request.headers, exchange))
+            connection.exchange(request, RecordingSink(), lambda result: None)
+            refusal = REFUSAL.replace(b"request-id: a", b"%b: %b" % exchange)
+            transport.deliver(refusal)
+            assert connection.is_open and connection.may_carry(request)
+
 
 class TestStore:
     """Simulate a store that repeats the page of a read at the next request."""
