--- a/soak/records.py
+++ b/soak/records.py
@@ -72,6 +72,8 @@
     # Time at which the store acknowledged each version.
     versions: dict[int, float] = field(default_factory=dict)
     executions: list[Execution] = field(default_factory=list)
+    # Ids of the requests that an upstream refused, each with the upstream.
+    refusals: set[tuple[str, str]] = field(default_factory=set)
     # Time at which each upstream received the acknowledgement of its leave.
     leave_times: dict[str, float] = field(default_factory=dict)
     # Requests sent from this time on show whether the hosts have recovered.
@@ -87,7 +89,9 @@
                 self.executions.append(
                     Execution(entry["id"], entry["upstream"], entry["at"])
                 )
-            else:
+            elif entry["event"] == "refused":
+                self.refusals.add((entry["id"], entry["upstream"]))
+            elif entry["event"] == "left":
                 self.leave_times.setdefault(entry["upstream"], entry["at"])
 
     def is_fault_free(self, host: str, start: float, end: float) -> bool:
