Ask for refusals and their duplicates in the soak

The soak could not find it: no upstream wrote a second response, none refused on request, and with eight slots each no refused request came back to an upstream.

Change: three requests in ten, safe and unsafe, ask each upstream to refuse their first one or two arrivals, most of them with a duplicate of the refusal: at once, 2, 10 or 50 ms later, or in front of the response to the next request of the connection. Crowds of long requests, one from each host but one, take slots; upstreams of the ledger have a single one, all hosts but one serve it, routes allow four attempts and the retry budget allows every retry. The last line of a run counts the requests that ran on an upstream which had refused them; outcomes and faults are kept with the logs.

Promises stay as they are. "Serves again" counts every request of the last seconds, as before: from the end of the faults on, callers ask for no refusals, so that none has to be left out of the count.

--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -42,7 +42,9 @@
     instance: Process | None = None
 
 
-def build_document(version: int, routes: dict[str, str], **changes) -> bytes:
+def build_document(
+    version: int, routes: dict[str, str], *, max_attempts: int = 2, **changes
+) -> bytes:
     """Build a configuration document; ``routes`` maps path prefixes to services."""
     rules = [
         {
@@ -51,7 +53,11 @@
             "target-latency": "500ms",
             "priority": 1,
             "match": {"prefix": prefix},
-            "action": {"service": service, "timeout": "1200ms", "max-attempts": 2},
+            "action": {
+                "service": service,
+                "timeout": "1200ms",
+                "max-attempts": max_attempts,
+            },
         }
         for number, (prefix, service) in enumerate(routes.items())
     ]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import urlencode
 
 from flamingohead.testing.hosts import HOST
 from soak.records import NO_RESPONSE, Outcome, VersionObservation
@@ -17,6 +18,7 @@
     from soak.records import Records
 
 DEADLINE_MS = 1000
+WORK_MS = 5
 # The client times out slightly after the deadline that its requests announce.
 CLIENT_TIMEOUT_SECONDS = DEADLINE_MS / 1000 + 0.5
 MAX_REQUEST_INTERVAL_SECONDS = 0.12
@@ -24,15 +26,34 @@
 # sent on a new connection.
 UNSAFE_SHARE = 0.5
 NEW_CONNECTION_SHARE = 0.1
+# Share of the requests of which each upstream is to refuse the first arrivals, their
+# number, and when a duplicate of each refusal is written: never, in front of the
+# response to the next request of the connection, or after some milliseconds.
+REFUSAL_SHARE = 0.3
+REFUSAL_COUNTS = (1, 1, 2)
+DUPLICATES = (None, "next", 0, 2, 10, 50)
 PROBE_PERIOD_SECONDS = 0.1
 # Number of the newest versions among which a probe chooses.
 PROBED_VERSIONS = 3
 
 
 class Caller(threading.Thread):
-    """Send requests to one host until ``stopping`` is set."""
-
-    def __init__(self, host: Host, name: str, records: Records, random: Random) -> None:
+    """Send requests to one host until ``stopping`` is set.
+
+    Each request is for one of ``services`` and takes ``work_ms`` to execute. Some ask
+    for refusals while ``asks_for_refusals`` is set.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        name: str,
+        records: Records,
+        random: Random,
+        *,
+        services: tuple[str, ...],
+        work_ms: int,
+    ) -> None:
         super().__init__(daemon=True)
         self._host = host
         self._id_prefix = name
@@ -40,6 +61,9 @@
         self._random = random
         self._connection: http.client.HTTPConnection | None = None
         self._request_count = 0
+        self._services = services
+        self._work_ms = work_ms
+        self.asks_for_refusals = True
         self.stopping = threading.Event()
 
     def run(self) -> None:
@@ -52,11 +76,20 @@
         if self._random.random() < NEW_CONNECTION_SHARE:
             self.close_connection()
         safe = self._random.random() >= UNSAFE_SHARE
-        service = self._random.choice(("ledger", "archive"))
+        service = self._random.choice(self._services)
         path = f"/{service}/x" if safe else f"/unsafe-{service}/x"
-        self.send(path, safe=safe)
+        self.send(f"{path}?{self._choose_query()}", safe=safe)
         self.stopping.wait(self._random.uniform(0, MAX_REQUEST_INTERVAL_SECONDS))
 
+    def _choose_query(self) -> str:
+        fields: dict[str, object] = {"work-ms": self._work_ms}
+        if self.asks_for_refusals and self._random.random() < REFUSAL_SHARE:
+            fields["refusals"] = self._random.choice(REFUSAL_COUNTS)
+            duplicate = self._random.choice(DUPLICATES)
+            if duplicate is not None:
+                fields["duplicate"] = duplicate
+        return urlencode(fields)
+
     def send(self, path: str, *, safe: bool) -> Outcome:
         """Send one request and record its outcome."""
         self._request_count += 1
@@ -116,7 +149,7 @@
         pid = self._host.daemon.popen.pid
         if versions:
             version = self._random.choice(versions[-PROBED_VERSIONS:])
-            outcome = self.send(f"/v{version}/x", safe=True)
+            outcome = self.send(f"/v{version}/x?work-ms={WORK_MS}", safe=True)
             # Only 200 and 404 show which routes exist; a daemon without a configuration
             # refuses every request with another status.
             is_conclusive = outcome.status in (200, 404)
--- a/soak/mesh.py
+++ b/soak/mesh.py
@@ -16,12 +16,17 @@
     from flamingohead.testing.hosts import Host
     from soak.records import Records
 
-SLOTS = 8
+# A single slot is often taken, so that requests are turned away and return; the
+# archive has one upstream and is no place to return to.
+SLOTS = {"ledger": 1, "archive": 8}
 # An upstream keeps serving after its leave for longer than the bound on draining, so
 # that requests which reach it too late are recorded.
 DRAIN_SECONDS = 2.5
 # Share of the responses that are lost: the connection is closed after the execution.
 LOST_RESPONSE_SHARE = 0.02
+# The retry budget allows every retry, since retries are what may break a promise.
+BOUNDS = {"drain": "2000ms", "grace": "6s", "budget-slack": 1_000_000}
+MAX_ATTEMPTS = 4
 ROUTES = {
     "/ledger/": "ledger",
     "/archive/": "archive",
@@ -48,7 +53,9 @@
         self.upstream_links[name] = LinkProxy(upstream, listen)
         for links in (self.store_links, self.upstream_links):
             await links[name].start()
-        host = self.add_daemon(name, service, store=store, upstream=upstream)
+        host = self.add_daemon(
+            name, service, store=store, upstream=upstream, bounds=BOUNDS
+        )
         host.listen = listen
         self.start_next_instance(host)
 
@@ -64,7 +71,7 @@
         self.start_instance(
             host,
             f"i-{host.name}-{self._instance_counts[host.name]}",
-            slots=SLOTS,
+            slots=SLOTS[host.service],
             journal=self.get_journal(host),
             clock_offset_ms=clock_offset_ms,
             drain_seconds=DRAIN_SECONDS,
@@ -79,7 +86,9 @@
         """Write the next version, with one more route that shows it is in force."""
         version = len(self._records.versions) + 1
         routes = {f"/v{n}/": "ledger" for n in range(1, version + 1)}
-        document = build_document(version, {**ROUTES, **routes})
+        document = build_document(
+            version, {**ROUTES, **routes}, max_attempts=MAX_ATTEMPTS
+        )
         self._document = document
         self.write_row("op", "config", document)
         self._records.versions[version] = time.monotonic()
--- a/soak/records.py
+++ b/soak/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -94,6 +94,24 @@
             elif entry["event"] == "left":
                 self.leave_times.setdefault(entry["upstream"], entry["at"])
 
+    def write(self, directory: Path) -> None:
+        """Write what callers got, and the faults, beside the logs of the processes."""
+        for name, entries in (
+            ("outcomes", self.outcomes),
+            ("faults", self.fault_intervals),
+        ):
+            with open(directory / f"{name}.jsonl", "w") as file:
+                for entry in entries:
+                    file.write(json.dumps(asdict(entry), default=repr) + "\n")
+
+    def list_returned(self) -> list[str]:
+        """Return the ids of requests that ran on an upstream which had refused them."""
+        return [
+            execution.request_id
+            for execution in self.executions
+            if (execution.request_id, execution.upstream) in self.refusals
+        ]
+
     def is_fault_free(self, host: str, start: float, end: float) -> bool:
         """Return whether no fault affected a host between two times."""
         return not any(
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import time
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
 from flamingohead.testing.hosts import send_request
-from soak.callers import Caller, VersionProbe
+from soak.callers import WORK_MS, Caller, VersionProbe
 from soak.faults import FAULTS, Fault
 from soak.mesh import SoakMesh
 from soak.promises import check_promises
@@ -27,6 +28,9 @@
 # Time within which the platform's documentation requires a deployment to serve again.
 RECOVERY_SECONDS = 15.0
 SETTLING_SECONDS = 3.0
+MAX_CROWD_SECONDS = 2.0
+MIN_CROWD_WORK_MS = 50
+MAX_CROWD_WORK_MS = 400
 READY_POLL_SECONDS = 0.1
 EXIT_POLL_SECONDS = 0.1
 
@@ -66,8 +70,10 @@
                     self._change_configuration_repeatedly()
                 )
                 restart_task = asyncio.create_task(self._restart_exited_daemons())
+                crowd_task = asyncio.create_task(self._send_crowds())
                 await self._inject_faults()
                 change_task.cancel()
+                crowd_task.cancel()
                 await self._wait_for_recovery()
                 restart_task.cancel()
             finally:
@@ -78,6 +84,7 @@
                 await self._mesh.stop_links()
         for host in self._mesh.hosts.values():
             self._records.read_journal(self._mesh.get_journal(host))
+        self._records.write(self._mesh.directory)
         return check_promises(self._records)
 
     def describe(self) -> str:
@@ -88,24 +95,45 @@
             f"{fault.name}({fault.host or 'all'})"
             for fault in self._records.fault_intervals
         ]
-        return f"{served} of {len(outcomes)} served; {' '.join(faults)}"
+        records = self._records
+        refused = len({request_id for request_id, _ in records.refusals})
+        return (
+            f"{served} of {len(outcomes)} served, {refused} refused by upstreams, "
+            f"{len(records.list_returned())} of these returned; {' '.join(faults)}"
+        )
 
     async def _start(self) -> None:
         for number in range(self._settings.hosts):
-            service = "archive" if number % 2 else "ledger"
+            # A refused request may return to an upstream if two others have no slot.
+            service = "archive" if number == 1 else "ledger"
             await self._mesh.add_proxied_host(f"h{number}", service)
         self._mesh.change_configuration()
         for host in self._mesh.hosts.values():
             await self._wait_until_ready(host, START_TIMEOUT_SECONDS)
         await asyncio.sleep(SETTLING_SECONDS)
+        services = tuple(host.service for host in self._mesh.hosts.values())
         for host in self._mesh.hosts.values():
             caller_classes = [VersionProbe, *([Caller] * self._settings.callers)]
             for number, caller_class in enumerate(caller_classes):
                 name = f"{host.name}-{number}"
-                random = Random(f"{self._settings.seed}/{name}")
-                caller = caller_class(host, name, self._records, random)
-                self._callers.append(caller)
-                caller.start()
+                self._start_caller(host, name, caller_class, services=services)
+
+    def _start_caller(
+        self,
+        host: Host,
+        name: str,
+        caller_class: type[Caller] = Caller,
+        *,
+        services: tuple[str, ...],
+        work_ms: int = WORK_MS,
+    ) -> Caller:
+        random = Random(f"{self._settings.seed}/{name}")
+        caller = caller_class(
+            host, name, self._records, random, services=services, work_ms=work_ms
+        )
+        self._callers.append(caller)
+        caller.start()
+        return caller
 
     async def _wait_until_ready(self, host: Host, timeout: float) -> None:
         deadline = time.monotonic() + timeout
@@ -126,6 +154,27 @@
             await asyncio.sleep(self._random.uniform(0.3, MAX_CHANGE_INTERVAL_SECONDS))
             await asyncio.to_thread(self._mesh.change_configuration)
 
+    async def _send_crowds(self) -> None:
+        """Take the slots of all hosts but one; the other daemons learn of it late."""
+        # A generator of its own, so that a seed chooses the same faults.
+        random = Random(f"{self._settings.seed}/crowds")
+        hosts = list(self._mesh.hosts.values())
+        for crowd in itertools.count():
+            callers = [
+                self._start_caller(
+                    host,
+                    f"{host.name}-crowd{crowd}",
+                    services=(host.service,),
+                    work_ms=random.randint(MIN_CROWD_WORK_MS, MAX_CROWD_WORK_MS),
+                )
+                for host in random.sample(hosts, len(hosts) - 1)
+            ]
+            try:
+                await asyncio.sleep(random.uniform(0.0, MAX_CROWD_SECONDS))
+            finally:
+                for caller in callers:
+                    caller.stopping.set()
+
     async def _restart_exited_daemons(self) -> None:
         """Restart daemons that exited without a fault, as the platform does."""
         while True:
@@ -175,6 +224,9 @@
             )
 
     async def _wait_for_recovery(self) -> None:
+        # A request that an upstream is to refuse says nothing about recovery.
+        for caller in self._callers:
+            caller.asks_for_refusals = False
         await asyncio.sleep(SETTLING_SECONDS)
         self._records.recovery_checked_from = time.monotonic()
         await asyncio.sleep(SETTLING_SECONDS)
--- a/soak/test_records.py
+++ b/soak/test_records.py
@@ -23,3 +23,4 @@
         assert records.leave_times == {"i-1": 5.0}
         assert records.executions == [Execution("a", "i-1", 4.0)]
         assert records.refusals == {("a", "i-1")}
+        assert records.list_returned() == ["a"]
