Write duplicates of refusals in the product's stand-in upstream as well

No test of the product's own protocol could find a refusal that is taken for the response to the retry of its request.

Change: the settings of the upstream stand-in ask for refusals of the next requests and for a duplicate of each; both stand-ins share the code that writes them.

--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -17,6 +17,7 @@
 from flamingohead.services.http_messages import OutgoingRequest
 from flamingohead.services.http_server import HttpServerFactory
 from flamingohead.services.transport import listen
+from flamingohead.standins.refusals import Duplicate, RefusalWriter, parse_duplicate
 
 logger = logging.getLogger(__name__)
 
@@ -24,25 +25,18 @@
 STATUS_PATH = b"/standin/runs"
 REFUSALS_PATH = b"/standin/refusals"
 MAX_RESPONSE_BYTES = 4096
-REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nrequest-id: %b\r\nnot-executed: 1\r\n"
-    b"content-length: 0\r\n\r\n"
-)
 
 
 @dataclass(frozen=True)
 class _Behaviour:
     """Hold what the query of a request asks of the stand-in.
 
-    The first ``refusals`` arrivals of its id are refused as not executed. A duplicate
-    of each refusal follows after ``duplicate_seconds``, or without these, before the
-    response to the next request of the connection.
+    The first ``refusals`` arrivals of its id are refused as not executed.
     """
 
     work_seconds: float = 0.0
     refusals: int = 0
-    duplicates: bool = False
-    duplicate_seconds: float | None = None
+    duplicate: Duplicate | None = None
 
 
 @dataclass
@@ -71,7 +65,7 @@
     runs: list[dict] = field(default_factory=list)
     refusals: list[dict] = field(default_factory=list)
     _arrivals: Counter[bytes] = field(default_factory=Counter)
-    _pending_duplicates: dict[object, list[bytes]] = field(default_factory=dict)
+    _refusal_writer: RefusalWriter = field(default_factory=RefusalWriter)
     _connections: dict[object, int] = field(default_factory=dict)
     _sequence: int = 0
     _in_use: int = 0
@@ -149,8 +143,7 @@
             response.send(200, headers, b"")
             return
         connection = response.connection
-        for duplicate in self._pending_duplicates.pop(connection, ()):
-            connection.write(duplicate)
+        self._refusal_writer.write_pending(connection)
         request_id = request.get_header(b"request-id") or b""
         expected = request.get_header(b"expect-instance")
         if expected is not None and expected != self.name.encode():
@@ -183,20 +176,11 @@
         loop.call_later(seconds, self._finish, request, response)
 
     def _refuse(self, request_id: bytes, response, behaviour: _Behaviour) -> None:
-        connection = response.connection
-        number = self._number_connection(connection)
+        number = self._number_connection(response.connection)
         self.refusals.append({"id": request_id.decode(), "connection": number})
         self._record_event("refused", request_id.decode())
         headers = [(b"request-id", request_id), (b"not-executed", b"1")]
-        response.send(503, headers, b"")
-        if not behaviour.duplicates:
-            return
-        duplicate = REFUSAL % request_id
-        if behaviour.duplicate_seconds is None:
-            self._pending_duplicates.setdefault(connection, []).append(duplicate)
-            return
-        loop = asyncio.get_running_loop()
-        loop.call_later(behaviour.duplicate_seconds, connection.write, duplicate)
+        self._refusal_writer.refuse(response, headers, behaviour.duplicate)
 
     def _number_connection(self, connection) -> int:
         return self._connections.setdefault(connection, len(self._connections))
@@ -216,11 +200,8 @@
 
 def _read_behaviour(target: bytes) -> _Behaviour:
     query = dict(parse_qsl(urlsplit(target.decode("latin-1")).query))
-    duplicate = query.get("duplicate")
-    is_delayed = duplicate not in (None, "next")
     return _Behaviour(
         work_seconds=int(query.get("work-ms", 0)) / 1000,
         refusals=int(query.get("refusals", 0)),
-        duplicates=duplicate is not None,
-        duplicate_seconds=int(duplicate) / 1000 if is_delayed else None,
+        duplicate=parse_duplicate(query.get("duplicate")),
     )
--- a/flamingohead/standins/upstream.py
+++ b/flamingohead/standins/upstream.py
@@ -15,6 +15,7 @@
 
 from flamingohead.addresses import split_address
 from flamingohead.services.http_server import HttpServerFactory
+from flamingohead.standins.refusals import RefusalWriter, parse_duplicate
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +26,12 @@
 
 
 class UpstreamSettings(BaseModel):
-    """Configure the stand-in; the settings can be changed at run time."""
+    """Configure the stand-in; the settings can be changed at run time.
+
+    The next ``refusals`` requests are refused as not executed. A ``duplicate`` of each
+    follows when the connection carries its next request (``next``), or some time later
+    (``20``, in milliseconds). They have the id of the request if ``refuses_with_id``.
+    """
 
     model_config = ConfigDict(extra="forbid")
 
@@ -39,6 +45,9 @@
     load_lag_seconds: float = Field(2.0, ge=0)
     lying_load: bool = False
     silent: bool = False
+    refusals: int = Field(0, ge=0)
+    duplicate: str = ""
+    refuses_with_id: bool = True
 
 
 @dataclass
@@ -93,6 +102,7 @@
     _in_use: int = 0
     _started_at: float = 0.0
     _loads: deque[_LoadSample] = field(default_factory=deque)
+    _refusal_writer: RefusalWriter = field(default_factory=RefusalWriter)
 
     def listen(self) -> None:
         """Listen for requests and control messages."""
@@ -159,6 +169,11 @@
             return
         if self.settings.frozen:
             return
+        self._refusal_writer.write_pending(response.connection)
+        if self.settings.refusals:
+            self.settings.refusals -= 1
+            self._refuse(request, response)
+            return
         if len(self._queue) >= MAX_QUEUED:
             self.counters.shed += 1
             response.send(503, [(b"request-executed", b"no")], b"shed\n")
@@ -170,6 +185,15 @@
         self._queue.append(job)
         self._start_jobs()
 
+    def _refuse(self, request, response) -> None:
+        self.counters.shed += 1
+        headers = [(b"request-executed", b"no")]
+        request_id = request.get_header(b"request-id")
+        if request_id is not None and self.settings.refuses_with_id:
+            headers.append((b"request-id", request_id))
+        duplicate = parse_duplicate(self.settings.duplicate)
+        self._refusal_writer.refuse(response, headers, duplicate)
+
     def _cancel(self, job: _Job) -> None:
         job.cancelled = True
         self.counters.cancelled += 1
