Reuse no connection after a refusal that can't be told from others

Callers of the product's own protocol: a request that an upstream ran was answered 503, "ran: no", when the upstream wrote a duplicate of an earlier refusal in front of the response.

Cause: a connection doesn't carry a request again whose refusal it has carried, and tells other duplicates by their id. The product's upstreams need not repeat ids, and its callers need not send any. A duplicate without an id passed for the response to any request that came next on the connection, and a duplicate with an id for that of a request without one. Requests of the platform are not affected: they have ids, and a response without one is accepted as the first of a connection only.

Change: a connection that carried a refusal without the request's id is not reused, and one that carried a refusal with an id carries no request without one. Messages between daemons are matched by an exchange of their own, to which neither applies. Why it works: what may follow on a kept connection is a duplicate with an id, and every request that it carries has another one.

Not measured: the new connections that an upstream costs which refuses without ids.

--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -32,6 +32,7 @@
     ) -> None:
         self._response = response
         self._dialect = dialect
+        self._connection: ClientConnection | None = None
         self.status = 0
         self.headers: Headers = []
         self.not_executed = False
@@ -50,6 +51,7 @@
     def attach(self, connection: ClientConnection) -> None:
         """Pause reading from the connection while the caller's write buffer is full."""
         self.dispatched = True
+        self._connection = connection
         self._response.on_pause = connection.pause
         self._response.on_resume = connection.resume
 
@@ -59,6 +61,8 @@
         self.headers = headers
         if self._dialect.states_not_executed(status, headers):
             self.not_executed = True
+            if self._connection is not None:
+                self._connection.record_refusal()
             return
         self._response.start(status, headers, length=length)
 
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -72,16 +72,28 @@
         self._has_responded = False
         self._exchange_id: bytes | None = None
         self._refused_ids: set[bytes] = set()
+        self._is_identified = False
+        self._is_reusable = True
         self.progress = ResponseProgress(math.inf)
 
     def may_carry(self, request: OutgoingRequest) -> bool:
         """Return whether the response to a request could only be its own.
 
         A duplicate of an earlier refusal bears the id of that request, so that a retry
-        of the request on the same connection could be taken for refused again.
+        of the request on the same connection could be taken for refused again, and any
+        request without an id.
         """
+        if find_header(request.headers, EXCHANGE_HEADER) is not None:
+            return True
         request_id = find_header(request.headers, REQUEST_ID_HEADER)
-        return request_id is None or request_id not in self._refused_ids
+        if request_id is None:
+            return not self._refused_ids
+        return request_id not in self._refused_ids
+
+    def record_refusal(self) -> None:
+        """Prevent reuse if a duplicate of the refusal could pass for any response."""
+        if not self._is_identified:
+            self._is_reusable = False
 
     def exchange(
         self,
@@ -247,6 +259,7 @@
             self._headers.remove((EXCHANGE_HEADER, self._exchange_id))
         response_id = find_header(self._headers, REQUEST_ID_HEADER)
         expected = self._request_id
+        self._is_identified = expected is not None and response_id == expected
         if expected is None or response_id == expected:
             return
         if response_id is not None or self._requires_id:
@@ -261,6 +274,7 @@
     def _finish(self, *, reusable: bool) -> None:
         sink, self._sink = self._sink, None
         self._has_responded = True
+        reusable = reusable and self._is_reusable
         if self._status >= FIRST_ERROR_STATUS and self._request_id is not None:
             self._refused_ids.add(self._request_id)
             reusable = reusable and len(self._refused_ids) <= MAX_REFUSED_IDS
--- a/flamingohead/tests/test_refused_keys_processes.py
+++ b/flamingohead/tests/test_refused_keys_processes.py
@@ -34,12 +34,13 @@
         self.denials = []
         self.counts = []
 
-    def hand_over(self, name, *, keyed):
+    def hand_over(self, name, *, keyed, build_id=lambda name, attempt: name):
         """Repeat a request until it isn't refused as not executed."""
         before = self.count_executions()
         self.keys.set_upstreams(refusals=1)
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            headers = {"Request-Id": name}
+            request_id = build_id(name, attempt)
+            headers = {"Request-Id": request_id} if request_id else {}
             if keyed:
                 headers |= {"Idempotency-Key": name}
                 headers |= {"Idempotency-Attempt": str(attempt)}
@@ -79,3 +80,30 @@
             caller.hand_over(f"{duplicate}-{keyed}-{number}", keyed=keyed)
         assert caller.denials == []
         assert caller.counts == [1] * ROUNDS
+
+
+class TestRefusalsWithoutAnId:
+    """Guard against refusals whose duplicate passes for the next response."""
+
+    @pytest.mark.parametrize("keyed", [True, False], ids=["keyed", "unkeyed"])
+    @pytest.mark.parametrize(
+        ("refuses_with_id", "build_id"),
+        [
+            pytest.param(
+                False, lambda name, attempt: f"{name}-{attempt}", id="refusal"
+            ),
+            pytest.param(True, lambda name, attempt: "", id="request"),
+            pytest.param(False, lambda name, attempt: "", id="both"),
+        ],
+    )
+    def test_duplicate_without_an_id_denies_no_execution(
+        self, mesh, refuses_with_id, build_id, keyed
+    ):
+        caller = _Caller(mesh)
+        caller.keys.set_upstreams(duplicate="next", refuses_with_id=refuses_with_id)
+        for number in range(ROUNDS):
+            name = f"{refuses_with_id}-{build_id('', 1)}-{keyed}-{number}"
+            caller.hand_over(name, keyed=keyed, build_id=build_id)
+        caller.keys.set_upstreams(duplicate="", refuses_with_id=True)
+        assert caller.denials == []
+        assert caller.counts == [1] * ROUNDS
