Check the promise "not run" of safe requests in the soak as well

The statuses 408, 421, 429 and 503 are a promise for any request. The soak checked it for unsafe ones only.

Change: the check no longer looks at the kind of the request; nothing else changes.

Result: the new test failed before (no violation found) and passes now.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -58,9 +58,7 @@
     return [
         f"{outcome.request_id} was answered {outcome.status}"
         for outcome in records.outcomes
-        if not outcome.safe
-        and outcome.status in NOT_RUN_STATUSES
-        and outcome.request_id in executed
+        if outcome.status in NOT_RUN_STATUSES and outcome.request_id in executed
     ]
 
 
--- a/soak/test_promises.py
+++ b/soak/test_promises.py
@@ -101,6 +101,11 @@
         spoil(records)
         assert name in find_broken(records)
 
+    def test_safe_request_said_not_to_have_run_is_found(self):
+        records = build_records()
+        records.outcomes.append(build_outcome("b", safe=True, status=503))
+        assert find_broken(records) == {"a request said not to have run has not run"}
+
     def test_late_version_is_allowed_shortly_after_a_fault_of_its_host(self):
         records = build_records()
         records.version_observations.append(VersionObservation("h1", 1, 6.1, 2, False))
