Record when the soak itself stands still

Cause: the links of all hosts and the callers run in the process of the soak.

Change: the soak notes when its event loop is over 0.2 s late, keeps the times beside the logs and prints the longest. No promise is excused by it.

--- a/soak/records.py
+++ b/soak/records.py
@@ -62,6 +62,14 @@
     ended_at: float
 
 
+@dataclass(frozen=True)
+class Stall:
+    """Record that the soak itself, and so each link, stood still."""
+
+    began_at: float
+    ended_at: float
+
+
 @dataclass
 class Records:
     """Collect the observations against which the promises are checked."""
@@ -78,6 +86,7 @@
     leave_times: dict[str, float] = field(default_factory=dict)
     # Requests sent from this time on show whether the hosts have recovered.
     recovery_checked_from: float = 0.0
+    stalls: list[Stall] = field(default_factory=list)
     # Hosts whose daemon exited although no fault had ended it.
     unexpected_exits: list[str] = field(default_factory=list)
 
@@ -99,6 +108,7 @@
         for name, entries in (
             ("outcomes", self.outcomes),
             ("faults", self.fault_intervals),
+            ("stalls", self.stalls),
         ):
             with open(directory / f"{name}.jsonl", "w") as file:
                 for entry in entries:
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
 from soak.faults import FAULTS, Fault
 from soak.mesh import SoakMesh
 from soak.promises import check_promises
-from soak.records import FaultInterval, Records
+from soak.records import FaultInterval, Records, Stall
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -31,6 +31,8 @@
 MAX_CROWD_SECONDS = 2.0
 MIN_CROWD_WORK_MS = 50
 MAX_CROWD_WORK_MS = 400
+STALL_POLL_SECONDS = 0.02
+MIN_STALL_SECONDS = 0.2
 READY_POLL_SECONDS = 0.1
 EXIT_POLL_SECONDS = 0.1
 
@@ -69,6 +71,7 @@
                 change_task = asyncio.create_task(
                     self._change_configuration_repeatedly()
                 )
+                stall_task = asyncio.create_task(self._record_stalls())
                 restart_task = asyncio.create_task(self._restart_exited_daemons())
                 crowd_task = asyncio.create_task(self._send_crowds())
                 await self._inject_faults()
@@ -76,6 +79,7 @@
                 crowd_task.cancel()
                 await self._wait_for_recovery()
                 restart_task.cancel()
+                stall_task.cancel()
             finally:
                 for caller in self._callers:
                     caller.stopping.set()
@@ -97,9 +101,11 @@
         ]
         records = self._records
         refused = len({request_id for request_id, _ in records.refusals})
+        stalls = [stall.ended_at - stall.began_at for stall in records.stalls]
         return (
             f"{served} of {len(outcomes)} served, {refused} refused by upstreams, "
-            f"{len(records.list_returned())} of these returned; {' '.join(faults)}"
+            f"{len(records.list_returned())} of these returned, longest stall of the "
+            f"soak {max(stalls, default=0.0):.2f} s; {' '.join(faults)}"
         )
 
     async def _start(self) -> None:
@@ -154,6 +160,15 @@
             await asyncio.sleep(self._random.uniform(0.3, MAX_CHANGE_INTERVAL_SECONDS))
             await asyncio.to_thread(self._mesh.change_configuration)
 
+    async def _record_stalls(self) -> None:
+        """Record when this process, which runs the links of all hosts, stands still."""
+        while True:
+            polled_at = time.monotonic()
+            await asyncio.sleep(STALL_POLL_SECONDS)
+            now = time.monotonic()
+            if now - polled_at > MIN_STALL_SECONDS:
+                self._records.stalls.append(Stall(polled_at, now))
+
     async def _send_crowds(self) -> None:
         """Take the slots of all hosts but one; the other daemons learn of it late."""
         # A generator of its own, so that a seed chooses the same faults.
