Let the parents of repeated nested calls run for the whole test

Cause: the parents run for 400 ms, and the test repeats eight calls meanwhile. On a busy machine these take longer; then they are no nested calls any more, which the test asserts as its precondition.

Change: the parents run for 2 s. The assertions stay.

--- a/flamingohead/tests/test_repeated_refusals_processes.py
+++ b/flamingohead/tests/test_repeated_refusals_processes.py
@@ -28,6 +28,8 @@
 DEADLINE_MS = 1000
 TARGET_MS = 5000
 BLOCKING_MS = 400
+# The parents of nested calls run until all calls have been repeated.
+PARENT_MS = 2000
 # Too short to wait for a slot that is taken.
 RETURN_DEADLINE_MS = 300
 # Longer than an upstream runs a request that was given up.
@@ -69,9 +71,9 @@
     return send_request(host.relay, "GET", path, headers=headers)[0]
 
 
-def start_relay(host, request_id):
+def start_relay(host, request_id, *, work_ms):
     thread = threading.Thread(
-        target=relay, args=(host, request_id), kwargs={"work_ms": BLOCKING_MS}
+        target=relay, args=(host, request_id), kwargs={"work_ms": work_ms}
     )
     thread.start()
     return thread
@@ -151,9 +153,10 @@
         """Start a request that runs on a host and one that waits for its slot."""
         # A pending duplicate could cut the first request.
         assert wait_until(lambda: relay(host, f"{name}-first", work_ms=1) == 200)
-        running = start_relay(host, f"{name}-running")
+        running = start_relay(host, f"{name}-running", work_ms=BLOCKING_MS)
         wait_until(lambda: f"{name}-running" in list_runs(self.mesh))
-        return running, start_relay(host, f"{name}-waiting")
+        waiting = start_relay(host, f"{name}-waiting", work_ms=BLOCKING_MS)
+        return running, waiting
 
     def list_returned(self, duplicate):
         """Return the requests that arrived again at an upstream that refused them."""
@@ -227,7 +230,7 @@
     def test_nested_call_repeated_by_its_parent(self, mesh, duplicate):
         hosts = mesh.hosts["h0"], mesh.hosts["h1"]
         parent = f"nested-{duplicate}"
-        parents = [start_relay(host, parent) for host in hosts]
+        parents = [start_relay(host, parent, work_ms=PARENT_MS) for host in hosts]
         assert wait_until(lambda: list_runs(mesh).count(parent) == len(hosts))
         statuses, runs = self.send_again(mesh, parent, hosts)
         assert all(thread.is_alive() for thread in parents)
