Pause no connection whose exchange has ended

Callers: a request ran and got 504, when another caller read its own response slowly.

Cause: a response is delivered after its exchange has ended, and its flow control still names the connection of that exchange. If the caller's write buffer fills up then, the connection is paused while it is idle or carries another request, and nothing resumes it. While paused it isn't read, so that a surplus response goes unnoticed, too.

Change: the response lets go of the connection when its exchange is complete, in relays to upstreams and between daemons.

Result: both tests of test_paused_connections.py failed before ("deadline passed" in place of the answer) and pass; the tests of responses, copies, slots and the client pass.

--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -12,6 +12,7 @@
 from flamingohead.services.byte_bounds import MAX_DISCARDED_BYTES, ByteBound
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.http_messages import RELAY_PREFIX, OutgoingRequest
+from flamingohead.services.response_wrapper import couple_flow, decouple_flow
 
 if TYPE_CHECKING:
     from flamingohead.core.calls import Call
@@ -61,8 +62,7 @@
     def attach(self, connection: ClientConnection) -> None:
         """Pause reading from the connection while the caller's write buffer is full."""
         self.connection = connection
-        self._response.on_pause = connection.pause
-        self._response.on_resume = connection.resume
+        couple_flow(self._response, connection)
 
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         headers = [h for h in headers if not h[0].startswith(RELAY_PREFIX)]
@@ -84,6 +84,7 @@
 
     def finish(self) -> None:
         self.is_complete = True
+        decouple_flow(self._response)
         if not self.is_discarded:
             self._response.finish()
 
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -23,6 +23,7 @@
     OutgoingRequest,
     find_header,
 )
+from flamingohead.services.response_wrapper import couple_flow, decouple_flow
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -74,8 +75,7 @@
 
     def attach(self, connection: ClientConnection) -> None:
         """Pause reading from the connection while the caller's write buffer is full."""
-        self._response.on_pause = connection.pause
-        self._response.on_resume = connection.resume
+        couple_flow(self._response, connection)
 
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         self.refusal = _read_refusal(headers, time.monotonic())
@@ -94,6 +94,7 @@
             self._discarded.add(len(data))
 
     def finish(self) -> None:
+        decouple_flow(self._response)
         if self.refusal is None:
             self._response.finish()
 
--- a/flamingohead/services/response_wrapper.py
+++ b/flamingohead/services/response_wrapper.py
@@ -7,9 +7,22 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingohead.services.http_connection import ClientConnection
     from flamingohead.services.http_response import ServerResponse
 
 
+def couple_flow(response: ServerResponse, connection: ClientConnection) -> None:
+    """Pause reading from a connection while the caller's write buffer is full."""
+    response.on_pause = connection.pause
+    response.on_resume = connection.resume
+
+
+def decouple_flow(response: ServerResponse) -> None:
+    """Leave the connection alone, which may carry another request from now on."""
+    response.on_pause = None
+    response.on_resume = None
+
+
 class ResponseWrapper:
     """Wrap a caller's response and forward its flow control callbacks."""
 
