Keep the statement of a refusal whose body is cut

Callers: 502 for a request that its upstream had declined, and no attempt elsewhere for one that may run once.

Cause: the loss of the connection after the head replaced what the head states.

Change: a response whose head says "not executed" counts as that refusal, also if its body is lost. One that lacks the statement is logged and withheld as before.

Result: the new test of test_dispatch.py failed before (upstream_cut in place of upstream_shed) and passes.

--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -122,7 +122,8 @@
         ),
         on_connection=relay.attach,
     )
-    if refusal is None and relay.is_discarded:
+    if relay.is_discarded:
+        # The head says enough, also if the rest of the response is lost.
         return _refuse_discarded(kernel, call, relay, upstream)
     return refusal
 
--- a/flamingohead/tests/test_dispatch.py
+++ b/flamingohead/tests/test_dispatch.py
@@ -9,7 +9,7 @@
 import pytest
 
 from flamingohead.core.calls import REQUEST_ID_HEADER, Call
-from flamingohead.core.errors import ErrorKind, ExecutionStatus
+from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.events import Event
 from flamingohead.kernel import Kernel
 from flamingohead.platform.dialect import NOT_EXECUTED_HEADER, PLATFORM_DIALECT
@@ -25,14 +25,17 @@
 class FakeUpstream:
     """Answer every request with the same status and headers."""
 
-    def __init__(self, status, headers=()):
+    def __init__(self, status, headers=(), end=None):
         self.status = status
         self.headers = list(headers)
+        self.end = end
 
     async def send(self, address, request, sink, *, on_connection, **options):
         on_connection(ClientConnection(address))
         sink.start(self.status, self.headers, 0)
-        sink.finish()
+        if self.end is None:
+            sink.finish()
+        return self.end
 
 
 class Dispatch:
@@ -60,6 +63,14 @@
         )
 
 
+class TestStatedRefusals:
+    def test_refusal_whose_body_is_cut_keeps_its_statement(self):
+        cut = Refusal(ErrorKind.UPSTREAM_CUT)
+        dispatch = Dispatch(503, [(NOT_EXECUTED_HEADER, b"1")], cut)
+        assert dispatch.refusal.kind is ErrorKind.UPSTREAM_SHED
+        assert dispatch.refusal.ran is ExecutionStatus.NO
+
+
 class TestUnstatedRefusals:
     @pytest.mark.parametrize("status", [408, 429, 503])
     def test_status_that_denies_execution_is_logged(self, status, caplog):
