Compare request ids without the blanks around them

Callers: 502 for a request that ran, if its id or the one in the response has trailing blanks.

Cause: the parser keeps trailing blanks of a header value, which HTTP says are no part of it, and the ids were compared as they came.

Change: one function reads the id of a request and of a response, without blanks. What is sent and passed on stays as it was.

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -96,8 +96,8 @@
         of the request on the same connection could be taken for refused again. For a
         request without an id, nothing but a new connection shows whose response it is.
         """
-        request_id = find_header(request.headers, REQUEST_ID_HEADER)
-        if not request_id:
+        request_id = _read_request_id(request.headers)
+        if request_id is None:
             is_paired = not (request.echoes_request_id and self._has_responded)
             return is_paired and not self._refused_ids
         return request_id not in self._refused_ids
@@ -123,7 +123,7 @@
         self._method = request.method
         self._is_close_delimited = False
         self._allows_close_delimited = request.allows_close_delimited
-        self._request_id = find_header(request.headers, REQUEST_ID_HEADER) or None
+        self._request_id = _read_request_id(request.headers)
         self._echoes_id = request.echoes_request_id
         self._requires_id = request.echoes_request_id and self._has_responded
         self._exchange_id = find_header(request.headers, EXCHANGE_HEADER)
@@ -275,7 +275,7 @@
             if find_header(self._headers, EXCHANGE_HEADER) != self._exchange_id:
                 self._reject("answer to another exchange")
             self._headers.remove((EXCHANGE_HEADER, self._exchange_id))
-        response_id = find_header(self._headers, REQUEST_ID_HEADER) or None
+        response_id = _read_request_id(self._headers)
         expected = self._request_id
         self._is_id_echoed = response_id is not None and response_id == expected
         if response_id == expected or (expected is None and not self._echoes_id):
@@ -328,3 +328,8 @@
         on_done, self._on_done = self._on_done, None
         if on_done is not None:
             on_done(result)
+
+
+def _read_request_id(headers: Headers) -> bytes | None:
+    """Return the request id without surrounding blanks, which are no part of it."""
+    return (find_header(headers, REQUEST_ID_HEADER) or b"").strip() or None
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -90,6 +90,13 @@
         exchanges.transport.deliver(answer)
         assert exchanges.ends == [None]
 
+    @pytest.mark.parametrize("sent, echoed", [(b"a", b"a \t"), (b"a ", b"a")])
+    def test_blanks_behind_an_id_are_no_part_of_it(self, sent, echoed):
+        exchanges = _Exchanges()
+        exchanges.send(sent)
+        exchanges.transport.deliver(build_answer(echoed))
+        assert exchanges.ends == [None]
+
     def test_duplicate_after_the_answer_closes_the_connection(self, caplog):
         exchanges = _Exchanges()
         exchanges.send(b"a")
