Test configuration changes while the store is in trouble

The postmortem of the silent store left open that no test with real processes covers an invalid version, timeouts of routes or shares of weights while the store is silent, refuses, is slow or has been restored.

The stand-in of the store can delay its responses now.

--- a/flamingohead/standins/store.py
+++ b/flamingohead/standins/store.py
@@ -13,6 +13,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 from twisted.web.server import Site
 
 from flamingohead.addresses import split_address
@@ -36,6 +37,7 @@
         False, description="feeds get 410, as if the history were unavailable"
     )
     hold_feeds: bool = Field(False, description="feeds report no changes")
+    delay_ms: int = Field(0, ge=0, description="delay of every response")
 
 
 @dataclass
@@ -133,8 +135,12 @@
         return self._respond(request, lambda r: self._read_object(r, name))
 
     def _respond(self, request, operation, *, writes: bool = False):
+        return Deferred.fromCoroutine(self._operate(request, operation, writes))
+
+    async def _operate(self, request, operation, writes: bool) -> bytes:
         if self.faults.silent:
-            return Deferred()
+            await Deferred()
+        await self._delay()
         self._set_era_header(request)
         if self.faults.refuse:
             request.setResponseCode(self.faults.refuse)
@@ -145,6 +151,10 @@
             request.transport.abortConnection()
         return body if isinstance(body, bytes) else json.dumps(body).encode()
 
+    async def _delay(self) -> None:
+        if self.faults.delay_ms:
+            await deferLater(reactor, self.faults.delay_ms / 1000)
+
     def _read_rows(self, request) -> dict:
         table, part = _get(request, "table"), _get(request, "part")
         limit = min(int(_get(request, "limit") or MAX_ROWS), MAX_ROWS)
@@ -180,7 +190,9 @@
             if rows or deadline <= time.monotonic():
                 if self.faults.silent:
                     await Deferred()
-                return json.dumps({**self._describe_state(), "rows": rows}).encode()
+                body = json.dumps({**self._describe_state(), "rows": rows}).encode()
+                await self._delay()
+                return body
             await Deferred.fromFuture(asyncio.ensure_future(self._wait_for_change()))
 
     async def _wait_for_change(self) -> None:
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -43,9 +43,17 @@
 
 
 def build_document(
-    version: int, routes: dict[str, str], *, max_attempts: int = 2, **changes
+    version: int,
+    routes: dict[str, str | dict[str, int]],
+    *,
+    max_attempts: int = 2,
+    timeout_ms: int = 1200,
+    **changes,
 ) -> bytes:
-    """Build a configuration document; ``routes`` maps path prefixes to services."""
+    """Build a configuration document.
+
+    ``routes`` maps path prefixes to services, or to the weights of several services.
+    """
     rules = [
         {
             "name": f"r{number}",
@@ -54,13 +62,18 @@
             "priority": 1,
             "match": {"prefix": prefix},
             "action": {
-                "service": service,
-                "timeout": "1200ms",
+                "timeout": f"{timeout_ms}ms",
                 "max-attempts": max_attempts,
+                **_build_destination(destination),
             },
         }
-        for number, (prefix, service) in enumerate(routes.items())
+        for number, (prefix, destination) in enumerate(routes.items())
     ]
+    services = {
+        service
+        for destination in routes.values()
+        for service in ([destination] if isinstance(destination, str) else destination)
+    }
     document = {
         "version": version,
         "limits": {
@@ -71,14 +84,20 @@
         },
         "listeners": [{"host": HOST, "route-rules": rules}],
         "clusters": [
-            {"name": service, "health-path": "/healthz"}
-            for service in sorted(set(routes.values()))
+            {"name": service, "health-path": "/healthz"} for service in sorted(services)
         ],
         **changes,
     }
     return json.dumps(document).encode()
 
 
+def _build_destination(destination: str | dict[str, int]) -> dict[str, object]:
+    if isinstance(destination, str):
+        return {"service": destination}
+    split = [{"service": s, "weight": weight} for s, weight in destination.items()]
+    return {"split": split}
+
+
 def build_settings(host: Host, store: str, peer_port: int, **changes) -> str:
     """Build the text of a settings file in the platform's format."""
     settings = {
