Let upstreams with an old high latency receive requests again

The balancer prefers the lower of two costs. Without requests in flight, only the relative latency decides, and it changes only with a response. So an upstream with a higher last value lost every comparison and was never measured again, even if it differed by 3e-15.

As in the placement of requests, the latency decays to 1 without responses, and the next response is averaged with the decayed value. Costs that differ by less than 5% don't decide: the decayed value comes close to that of the others, but not below it.

Placement has the decay and random choice among ties; it averages a response with the value before the decay, which is left as it is.

--- a/flamingohead/core/balancing.py
+++ b/flamingohead/core/balancing.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
+from flamingohead.core.decay import compute_decay
 from flamingohead.core.ejection import (
     EJECTION_SCORE,
     MAX_EJECTED_FRACTION,
@@ -28,6 +29,8 @@
 LATENCY_SMOOTHING = 0.2
 BASELINE_SMOOTHING = 0.02
 MAX_RELATIVE_LATENCY = 10.0
+# Fraction by which the costs of two upstreams must differ for one to be preferred.
+TIE_FRACTION = 0.05
 OVERLOAD_BACKOFF_SECONDS = 0.1
 TRIAL_GRACE_SECONDS = 5.0
 MAX_SAMPLE_ATTEMPTS = 4
@@ -46,14 +49,27 @@
     ready_since: float
     in_flight: int = 0
     relative_latency: float = 1.0
+    relative_latency_at: float = 0.0
     failure_score: float = 0.0
     avoided_until: float = 0.0
 
     def compute_cost(self, now: float) -> tuple[bool, float]:
-        """Return a sort key; the upstream with the lower key is preferred."""
+        """Return whether the upstream is failing, and its load times its latency."""
         failing = self.failure_score >= EJECTION_SCORE or now < self.avoided_until
-        slots = max(self.candidate.slots, 1)
-        return failing, (self.in_flight + 1) / slots * self.relative_latency
+        load = (self.in_flight + 1) / max(self.candidate.slots, 1)
+        return failing, load * self.estimate_relative_latency(now)
+
+    def estimate_relative_latency(self, now: float) -> float:
+        """Return the relative latency, which decays to 1 without responses."""
+        weight = compute_decay(now - self.relative_latency_at)
+        return 1.0 + weight * (self.relative_latency - 1.0)
+
+
+def _is_preferred(upstream: _Upstream, other: _Upstream, now: float) -> bool:
+    failing, cost = upstream.compute_cost(now)
+    other_failing, other_cost = other.compute_cost(now)
+    is_cheaper = cost < (1 - TIE_FRACTION) * other_cost
+    return is_cheaper if failing == other_failing else other_failing
 
 
 @dataclass(frozen=True, eq=False)
@@ -225,7 +241,7 @@
             second = self._random.choice(eligible)
         if not self._is_admitted_by_ramp(second, now):
             return first
-        return min(first, second, key=lambda upstream: upstream.compute_cost(now))
+        return second if _is_preferred(second, first, now) else first
 
     def _sample(self, eligible: list[_Upstream], now: float) -> _Upstream:
         for _ in range(MAX_SAMPLE_ATTEMPTS):
@@ -259,22 +275,22 @@
         if is_server_error(status):
             self._record_score(attempt, SERVER_ERROR_SCORE, now)
             return
-        self._record_time(attempt, now - attempt.started_at)
+        self._record_time(attempt, now)
         if attempt.is_trial:
             self._readmit(upstream, now)
         elif upstream.health.is_available():
             upstream.failure_score = 0.0
 
-    def _record_time(self, attempt: Attempt, elapsed: float) -> None:
-        key = attempt.upstream.candidate.service, attempt.rank
+    def _record_time(self, attempt: Attempt, now: float) -> None:
+        upstream, elapsed = attempt.upstream, now - attempt.started_at
+        key = upstream.candidate.service, attempt.rank
         baseline = self._baselines.get(key, elapsed)
         baseline += BASELINE_SMOOTHING * (elapsed - baseline)
         self._baselines[key] = baseline
         ratio = min(elapsed / baseline, MAX_RELATIVE_LATENCY) if baseline > 0 else 1.0
-        upstream = attempt.upstream
-        upstream.relative_latency += LATENCY_SMOOTHING * (
-            ratio - upstream.relative_latency
-        )
+        latency = upstream.estimate_relative_latency(now)
+        upstream.relative_latency = latency + LATENCY_SMOOTHING * (ratio - latency)
+        upstream.relative_latency_at = now
 
     def _record_overload(self, attempt: Attempt, refusal: Refusal, now: float) -> None:
         upstream = attempt.upstream
--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -22,6 +22,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
+from flamingohead.core.decay import compute_decay
 from flamingohead.core.ejection import OVERLOAD_KINDS, is_server_error
 from flamingohead.core.errors import ErrorKind
 
@@ -37,8 +38,6 @@
 LATENCY_SMOOTHING = 0.2
 BASELINE_SMOOTHING = 0.02
 MAX_RELATIVE_LATENCY = 10.0
-# Half-life, in seconds, of the measurements of an upstream that receives no requests.
-HALF_LIFE_SECONDS = 3.0
 # Weight of one outcome in the failure rate.
 FAILURE_SMOOTHING = 0.25
 # Cost of a failed attempt, as a multiple of the baseline service time.
@@ -148,7 +147,7 @@
         return self.in_flight + others_ahead * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
 
     def estimate_relative_latency(self, now: float) -> float:
-        weight = _compute_decay(now - self.relative_latency_at)
+        weight = compute_decay(now - self.relative_latency_at)
         if now - self.ready_since < NEW_UPSTREAM_SECONDS:
             return max(
                 NEW_UPSTREAM_LATENCY, 1.0 + weight * (self.relative_latency - 1.0)
@@ -156,7 +155,7 @@
         return 1.0 + weight * (self.relative_latency - 1.0)
 
     def estimate_failure_rate(self, now: float) -> float:
-        return self.failure_rate * _compute_decay(now - self.failure_rate_at)
+        return self.failure_rate * compute_decay(now - self.failure_rate_at)
 
     def is_full(self, rank: str, now: float) -> bool:
         return self.estimate_occupancy(rank, now) >= self.candidate.slots
@@ -357,7 +356,3 @@
             return REMOTE_COST
         cost = REMOTE_TARGET_FRACTION * (request.target_deadline - now) / baseline
         return min(max(cost, REMOTE_COST), MAX_REMOTE_COST)
-
-
-def _compute_decay(age: float) -> float:
-    return math.pow(0.5, max(0.0, age) / HALF_LIFE_SECONDS)
--- a/properties/test_balancing_ejection.py
+++ b/properties/test_balancing_ejection.py
@@ -96,8 +96,11 @@
 TestEjectionMachine = EjectionMachine.TestCase
 
 
-def run_calls(balancer, *, start, seconds, rate, dead, kind):
-    """Send requests one by one; return the failures and the responses by host."""
+def run_calls(balancer, *, start, seconds, rate, dead=(), kind=None, times=None):
+    """Send requests one by one; return the failures and the responses by host.
+
+    ``times`` maps slow hosts to their response times.
+    """
     failures, responses = Counter(), Counter()
     for number in range(int(seconds * rate)):
         now = start + number / rate
@@ -108,7 +111,8 @@
             balancer.finish(attempt, now + 0.3, Refusal(kind))
         else:
             responses[candidate.host_id] += 1
-            balancer.finish(attempt, now + 0.005, None)
+            elapsed = (times or {}).get(candidate.host_id, 0.005)
+            balancer.finish(attempt, now + elapsed, None)
     return failures, responses
 
 
@@ -173,6 +177,25 @@
         assert balancer.choose(SERVICE, 22.0, idempotent=True).key == ejected
 
 
+class TestSlowUpstreams:
+    @given(seed=st.integers(0, 1000), count=st.integers(2, 10))
+    @settings(max_examples=15)
+    def test_host_that_was_slow_gets_its_share_again(self, seed, count):
+        balancer = build_balancer(count, seed)
+        run_calls(balancer, start=20, seconds=20, rate=10, times={"host-0": 0.05})
+        run_calls(balancer, start=40, seconds=60, rate=10)
+        _, responses = run_calls(balancer, start=100, seconds=40, rate=10)
+        assert responses["host-0"] >= 0.5 * sum(responses.values()) / count
+
+    @given(seed=st.integers(0, 1000), count=st.integers(2, 10))
+    @settings(max_examples=15)
+    def test_slow_host_gets_less_than_its_share(self, seed, count):
+        balancer = build_balancer(count, seed)
+        times = {"host-0": 0.05}
+        _, responses = run_calls(balancer, start=20, seconds=60, rate=10, times=times)
+        assert responses["host-0"] <= 0.5 * sum(responses.values()) / count
+
+
 class TestMembers:
     @given(
         views=st.lists(
