Name the ids of errors of a connection after what they are

Callers: nothing changes.

Change: _error_ids and MAX_ERROR_IDS; names only.

Result: the tests of second answers and repeated refusals pass.

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -36,7 +36,7 @@
 FIRST_FINAL_STATUS = 200
 FIRST_ERROR_STATUS = 400
 # A connection that has carried more errors is not reused.
-MAX_REFUSED_IDS = 64
+MAX_ERROR_IDS = 64
 BODILESS_STATUSES = (204, 304)
 
 _connection_numbers = itertools.count(1)
@@ -86,7 +86,7 @@
         self._is_refused = False
         self._is_id_echoed = False
         self._exchange_id: bytes | None = None
-        self._refused_ids: set[bytes] = set()
+        self._error_ids: set[bytes] = set()
         self.progress = ResponseProgress(math.inf)
 
     def may_carry(self, request: OutgoingRequest) -> bool:
@@ -99,8 +99,8 @@
         request_id = _read_request_id(request.headers)
         if request_id is None:
             is_paired = not (request.echoes_request_id and self._has_responded)
-            return is_paired and not self._refused_ids
-        return request_id not in self._refused_ids
+            return is_paired and not self._error_ids
+        return request_id not in self._error_ids
 
     def record_refusal(self) -> None:
         """Record that the response states that its request was not executed."""
@@ -280,7 +280,7 @@
         self._is_id_echoed = response_id is not None and response_id == expected
         if response_id == expected or (expected is None and not self._echoes_id):
             return
-        if response_id in self._refused_ids:
+        if response_id in self._error_ids:
             self._reject("answer to another request, which was refused")
         if response_id is not None or self._requires_id:
             self._reject("answer to another request")
@@ -311,8 +311,8 @@
         # Between daemons, the id of the exchange tells a duplicate from the response.
         needs_record = self._request_id is not None and self._exchange_id is None
         if is_error and needs_record:
-            self._refused_ids.add(self._request_id)
-            reusable = reusable and len(self._refused_ids) <= MAX_REFUSED_IDS
+            self._error_ids.add(self._request_id)
+            reusable = reusable and len(self._error_ids) <= MAX_ERROR_IDS
         if not reusable or self.transport.get_unsent_bytes():
             self.is_open = False
         sink.finish()
--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -16,7 +16,7 @@
 from flamingohead.services.dispatch import ResponseRelay
 from flamingohead.services.eras import EraService
 from flamingohead.services.http_client import HttpClientService
-from flamingohead.services.http_connection import MAX_REFUSED_IDS, ClientConnection
+from flamingohead.services.http_connection import MAX_ERROR_IDS, ClientConnection
 from flamingohead.services.http_messages import EXCHANGE_HEADER, OutgoingRequest
 from flamingohead.services.metrics import MetricsService
 from flamingohead.testing.transports import FakeTransport, RecordingSink
@@ -278,7 +278,7 @@
 
     def test_connection_with_many_errors_is_not_reused(self):
         exchanges = _Exchanges()
-        for number in range(MAX_REFUSED_IDS + 1):
+        for number in range(MAX_ERROR_IDS + 1):
             assert exchanges.connection.is_open
             exchanges.send(b"%d" % number)
             refusal = REFUSAL.replace(b"id: a", b"id: %d" % number)
@@ -310,7 +310,7 @@
     def test_refusals_of_other_exchanges_do_not_end_a_connection(self):
         connection = ClientConnection("127.0.0.1:1")
         transport = FakeTransport(connection)
-        for number in range(2 * MAX_REFUSED_IDS):
+        for number in range(2 * MAX_ERROR_IDS):
             exchange = (EXCHANGE_HEADER, b"%d" % number)
             request = build_request(b"%d" % number, echoes_request_id=False)
             request = replace(request, headers=(*request.headers, exchange))
