Take configurations with organisations, uploads and four figures of load

Callers saw: on a deployment with routes of kind `upload` every request got 503, since one unknown kind of route rejects the whole configuration. On a deployment with organisations, keys reached the upstreams, no organisation was named there, and requests with unknown keys ran.

Cause: the configuration model knew neither; the health page with a fourth figure of load was taken for one without slots.

--- a/flamingohead/core/calls.py
+++ b/flamingohead/core/calls.py
@@ -23,7 +23,8 @@
     addressed, and ``request_id`` the id that the caller assigned. ``parent`` is the id
     of the running request that makes the call, if it is a nested one. A response after
     ``target_deadline`` misses the target of the rank. A ``relayed`` call comes from
-    another daemon.
+    another daemon. ``organisation`` is the name of the customer that the request
+    belongs to, or empty if it is not known.
     """
 
     service: str
@@ -46,6 +47,8 @@
     host: bytes = b""
     target_deadline: float = math.inf
     relayed: bool = False
+    organisation: str = ""
+    large_body: bool = False
 
     @property
     def request_id(self) -> str:
--- a/flamingohead/core/errors.py
+++ b/flamingohead/core/errors.py
@@ -33,6 +33,10 @@
     UNAUTHORIZED = "unauthorized"
     NOT_FOUND = "not_found"
     NO_ROUTE = "no_route"
+    API_KEY_UNKNOWN = "api_key_unknown"
+    CALLER_UNKNOWN = "caller_unknown"
+    CONFIGURATION_UNCONFIRMED = "configuration_unconfirmed"
+    ORGANISATION_OVER_LIMIT = "organisation_over_limit"
     NO_CONFIGURATION = "no_configuration"
     SERVICE_OBSERVED = "service_observed"
     NO_UPSTREAM = "no_upstream"
@@ -85,6 +89,10 @@
     ErrorKind.UNAUTHORIZED: ErrorResponse(401, ExecutionStatus.NO, None),
     ErrorKind.NOT_FOUND: ErrorResponse(404, ExecutionStatus.NO, None),
     ErrorKind.NO_ROUTE: ErrorResponse(404, ExecutionStatus.NO, None),
+    ErrorKind.API_KEY_UNKNOWN: ErrorResponse(401, ExecutionStatus.NO, None),
+    ErrorKind.CALLER_UNKNOWN: ErrorResponse(503, ExecutionStatus.NO, 500),
+    ErrorKind.CONFIGURATION_UNCONFIRMED: ErrorResponse(503, ExecutionStatus.NO, 1000),
+    ErrorKind.ORGANISATION_OVER_LIMIT: ErrorResponse(429, ExecutionStatus.NO, 1000),
     ErrorKind.NO_CONFIGURATION: ErrorResponse(503, ExecutionStatus.NO, 1000),
     ErrorKind.SERVICE_OBSERVED: ErrorResponse(503, ExecutionStatus.NO, None),
     ErrorKind.NO_UPSTREAM: ErrorResponse(503, ExecutionStatus.NO, 1000),
--- a/flamingohead/core/members.py
+++ b/flamingohead/core/members.py
@@ -63,7 +63,8 @@
     ``accuser`` is the host id of the member that suspects this one or declared it dead.
     Members of the same ``group`` track each other individually; an empty group stands
     for the whole failure domain. ``capacity`` orders the hosts by how fast they apply a
-    large configuration. ``departure`` outlives the daemon: the other members hand it to
+    large configuration, and ``link_mbps`` is the bandwidth of the host's link, 0 if it
+    is not known. ``departure`` outlives the daemon: the other members hand it to
     the next daemon of the host.
     """
 
@@ -78,6 +79,7 @@
     group: str = ""
     capacity: int = 0
     departure: Departure | None = None
+    link_mbps: int = 0
 
     @property
     def gossip_group(self) -> str:
--- a/flamingohead/core/messages.py
+++ b/flamingohead/core/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from flamingohead.core.members import Member
+from flamingohead.core.organisations.messages import QuotaGrant, QuotaRequest
 from flamingohead.core.summaries import SummaryReply, SummaryRequest
 from flamingohead.core.versions import VersionRecord
 
@@ -44,11 +45,21 @@
     """Carry member updates only; it is not acknowledged."""
 
 
-Body = Ping | PingRequest | Ack | RecordPush | Gossip | SummaryRequest | SummaryReply
+Body = (
+    Ping
+    | PingRequest
+    | Ack
+    | RecordPush
+    | Gossip
+    | SummaryRequest
+    | SummaryReply
+    | QuotaRequest
+    | QuotaGrant
+)
 
 MAX_DATAGRAM_BYTES = 1200
 _FIELD_BYTES = 3
-_MEMBER_NUMBERS_BYTES = 19
+_MEMBER_NUMBERS_BYTES = 25
 _UPSTREAM_NUMBERS_BYTES = 10
 _DEPARTURE_NUMBERS_BYTES = 22
 _FIXED_BYTES = 64
@@ -100,6 +111,8 @@
     ``version`` is the active configuration version of the sender. A sender that
     ``follows_source`` follows the source of the configuration and can reach it.
     ``store_era`` is the newest era of the platform's store that it knows of, or 0.
+    ``confirmation_age_ms`` of an acknowledgement is the age of the sender's proof that
+    ``version`` was the newest one, plus 1, or 0 if it has no proof.
     """
 
     sender: str
@@ -111,3 +124,4 @@
     updates: tuple[Member, ...] = ()
     follows_source: bool = False
     store_era: int = 0
+    confirmation_age_ms: int = 0
--- /dev/null
+++ b/flamingohead/core/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations: identity of callers, keys in force, limits."""
--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -28,6 +28,9 @@
 
 
 CLIENT_LIMITS_KEY = ResourceKey("client_limits", "", "")
+ORGANISATION_KIND = "organisation"
+# Bytes of a key digest; a longer one would only lengthen messages between daemons.
+KEY_DIGEST_BYTES = 16
 
 
 @dataclass(frozen=True)
@@ -101,8 +104,9 @@
     A route with a ``host`` matches only requests for that host, and requests of every
     method if ``methods`` is ``ANY_METHOD``. With a ``split``, requests are distributed
     over its pools by weight, and ``pool`` is the first of them. ``bulky`` marks routes
-    with large responses. ``max_attempts`` limits how many upstreams a request is sent
-    to.
+    with large responses, ``large_body`` those with large request bodies.
+    ``max_attempts`` limits how many upstreams a request is sent to. Requests to a
+    ``public`` route need no key.
     """
 
     name: str
@@ -117,6 +121,8 @@
     split: tuple[WeightedPool, ...] = ()
     bulky: bool = False
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    public: bool = False
+    large_body: bool = False
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "methods", tuple(self.methods))
@@ -148,7 +154,37 @@
         return CLIENT_LIMITS_KEY
 
 
-Resource = Service | Pool | Rank | Route | ClientLimits
+@dataclass(frozen=True)
+class Organisation:
+    """Define a customer of the operators, identified by its keys.
+
+    Keys are stored as digests only. The ``order`` replaces that of the route's rank,
+    if it is set. ``rate_per_second`` and ``burst`` limit the requests of the
+    organisation on all daemons together; without a rate there is no limit.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    order: int | None = None
+    rate_per_second: float = 0.0
+    burst: float = 0.0
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "key_digests", tuple(self.key_digests))
+        object.__setattr__(self, "rate_per_second", float(self.rate_per_second))
+        object.__setattr__(self, "burst", float(self.burst))
+
+    @property
+    def key(self) -> ResourceKey:
+        return ResourceKey(ORGANISATION_KIND, "", self.name)
+
+
+def digest_key(key: bytes) -> str:
+    """Return the digest that identifies a key of an organisation."""
+    return hashlib.sha256(key).hexdigest()[: 2 * KEY_DIGEST_BYTES]
+
+
+Resource = Service | Pool | Rank | Route | ClientLimits | Organisation
 
 
 def _hash_resources(resources: Iterable[Resource]) -> bytes:
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -11,11 +11,14 @@
 from flamingohead.core.resources import (
     ANY_METHOD,
     CLIENT_LIMITS_KEY,
+    ORGANISATION_KIND,
+    Organisation,
     Pool,
     Rank,
     ResourceKey,
     Route,
     Service,
+    digest_key,
 )
 
 if TYPE_CHECKING:
@@ -49,6 +52,7 @@
         self._routes: dict[RouteMatch, ResolvedRoute] = {}
         self._ranks: dict[str, tuple[Rank, ...]] = {}
         self._pools: dict[str, Pool] = {}
+        self._organisations = _index_organisations(snapshot)
         self._add_resources(list(snapshot.resources.values()))
 
     @property
@@ -69,6 +73,8 @@
         table.snapshot = snapshot
         table._routes = dict(self._routes)
         table._ranks = dict(self._ranks)
+        if any(isinstance(resource, Organisation) for resource in resources):
+            table._organisations = _index_organisations(snapshot)
         replaced_services = {
             resource.key.service
             for resource in difference.before
@@ -124,6 +130,31 @@
         """Return the client limits, if the configuration sets any."""
         return self.snapshot.resources.get(CLIENT_LIMITS_KEY)
 
+    @property
+    def requires_keys(self) -> bool:
+        """Return whether requests to routes that are not public need a key."""
+        return bool(self._organisations)
+
+    def find_organisation(self, key: bytes) -> Organisation | None:
+        """Return the organisation that a key belongs to."""
+        return self._organisations.get(digest_key(key))
+
+    def get_organisation(self, name: str) -> Organisation | None:
+        """Return an organisation by its name."""
+        return self.snapshot.resources.get(ResourceKey(ORGANISATION_KIND, "", name))
+
+    def choose_rank(
+        self, resolved: ResolvedRoute, organisation: Organisation | None
+    ) -> Rank:
+        """Return the rank of a request; the order of its organisation has priority."""
+        rank = resolved.rank
+        if organisation is None or organisation.order in (None, rank.order):
+            return rank
+        for other in self._ranks[rank.service]:
+            if (other.order, other.target_ms) == (organisation.order, rank.target_ms):
+                return other
+        return rank
+
     def match(self, method: str, path: str, host: str = "") -> ResolvedRoute | Refusal:
         """Return the route for a request; routes of its host take precedence."""
         if self.version == 0:
@@ -180,6 +211,14 @@
         return self._ranks.get(service, ())
 
 
+def _index_organisations(snapshot: Snapshot) -> dict[str, Organisation]:
+    return {
+        digest: organisation
+        for organisation in snapshot.list_kind(ORGANISATION_KIND)
+        for digest in organisation.key_digests
+    }
+
+
 def get_prefix(path: str) -> str:
     """Return the path prefix that a route matches."""
     return path.rstrip("/")
--- a/flamingohead/core/validation.py
+++ b/flamingohead/core/validation.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from flamingohead.core.resources import (
     CLIENT_LIMITS_KEY,
+    ORGANISATION_KIND,
+    Organisation,
     Pool,
     Rank,
     ResourceKey,
@@ -47,6 +50,7 @@
     problems += _check_pools(snapshot, resources)
     problems += _check_routes(snapshot, resources)
     problems += _check_ranks(resources)
+    problems += _check_organisations(snapshot, resources)
     return problems
 
 
@@ -86,6 +90,8 @@
         if key == CLIENT_LIMITS_KEY:
             problems += _check_limits(resource)
             continue
+        if isinstance(resource, Organisation):
+            continue
         if snapshot.get_service(key.service) is None:
             problems.append(
                 Problem(key, "service", f"service {key.service!r} does not exist")
@@ -205,3 +211,25 @@
                 )
             )
     return problems
+
+
+def _check_organisations(
+    snapshot: Snapshot, resources: list[Resource]
+) -> list[Problem]:
+    """Check the limits of organisations, and that no key belongs to two of them."""
+    problems = []
+    organisations = [r for r in resources if isinstance(r, Organisation)]
+    for organisation in organisations:
+        for name in ("rate_per_second", "burst"):
+            value = getattr(organisation, name)
+            if not 0 <= value < math.inf:
+                message = f"{name} {value} is not a number from 0"
+                problems.append(Problem(organisation.key, name, message))
+    owners: dict[str, Organisation] = {}
+    for other in snapshot.list_kind(ORGANISATION_KIND) if organisations else ():
+        for digest in other.key_digests:
+            owner = owners.setdefault(digest, other)
+            if owner is not other:
+                message = f"organisation {owner.name!r} has the same key"
+                problems.append(Problem(other.key, "key_digests", message))
+    return problems
--- a/flamingohead/mesh.py
+++ b/flamingohead/mesh.py
@@ -36,6 +36,7 @@
     *,
     group: str = "",
     capacity: int = 0,
+    link_mbps: int = 0,
     settings: MembershipSettings = MembershipSettings(),
 ) -> None:
     """Add membership, summaries and calls between daemons.
@@ -51,6 +52,7 @@
         incarnation=int(time.time() * 1000),
         group=group,
         capacity=capacity,
+        link_mbps=link_mbps,
     )
     membership = Membership(local_member, random=random, settings=settings)
     kernel.add("gossip", GossipService(kernel, membership, local_member.peer_address))
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -87,6 +87,7 @@
         generator,
         group=MEMBERSHIP_GROUP,
         capacity=settings.capacity,
+        link_mbps=round(settings.link_mbps),
         settings=MEMBERSHIP_SETTINGS,
     )
     _add_request_services(kernel, settings, generator)
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -18,6 +18,7 @@
 
 METRICS_PORT_VARIABLE = "FLAMINGOHEAD_METRICS_PORT"
 MAX_PORT = 65535
+BYTES_PER_MB = 1024 * 1024
 SETTINGS_VARIABLE = "FLAMINGOHEAD_SETTINGS"
 DEFAULT_SETTINGS_PATH = "/etc/flamingohead/boot.yaml"
 
@@ -44,6 +45,9 @@
     cpu_cores: NonNegative = 1.0
     cpu_share: NonNegative = 1.0
     link_mbps: NonNegative = 1000.0
+    # Limits of the process; 0 if there is none.
+    memory_mb: NonNegative = 0.0
+    max_fds: Annotated[int, Meta(ge=0)] = 0
 
 
 class _Bounds(Message):
@@ -56,6 +60,13 @@
     retry_budget_ratio: NonNegative = 0.2
     budget_window: DurationText = "10s"
     budget_slack: NonNegative = 0.0
+    # Whether a withdrawn key must stop on every host within ``revoke``.
+    strict_revoke: bool = False
+    revoke: DurationText = "5000ms"
+    # Window over which limits of organisations hold, and what they may be exceeded by.
+    quota_window: DurationText = "5s"
+    quota_overage: NonNegative = 0.0
+    quota_slack: NonNegative = 0.0
 
 
 class _Store(Message):
@@ -106,6 +117,14 @@
     retry_slack: float
     settle_seconds: float
     capacity: int = 0
+    link_mbps: float = 0.0
+    # Longest time for which a withdrawn key may be used, or ``None`` without a limit.
+    revocation_timeout: float | None = None
+    quota_window: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    memory_bytes: int = 0
+    max_descriptors: int = 0
 
 
 def parse_settings(text: str, *, metrics_port: int = 0) -> HostSettings:
@@ -162,6 +181,15 @@
         retry_window=_parse_seconds(file.bounds.budget_window),
         retry_slack=file.bounds.budget_slack,
         settle_seconds=_parse_seconds(file.bounds.stable_window),
+        link_mbps=file.limits.link_mbps,
+        revocation_timeout=(
+            _parse_seconds(file.bounds.revoke) if file.bounds.strict_revoke else None
+        ),
+        quota_window=_parse_seconds(file.bounds.quota_window),
+        quota_overage=file.bounds.quota_overage,
+        quota_slack=file.bounds.quota_slack,
+        memory_bytes=round(file.limits.memory_mb * BYTES_PER_MB),
+        max_descriptors=file.limits.max_fds,
         capacity=compute_capacity(
             cores=file.limits.cpu_cores * file.limits.cpu_share,
             link_mbps=file.limits.link_mbps,
--- a/flamingohead/platform/documents.py
+++ b/flamingohead/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from typing import TYPE_CHECKING, Annotated, Literal
 
 import msgspec
@@ -12,29 +13,35 @@
 from flamingohead.core.resources import (
     ANY_METHOD,
     ClientLimits,
+    Organisation,
     Pool,
     Rank,
     Route,
     Service,
     Snapshot,
     WeightedPool,
+    digest_key,
 )
 from flamingohead.decoding import DECODING_ERRORS, describe_decoding_error
 from flamingohead.platform.durations import DurationText, parse_milliseconds
 from flamingohead.platform.messages import Message
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from flamingohead.core.resources import Resource, ResourceKey
 
-    # A message that is decoded independently of the others, with its listener's host.
-    Section = tuple[str, Message]
+    # A message that is decoded independently of the others, with its listener's host
+    # and the orders of the organisations.
+    Section = tuple[str, Message, tuple[int, ...]]
     Resources = tuple[tuple[ResourceKey, Resource], ...]
 
+IDEMPOTENT_KINDS = ("safe", "download")
+
 NonEmptyText = Annotated[str, Meta(min_length=1)]
 Count = Annotated[int, Meta(ge=0)]
 Positive = Annotated[int, Meta(ge=1)]
+Amount = Annotated[float, Meta(ge=0)]
 
 
 class _WeightedService(Message):
@@ -55,13 +62,15 @@
 
 class _Rule(Message):
     name: NonEmptyText
-    kind: Literal["safe", "unsafe", "download"]
+    kind: Literal["safe", "unsafe", "download", "upload"]
     # Time within which a response earns full credit.
     target_latency: DurationText
     # 0 is the most urgent.
     priority: Count
     match: _Match
     action: _Action
+    # Requests need no key.
+    public: bool = False
 
 
 class _Listener(Message):
@@ -83,11 +92,23 @@
     idle_timeout: DurationText
 
 
+class _Tenant(Message):
+    # Sent as a header value.
+    name: Annotated[str, Meta(pattern=r"^[^\x00-\x1f\x7f]+$")]
+    api_keys: tuple[NonEmptyText, ...]
+    # Replaces the priority of the route; 0 is the most urgent.
+    priority: Count | None = None
+    # Without a rate there is no limit.
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
+
+
 class _Document(Message):
     version: Positive
     limits: _Limits
     listeners: tuple[_Listener, ...]
     clusters: tuple[_Cluster, ...]
+    tenants: tuple[_Tenant, ...] = ()
 
 
 _DOCUMENT_DECODER = msgspec.json.Decoder(_Document)
@@ -118,6 +139,10 @@
         except DECODING_ERRORS as error:
             detail = describe_decoding_error(error, data)
             return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
+        repeated = _find_repeated(tenant.name for tenant in document.tenants)
+        if repeated is not None:
+            detail = f"tenants: found the name {repeated!r} twice, expected it once"
+            return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
         sections = {
             section: self._build_section(section)
             for section in _list_sections(document)
@@ -130,28 +155,50 @@
         cached = self._sections.get(section)
         if cached is not None:
             return cached
-        host, message = section
-        resources = _BUILDERS[type(message)](host, message)
+        host, message, orders = section
+        resources = _BUILDERS[type(message)](host, message, orders)
         return tuple((resource.key, resource) for resource in resources)
 
 
 def _list_sections(document: _Document) -> Iterator[Section]:
     """Yield the sections of a document that are decoded independently."""
     for cluster in document.clusters:
-        yield "", cluster
-    yield "", document.limits
+        yield "", cluster, ()
+    yield "", document.limits, ()
+    for tenant in document.tenants:
+        yield "", tenant, ()
+    priorities = {tenant.priority for tenant in document.tenants} - {None}
+    orders = tuple(sorted(priorities))
     for listener in document.listeners:
         host = listener.host.lower()
         for rule in listener.route_rules:
-            yield host, rule
+            yield host, rule, orders
 
 
-def _build_cluster(_: str, cluster: _Cluster) -> tuple[Resource, ...]:
+def _find_repeated(names: Iterable[str]) -> str | None:
+    """Return a name that occurs more than once, or ``None``."""
+    counts = Counter(names)
+    return next((name for name, count in counts.items() if count > 1), None)
+
+
+def _build_cluster(_: str, cluster: _Cluster, __: object) -> tuple[Resource, ...]:
     pool = Pool(cluster.name, cluster.name, cluster.health_path)
     return Service(cluster.name), pool
 
 
-def _build_limits(_: str, limits: _Limits) -> tuple[Resource, ...]:
+def _build_organisation(_: str, tenant: _Tenant, __: object) -> tuple[Resource, ...]:
+    return (
+        Organisation(
+            tenant.name,
+            tuple(digest_key(key.encode()) for key in tenant.api_keys),
+            tenant.priority,
+            tenant.rate_per_s,
+            tenant.burst,
+        ),
+    )
+
+
+def _build_limits(_: str, limits: _Limits, __: object) -> tuple[Resource, ...]:
     return (
         ClientLimits(
             limits.max_header_bytes,
@@ -162,39 +209,55 @@
     )
 
 
-def _build_route(host: str, rule: _Rule) -> tuple[Resource, ...]:
-    """Return a route and its rank in each service that it leads to."""
+def _build_route(
+    host: str, rule: _Rule, orders: tuple[int, ...]
+) -> tuple[Resource, ...]:
+    """Return a route and its ranks in each service that it leads to.
+
+    The route has a rank for its own order and for each order of an organisation.
+    """
     action = rule.action
     split = tuple(WeightedPool(p.service, p.weight) for p in action.split)
     service = split[0].pool if split else action.service
     target_ms = parse_milliseconds(rule.target_latency)
-    rank = f"{rule.priority}-{target_ms:g}ms"
     route = Route(
         name=f"{host}{rule.match.prefix} {rule.name}",
         service=service,
         path=rule.match.prefix,
         methods=ANY_METHOD,
         pool=service,
-        rank=rank,
+        rank=_name_rank(rule.priority, target_ms),
         timeout_ms=round(parse_milliseconds(action.timeout)),
-        idempotent=rule.kind != "unsafe",
+        idempotent=rule.kind in IDEMPOTENT_KINDS,
         host=host,
         split=split,
         bulky=rule.kind == "download",
         max_attempts=action.max_attempts,
+        public=rule.public,
+        large_body=rule.kind == "upload",
     )
     ranks = (
         Rank(
-            name=rank,
+            name=_name_rank(order, target_ms),
             service=pool,
-            order=rule.priority,
+            order=order,
             target_ms=round(target_ms),
             worth=1.0,
             share=0.0,
         )
         for pool in route.list_pools()
+        for order in sorted({rule.priority, *orders})
     )
     return route, *ranks
 
 
-_BUILDERS = {_Cluster: _build_cluster, _Limits: _build_limits, _Rule: _build_route}
+def _name_rank(order: int, target_ms: float) -> str:
+    return f"{order}-{target_ms:g}ms"
+
+
+_BUILDERS = {
+    _Cluster: _build_cluster,
+    _Limits: _build_limits,
+    _Rule: _build_route,
+    _Tenant: _build_organisation,
+}
--- a/flamingohead/platform/probe.py
+++ b/flamingohead/platform/probe.py
@@ -81,9 +81,10 @@
     Its incarnation and sequence are 0, so that any heartbeat replaces it.
     """
     name = find_header(headers, INSTANCE_HEADER)
-    # The load header contains the running requests, the waiting requests and the slots.
+    # The load header contains the running requests, the waiting requests and the slots,
+    # and on some services how long work takes at the moment.
     load = (find_header(headers, LOAD_HEADER) or b"").split(b",")
-    if not name or len(load) != 3 or not load[2].strip().isdigit():
+    if not name or len(load) not in (3, 4) or not load[2].strip().isdigit():
         return None
     return Announcement(
         name.decode("latin-1"),
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -26,9 +26,16 @@
     PingRequest,
     RecordPush,
 )
+from flamingohead.core.organisations.messages import (
+    QuotaDemand,
+    QuotaGrant,
+    QuotaRequest,
+    QuotaShare,
+)
 from flamingohead.core.resources import (
     DEFAULT_MAX_ATTEMPTS,
     ClientLimits,
+    Organisation,
     Pool,
     Rank,
     Resource,
@@ -46,7 +53,14 @@
     encode_summary_reply,
 )
 
-RESOURCE_KINDS = ("service", "pool", "rank", "route", "client_limits")
+RESOURCE_KINDS = (
+    "service",
+    "pool",
+    "rank",
+    "route",
+    "client_limits",
+    "organisation",
+)
 
 
 class CodecError(ValueError):
@@ -66,6 +80,8 @@
         return pb.Resource(rank=_encode_rank(resource))
     if isinstance(resource, ClientLimits):
         return pb.Resource(client_limits=pb.ClientLimits(**vars(resource)))
+    if isinstance(resource, Organisation):
+        return pb.Resource(organisation=pb.Organisation(**vars(resource)))
     return pb.Resource(route=_encode_route(resource))
 
 
@@ -94,6 +110,8 @@
         split=[pb.WeightedPool(pool=p.pool, weight=p.weight) for p in route.split],
         bulky=route.bulky,
         max_attempts=route.max_attempts,
+        public=route.public,
+        large_body=route.large_body,
     )
 
 
@@ -116,9 +134,21 @@
             limits.head_timeout_ms,
             limits.idle_timeout_ms,
         )
+    if kind == "organisation":
+        return _decode_organisation(message.organisation)
     raise CodecError("resource of no known kind")
 
 
+def _decode_organisation(organisation: pb.Organisation) -> Organisation:
+    return Organisation(
+        organisation.name,
+        tuple(organisation.key_digests),
+        organisation.order if organisation.HasField("order") else None,
+        organisation.rate_per_second,
+        organisation.burst,
+    )
+
+
 def _decode_rank(rank: pb.Rank) -> Rank:
     return Rank(
         name=rank.name,
@@ -144,6 +174,8 @@
         split=tuple(WeightedPool(part.pool, part.weight) for part in route.split),
         bulky=route.bulky,
         max_attempts=route.max_attempts or DEFAULT_MAX_ATTEMPTS,
+        public=route.public,
+        large_body=route.large_body,
     )
 
 
@@ -273,6 +305,7 @@
         accuser=member.accuser,
         group=member.group,
         capacity=member.capacity,
+        link_mbps=member.link_mbps,
         departure=None if departure is None else encode_departure(departure),
     )
 
@@ -303,6 +336,7 @@
         accuser=message.accuser,
         group=message.group,
         capacity=message.capacity,
+        link_mbps=message.link_mbps,
         departure=(
             decode_departure(message.departure)
             if message.HasField("departure")
@@ -326,6 +360,7 @@
         version=datagram.version,
         follows_source=datagram.follows_source,
         store_era=datagram.store_era,
+        confirmation_age_ms=datagram.confirmation_age_ms,
         updates=[encode_member(member) for member in datagram.updates],
     )
     body = datagram.body
@@ -343,6 +378,16 @@
         message.summary_request.wanted = body.wanted
     elif isinstance(body, SummaryReply):
         message.summary_reply.CopyFrom(encode_summary_reply(body))
+    elif isinstance(body, QuotaRequest):
+        message.quota_request.SetInParent()
+        message.quota_request.demands.extend(
+            pb.QuotaDemand(**vars(demand)) for demand in body.demands
+        )
+    elif isinstance(body, QuotaGrant):
+        message.quota_grant.SetInParent()
+        message.quota_grant.shares.extend(
+            pb.QuotaShare(**vars(share)) for share in body.shares
+        )
     else:
         message.news.CopyFrom(encode_record(body.record))
     return message.SerializeToString()
@@ -361,6 +406,7 @@
         updates=tuple(decode_member(member) for member in message.updates),
         follows_source=message.follows_source,
         store_era=message.store_era,
+        confirmation_age_ms=message.confirmation_age_ms,
     )
 
 
@@ -381,6 +427,20 @@
         return SummaryRequest(request.digests, request.wanted)
     if kind == "summary_reply":
         return decode_summary_reply(message.summary_reply)
+    if kind == "quota_request":
+        return QuotaRequest(
+            tuple(
+                QuotaDemand(d.organisation, d.wanted, d.used, d.returned)
+                for d in message.quota_request.demands
+            )
+        )
+    if kind == "quota_grant":
+        return QuotaGrant(
+            tuple(
+                QuotaShare(s.organisation, s.tokens, s.lifetime_ms, s.retry_after_ms)
+                for s in message.quota_grant.shares
+            )
+        )
     raise CodecError("datagram has no known body")
 
 
--- a/flamingohead/services/call_requests.py
+++ b/flamingohead/services/call_requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.calls import Call
@@ -21,6 +21,21 @@
 MAX_KEY_BYTES = 256
 
 
+@dataclass(frozen=True)
+class Identity:
+    """Describe whom a request belongs to, and its rank if that depends on it.
+
+    The identity ``is_required`` if the configuration has organisations.
+    """
+
+    organisation: str = ""
+    rank: str = ""
+    is_required: bool = False
+
+
+NO_IDENTITY = Identity()
+
+
 def build_call(
     request: IncomingRequest,
     resolved: ResolvedRoute,
@@ -29,22 +44,28 @@
     dialect: Dialect = PRODUCT_DIALECT,
     service: str = "",
     own_service: str = "",
+    identity: Identity = NO_IDENTITY,
 ) -> Call | Refusal:
     """Return the call of a request to ``service``, by default that of the route."""
     route = resolved.route
     timeout_ms = _read_timeout(request, dialect.deadline, route.timeout_ms)
     if isinstance(timeout_ms, Refusal):
         return timeout_ms
+    dropped = dialect.reserved_headers
+    if identity.is_required:
+        dropped |= dialect.identity_headers
     headers = tuple(
         (name, value)
         for name, value in request.headers
-        if not name.startswith(RELAY_PREFIX) and name not in dialect.reserved_headers
+        if not name.startswith(RELAY_PREFIX) and name not in dropped
     )
     if dialect.caller_service:
         headers = (*headers, (dialect.caller_service, own_service.encode()))
+    if identity.organisation:
+        headers = (*headers, (dialect.organisation, identity.organisation.encode()))
     call = Call(
         service=service or resolved.pool.service,
-        rank=route.rank,
+        rank=identity.rank or route.rank,
         method=request.method,
         target=request.target,
         headers=headers,
@@ -55,6 +76,8 @@
         bulky=route.bulky,
         max_attempts=route.max_attempts,
         host=(request.get_header(b"host") or b"") if dialect.preserves_host else b"",
+        organisation=identity.organisation,
+        large_body=route.large_body,
     )
     return _read_key(request, call) if dialect.reads_keys else call
 
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -13,11 +13,18 @@
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import qualify_refusal
 from flamingohead.core.memory import ByteBudget
+from flamingohead.core.organisations.identity import identify_organisation
 from flamingohead.core.scopes import is_scoped_key
 from flamingohead.core.splits import WeightedRoundRobin
 from flamingohead.core.stopping import SETTLE_SECONDS, GracefulStop, StopEffect
 from flamingohead.events import Event, log_event
-from flamingohead.services.call_requests import build_call, qualify_for_key, read_host
+from flamingohead.services.call_requests import (
+    NO_IDENTITY,
+    Identity,
+    build_call,
+    qualify_for_key,
+    read_host,
+)
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.http_messages import SCOPE_PATH
 from flamingohead.services.http_parser import ReadLimits
@@ -203,6 +210,10 @@
         if isinstance(resolved, Refusal):
             self._refuse_unrouted(request, response, resolved)
             return
+        identity = self._identify(request, resolved)
+        if isinstance(identity, Refusal):
+            self._refuse_unrouted(request, response, identity)
+            return
         call = build_call(
             request,
             resolved,
@@ -210,6 +221,7 @@
             dialect=self._dialect,
             service=self._choose_service(resolved),
             own_service=self.own_service,
+            identity=identity,
         )
         if isinstance(call, Refusal):
             self._refuse_unrouted(request, response, call)
@@ -219,6 +231,30 @@
             call = replace(call, parent=parent)
         self._spawn(self._serve(call, response), request, response)
 
+    def _identify(
+        self, request: IncomingRequest, resolved: ResolvedRoute
+    ) -> Identity | Refusal:
+        """Return the organisation of a request and its rank, or a refusal."""
+        routes = self._kernel.get("configuration").routes
+        if not routes.requires_keys:
+            return NO_IDENTITY
+        request_id = (request.get_header(REQUEST_ID_HEADER) or b"").decode("latin-1")
+        parent = self._dialect.find_parent(request_id)
+        organisation = identify_organisation(
+            routes,
+            resolved.route,
+            [value for name, value in request.headers if name == self._dialect.api_key],
+            is_nested=bool(parent),
+            parent_organisation=self._kernel.get("slots").get_organisation(parent),
+        )
+        if isinstance(organisation, Refusal):
+            return organisation
+        return Identity(
+            organisation="" if organisation is None else organisation.name,
+            rank=routes.choose_rank(resolved, organisation).name,
+            is_required=True,
+        )
+
     def _refuse_unrouted(
         self, request: IncomingRequest, response: ServerResponse, refusal: Refusal
     ) -> None:
--- a/flamingohead/services/dialects.py
+++ b/flamingohead/services/dialects.py
@@ -25,7 +25,9 @@
 
     ``deadline`` carries the remaining time of the sender in milliseconds, ``upstream``
     the name of the only upstream that may execute the request, and ``caller_service``
-    the service on whose host the request originated. ``states_not_executed`` returns
+    the service on whose host the request originated. Callers send the key of their
+    organisation in ``api_key``, and upstreams get the name of the organisation in
+    ``organisation``. ``states_not_executed`` returns
     whether the status and headers of an upstream's response state that it did not
     execute the request. ``not_run_statuses`` are the statuses that callers take for
     this statement, also in the response of an upstream that lacks it. ``find_parent``
@@ -36,6 +38,8 @@
     deadline: bytes = b"request-timeout-ms"
     upstream: bytes = b""
     caller_service: bytes = b""
+    api_key: bytes = b""
+    organisation: bytes = b""
     states_not_executed: Callable[[int, Headers], bool] = field(
         default=_states_not_executed
     )
@@ -53,5 +57,10 @@
         names = (self.deadline, self.upstream, self.caller_service)
         return frozenset(name for name in names if name)
 
+    @property
+    def identity_headers(self) -> frozenset[bytes]:
+        """Return the headers about the organisation, which no request passes on."""
+        return frozenset(name for name in (self.api_key, self.organisation) if name)
+
 
 PRODUCT_DIALECT = Dialect()
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -45,6 +45,7 @@
 RELAY_WAIT = b"flamingohead-wait"
 RELAY_HOST = b"flamingohead-host"
 RELAY_PARENT = b"flamingohead-parent"
+RELAY_ORGANISATION = b"flamingohead-organisation"
 # Set if a nested call that the upstream made for this request was refused.
 RELAY_LACKS_NESTED = b"flamingohead-lacks-nested"
 REPORT_HEADERS = (RELAY_LOAD, RELAY_LACKS_NESTED)
@@ -135,10 +136,17 @@
         (RELAY_WAIT, b"yes" if call.may_wait else b"no"),
         (RELAY_HOST, call.host),
         (RELAY_PARENT, call.parent.encode()),
+        *_build_organisation_header(call),
         (EXCHANGE_HEADER, secrets.token_hex(8).encode()),
     )
 
 
+def _build_organisation_header(call: Call) -> tuple[tuple[bytes, bytes], ...]:
+    if not call.organisation:
+        return ()
+    return ((RELAY_ORGANISATION, call.organisation.encode()),)
+
+
 def read_attempt(request: IncomingRequest) -> int | Refusal:
     """Return the attempt number sent by the caller, or 0 if there is none."""
     value = request.get_header(KEY_ATTEMPT_HEADER)
@@ -193,6 +201,9 @@
         may_wait=request.get_header(RELAY_WAIT) != b"no",
         host=request.get_header(RELAY_HOST) or b"",
         parent=(request.get_header(RELAY_PARENT) or b"").decode("latin-1"),
+        organisation=(request.get_header(RELAY_ORGANISATION) or b"").decode(
+            errors="replace"
+        ),
         relayed=True,
     )
 
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -70,6 +70,8 @@
         self._stop: StopSchedule | None = None
         self._is_closed = False
         self._running: Counter[str] = Counter()
+        # Organisations of the running requests, by request id.
+        self._organisations: dict[str, str] = {}
         self._failed_parents: set[str] = set()
 
     async def start(self) -> None:
@@ -211,6 +213,7 @@
             return refusal
         request_id = call.request_id
         self._running[request_id] += 1
+        self._organisations[request_id] = call.organisation
         try:
             if call.claimed or not call.is_keyed:
                 return await self._run(upstream, call, self._relay(response))
@@ -225,6 +228,7 @@
             self._running[request_id] -= 1
             if not self._running[request_id]:
                 del self._running[request_id]
+                del self._organisations[request_id]
                 self._failed_parents.discard(request_id)
 
     def check_stop(self, call: Call) -> Refusal | None:
@@ -246,6 +250,10 @@
         """Return whether an upstream of this host executes a request with this id."""
         return request_id in self._running
 
+    def get_organisation(self, request_id: str) -> str | None:
+        """Return the organisation of a running request; ``None`` if it doesn't run."""
+        return self._organisations.get(request_id)
+
     def record_nested_refusal(self, parent: str) -> None:
         """Record that a nested call of a running request was refused."""
         if parent in self._running:
@@ -359,7 +367,7 @@
         return Ticket(
             call.rank,
             self._compute_ticket_deadline(upstream, call),
-            call.caller,
+            call.organisation or call.caller,
             nested=bool(call.parent),
         )
 
