--- a/flamingohead/tests/test_second_answers.py
+++ b/flamingohead/tests/test_second_answers.py
@@ -244,8 +244,8 @@
         assert not not_executed
 
     def test_log_names_the_connection_that_refused_the_request(self, caplog):
-        # Only records of the package have an event: up to Python 3.11.7, asyncio logs an
-        # error when the task of a server connection is cancelled.
+        # Only records of the package have an event. Up to Python 3.11.7, asyncio logs
+        # an error when the task of a server connection is cancelled.
         caplog.set_level(logging.CRITICAL, logger="asyncio")
         with caplog.at_level(logging.INFO):
             asyncio.run(self.send_twice(RepeatingUpstream(), b"a"))
