--- a/benchmarks/worst_load_model.py
+++ b/benchmarks/worst_load_model.py
@@ -312,6 +312,7 @@
             self._start_work(request)
         else:
             host.waiting[ticket] = request
+            self._apply_result(host, host.admission.review(now))
 
     def _refuse(self, request: _Request, refusal: Refusal) -> None:
         self._queue.schedule(
@@ -370,11 +371,14 @@
         for ticket in result.expired:
             request = host.waiting.pop(ticket)
             self._refuse(request, Refusal(ErrorKind.DEADLINE_UNREACHABLE))
+        for ticket, refusal in result.refused:
+            self._refuse(host.waiting.pop(ticket), refusal)
 
     def _tick(self) -> None:
         for host in self._hosts.values():
             if host.waiting:
                 self._apply_result(host, host.admission.advance(self._queue.now))
+                self._apply_result(host, host.admission.review(self._queue.now))
         self._queue.schedule(TICK_SECONDS, self._tick)
 
 
--- a/flamingohead/core/rank_queues.py
+++ b/flamingohead/core/rank_queues.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import statistics
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -9,6 +11,10 @@
 from flamingohead.core.resources import Rank
 
 SMOOTHING = 0.1
+# Service times whose median is compared with the mean. A stall lengthens those of the
+# tickets that run, at most as many as there are slots, and the median of this many
+# doesn't show it.
+RECENT_SERVICE_TIMES = 15
 # Assumed service time, as a fraction of the target, until one has been measured: a host
 # that has just started must not refuse a queue that its upstream can serve.
 ASSUMED_SERVICE_FRACTION = 0.3
@@ -64,6 +70,10 @@
     dequeue_interval: float = 0.0
     last_dequeue_at: float = 0.0
     nested: bool = False
+    median_service_time: float = 0.0
+    recent: deque[float] = field(
+        default_factory=lambda: deque(maxlen=RECENT_SERVICE_TIMES), repr=False
+    )
 
     @property
     def expected_service_time(self) -> float:
@@ -72,6 +82,13 @@
             return self.service_time
         return ASSUMED_SERVICE_FRACTION * self.rank.target_ms / 1000
 
+    @property
+    def typical_service_time(self) -> float:
+        """Return a service time that a few long ones do not raise."""
+        if not self.recent:
+            return self.expected_service_time
+        return min(self.expected_service_time, self.median_service_time)
+
     @property
     def urgency(self) -> tuple[int, bool]:
         """Return the sort key of the queues, the most urgent first."""
@@ -95,6 +112,8 @@
 
     def record_service_time(self, seconds: float) -> None:
         """Update the mean time for which a ticket occupies its slot."""
+        self.recent.append(seconds)
+        self.median_service_time = statistics.median(self.recent)
         if self.service_time:
             seconds = self.service_time + SMOOTHING * (seconds - self.service_time)
         self.service_time = seconds
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -179,6 +179,7 @@
             self._ticks.stop()
         for upstream in with_waiters:
             self._apply(upstream, upstream.admission.advance(now))
+            self._apply(upstream, upstream.admission.review(now))
             self._end_drain(upstream, now)
 
     def _report_queues(self) -> None:
@@ -317,6 +318,7 @@
         upstream.waiters[ticket] = future
         if not self._ticks.is_running:
             self._ticks.start(TICK_PERIOD_SECONDS)
+        self._apply(upstream, upstream.admission.review(now))
         try:
             return await future
         except asyncio.CancelledError:
@@ -338,6 +340,8 @@
         for ticket in result.expired:
             refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, "queued too long")
             self._resolve(upstream, ticket, refusal)
+        for ticket, refusal in result.refused:
+            self._resolve(upstream, ticket, refusal)
 
     def _remove(self, name: str) -> None:
         """Remove an upstream and refuse its waiting tickets."""
