Use cached refusals for the same organisation only

Callers saw: for 40 ms after hosts had refused a request of a flooding organisation, the ingress daemon refused requests of all others to the same service and rank, all with one time to retry.

Change: the cache of refusals is keyed by the organisation as well and holds at most 4,096 refusals. Requests of an organisation get times to retry that are spread.

Result: the tests in test_attempt_plan.py name the loads; not measured in a deployment.

--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -9,11 +9,13 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
+from flamingohead.core.returns import spread_evenly
 
 if TYPE_CHECKING:
     from flamingohead.core.candidates import UpstreamKey
@@ -28,6 +30,7 @@
 # Only a few slots become free in this time, and queued requests take them; a full queue
 # does not empty.
 OVERLOAD_CACHE_SECONDS = 0.04
+MAX_CACHED_REFUSALS = 4096
 FULL_KINDS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.DEADLINE_UNREACHABLE})
 
 MOVE_KINDS = frozenset(
@@ -130,29 +133,77 @@
         return last.merge_ran(self.ran)
 
 
+@dataclass
+class _CachedRefusal:
+    """Hold a refusal, until when it is used, and how often it has been."""
+
+    refusal: Refusal
+    until: float
+    uses: int = 0
+
+
 class OverloadCache:
     """Cache for a short time that no host could queue requests of a rank.
 
     Under overload, offering every request to several full hosts costs all of them more
     than refusing it. A slot that becomes free in the meantime goes to a queued request.
-    ``period`` is in seconds.
+    Hosts refuse one organisation while they queue requests of others, so that a refusal
+    is used for requests of the same organisation only. ``period`` is in seconds.
     """
 
     def __init__(self, period: float = OVERLOAD_CACHE_SECONDS) -> None:
         self._period = period
-        self._refusals: dict[tuple[str, str], tuple[float, Refusal]] = {}
+        # In the order in which they were recorded, which is that of their ends.
+        self._refusals: OrderedDict[tuple[str, str, str], _CachedRefusal]
+        self._refusals = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._refusals)
 
-    def record(self, service: str, rank: str, refusal: Refusal, now: float) -> None:
+    def record(
+        self,
+        service: str,
+        rank: str,
+        refusal: Refusal,
+        now: float,
+        *,
+        organisation: str = "",
+    ) -> None:
         """Record the final refusal of a request that was offered to hosts."""
-        if refusal.kind in FULL_KINDS:
-            # The state of its attempts is not that of other requests.
-            refusal = Refusal(refusal.kind, refusal.detail, refusal.retry_at)
-            self._refusals[service, rank] = now + self._period, refusal
-
-    def find(self, service: str, rank: str, now: float) -> Refusal | None:
-        """Return the cached refusal for a new request, if there is one."""
-        until, refusal = self._refusals.get((service, rank), (now, None))
-        if now < until:
+        if refusal.kind not in FULL_KINDS:
+            return
+        # The state of its attempts is not that of other requests.
+        refusal = Refusal(refusal.kind, refusal.detail, refusal.retry_at)
+        key = service, rank, organisation
+        self._refusals[key] = _CachedRefusal(refusal, now + self._period)
+        self._refusals.move_to_end(key)
+        self._remove_ended(now)
+
+    def find(
+        self, service: str, rank: str, now: float, *, organisation: str = ""
+    ) -> Refusal | None:
+        """Return the cached refusal for a new request, if there is one.
+
+        Requests of an organisation get different times to retry, up to twice as far in
+        the future, so that they don't come back together.
+        """
+        key = service, rank, organisation
+        cached = self._refusals.get(key)
+        if cached is None:
+            return None
+        if now >= cached.until:
+            del self._refusals[key]
+            return None
+        refusal = cached.refusal
+        if not organisation or refusal.retry_at is None:
             return refusal
-        self._refusals.pop((service, rank), None)
-        return None
+        cached.uses += 1
+        delay = max(0.0, refusal.retry_at - now) * spread_evenly(cached.uses)
+        return replace(refusal, retry_at=refusal.retry_at + delay)
+
+    def _remove_ended(self, now: float) -> None:
+        while self._refusals:
+            first = next(iter(self._refusals.values()))
+            if now < first.until and len(self._refusals) <= MAX_CACHED_REFUSALS:
+                return
+            self._refusals.popitem(last=False)
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -89,7 +89,10 @@
         self._kernel.get("metrics").count(f"calls.{call.service}.{call.rank}")
         self._budget.record_request(call.service, time.monotonic())
         cached_refusal = self._overload_cache.find(
-            call.service, call.rank, time.monotonic()
+            call.service,
+            call.rank,
+            time.monotonic(),
+            organisation=call.organisation,
         )
         if cached_refusal is not None and not call.parent:
             self._kernel.get("metrics").count("refusal.known")
@@ -129,7 +132,13 @@
         refusal = tracker.build_final_refusal() or Refusal(
             ErrorKind.NO_UPSTREAM, f"no upstream of {call.service!r}"
         )
-        self._overload_cache.record(call.service, call.rank, refusal, time.monotonic())
+        self._overload_cache.record(
+            call.service,
+            call.rank,
+            refusal,
+            time.monotonic(),
+            organisation=call.organisation,
+        )
         return refusal
 
     def _may_replace(self, call: Call, buffered: BufferedResponse) -> bool:
--- a/flamingohead/tests/test_attempt_plan.py
+++ b/flamingohead/tests/test_attempt_plan.py
@@ -8,6 +8,7 @@
 
 from flamingohead.core.attempts import (
     FULL_KINDS,
+    MAX_CACHED_REFUSALS,
     MAX_IMMEDIATE_ATTEMPTS,
     MOVE_KINDS,
     AttemptTracker,
@@ -153,3 +154,39 @@
         assert budget.spend("s", 0.0)
         assert not budget.spend("s", 9.9)
         assert budget.spend("s", 10.1)
+
+
+class TestOverloadCacheOfOrganisations:
+    """Replay a flood of one of many organisations at an ingress daemon."""
+
+    REFUSAL = Refusal(ErrorKind.QUEUE_FULL, "full", 5.0)
+
+    def test_refusal_of_a_large_organisation_is_not_used_for_a_small_one(self):
+        cache = OverloadCache()
+        cache.record("s", "lookup", self.REFUSAL, 1.0, organisation="large")
+        assert cache.find("s", "lookup", 1.01, organisation="large") is not None
+        assert cache.find("s", "lookup", 1.01, organisation="small") is None
+        assert cache.find("s", "lookup", 1.01) is None
+
+    def test_cached_refusals_name_different_times_to_retry(self):
+        cache = OverloadCache()
+        cache.record("s", "lookup", self.REFUSAL, 1.0, organisation="large")
+        times = {
+            cache.find("s", "lookup", 1.01, organisation="large").retry_at
+            for _ in range(10)
+        }
+        assert len(times) == 10
+        assert min(times) >= 5.0
+
+    def test_size_is_bounded(self):
+        cache = OverloadCache()
+        for number in range(2 * MAX_CACHED_REFUSALS):
+            cache.record("s", "lookup", self.REFUSAL, 1.0, organisation=str(number))
+        assert len(cache) == MAX_CACHED_REFUSALS
+
+    def test_ended_refusals_are_removed(self):
+        cache = OverloadCache()
+        for number in range(100):
+            cache.record("s", "lookup", self.REFUSAL, 1.0, organisation=str(number))
+        cache.record("s", "lookup", self.REFUSAL, 2.0, organisation="last")
+        assert len(cache) == 1
