--- a/flamingohead/core/admission.py
+++ b/flamingohead/core/admission.py
@@ -42,7 +42,7 @@
 # part of the target. A later refusal costs more than a late response.
 CHEAP_REFUSAL_FRACTION = 0.5
 # Minimum time between two reviews of the waiting tickets, which cost time for each.
-REVIEW_PERIOD_SECONDS = 0.01
+REVIEW_PERIOD_SECONDS = 0.02
 
 
 @dataclass(frozen=True)
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -119,6 +119,7 @@
     )
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream readmitted")
+    WAITING_REFUSED = EventKind(590, logging.INFO, "waiting request refused")
 
 
 class _Details:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import time
 from collections import Counter
@@ -14,6 +15,7 @@
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.core.placement import LoadReport
 from flamingohead.core.rank_queues import Ticket
+from flamingohead.events import Event, log_event
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.dispatch import ResponseRelay, dispatch_call
 from flamingohead.services.ticks import PeriodicTimer
@@ -26,6 +28,7 @@
     from flamingohead.services.dialects import Dialect
     from flamingohead.services.http_server import ServerResponse
 
+logger = logging.getLogger(__name__)
 
 SERVING = (UpstreamStatus.READY, UpstreamStatus.LEAVING)
 # Waiting tickets are admitted when a slot is released. The periodic check only ends
@@ -341,8 +344,22 @@
             refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, "queued too long")
             self._resolve(upstream, ticket, refusal)
         for ticket, refusal in result.refused:
+            self._record_refused(upstream, ticket, refusal)
             self._resolve(upstream, ticket, refusal)
 
+    def _record_refused(
+        self, upstream: LocalUpstream, ticket: Ticket, refusal: Refusal
+    ) -> None:
+        self._kernel.get("metrics").count(f"waiting_refused.{refusal.kind.value}")
+        log_event(
+            logger,
+            Event.WAITING_REFUSED,
+            upstream=upstream.state.name,
+            rank=ticket.rank,
+            caller=ticket.caller,
+            reason=refusal.detail,
+        )
+
     def _remove(self, name: str) -> None:
         """Remove an upstream and refuse its waiting tickets."""
         self._refuse_waiting(self.upstreams.pop(name))
--- a/flamingohead/tests/test_slots.py
+++ b/flamingohead/tests/test_slots.py
@@ -12,6 +12,7 @@
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, ExecutionStatus
 from flamingohead.core.members import UpstreamState, UpstreamStatus
+from flamingohead.core.resources import Rank
 from flamingohead.core.stopping import StopSchedule
 from flamingohead.kernel import Kernel
 from flamingohead.services.metrics import MetricsService
@@ -202,3 +203,38 @@
         self.announce(service, UpstreamStatus.DRAINING)
         self.announce(service, UpstreamStatus.READY)
         assert service.upstreams["u"].drain_deadline == math.inf
+
+
+class TestEvictions:
+    """Replay a newcomer of a small organisation at a queue that a large one filled."""
+
+    def test_evicted_request_is_refused_as_not_run_and_logged(
+        self, monkeypatch, caplog
+    ):
+        monkeypatch.setattr("flamingohead.core.admission.QUEUE_LIMIT", 2)
+        caplog.set_level("INFO")
+        kernel, service = build_slots()
+        rank = Rank("urgent", "s", 1, 10_000, 1.0, 0.0)
+        service.upstreams["u"].admission.set_ranks((rank,))
+
+        async def run():
+            tasks = []
+            for organisation in ("large", "large", "large", "small"):
+                call = replace(build_call(), organisation=organisation)
+                execution = service.execute("u", call, FakeResponse())
+                tasks.append(asyncio.create_task(execution))
+                await asyncio.sleep(0)
+            refusal = await asyncio.wait_for(tasks[2], 1)
+            kernel.get("http_client").released.set()
+            results = await asyncio.gather(tasks[0], tasks[1], tasks[3])
+            await service.stop()
+            return refusal, results
+
+        refusal, results = asyncio.run(run())
+        assert refusal.kind is ErrorKind.QUEUE_FULL
+        assert refusal.ran is ExecutionStatus.NO
+        assert refusal.compute_retry_after_ms(time.monotonic()) > 0
+        assert results == [None, None, None]
+        records = [r for r in caplog.records if getattr(r, "event", 0) == 590]
+        assert [record.fields["caller"] for record in records] == ["large"]
+        assert kernel.get("metrics").counters["waiting_refused.queue_full"] == 1
