Refuse responses whose heads are not valid HTTP

Callers saw: where an upstream answered with status 000 or 099, the body of that response and after it a 504, on the upstream's own host; on another host the daemon there received the same bytes and answered 502 or 504. Statuses 600 and 999, and responses of HTTP/0.9 and 2.0, were passed on.

Cause: a status below 200 was taken for an informational response, of which only the head is skipped. Its body was written although no response had started.

Change: `find_response_fault` decides for every connection to an upstream or daemon: version 1.0 or 1.1, status 100 to 599, no 101, no body of an informational response. Otherwise the exchange fails as malformed and its connection is closed. A response to a caller raises an error for a body before its head and for a status that is not final.

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -21,6 +21,8 @@
     EXCHANGE_HEADER,
     drop_hop_by_hop_headers,
     find_header,
+    find_response_fault,
+    is_informational_status,
     list_connection_options,
     read_keep_alive,
 )
@@ -33,7 +35,6 @@
 logger = logging.getLogger(__name__)
 
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
-FIRST_FINAL_STATUS = 200
 FIRST_ERROR_STATUS = 400
 # A connection that has carried more errors is not reused.
 MAX_ERROR_IDS = 64
@@ -216,7 +217,11 @@
         if self._sink is None:
             return
         self._status = self._parser.get_status_code()
-        if self._status < FIRST_FINAL_STATUS:
+        version = self._parser.get_http_version()
+        fault = find_response_fault(version, self._status, self._headers)
+        if fault is not None:
+            self._reject(fault)
+        if is_informational_status(self._status):
             self._headers = []
             return
         self._in_head = False
@@ -232,11 +237,13 @@
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
+        if self._in_head:
+            self._reject("body before the head of the answer")
         if self._sink is not None:
             self._sink.write(body)
 
     def on_message_complete(self) -> None:
-        if self._status < FIRST_FINAL_STATUS or self._sink is None:
+        if is_informational_status(self._status) or self._sink is None:
             return
         self._finish(reusable=self._parser.should_keep_alive())
 
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -19,6 +19,12 @@
 # Between daemons: the response echoes the value of the request.
 EXCHANGE_HEADER = b"flamingohead-exchange"
 
+HTTP_VERSIONS = frozenset(("1.0", "1.1"))
+FIRST_STATUS = 100
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -115,6 +121,37 @@
     return None
 
 
+def find_response_fault(version: str, status: int, headers: Headers) -> str | None:
+    """Return why the head of a response is not valid HTTP/1.1, or ``None``.
+
+    It decides for the responses of upstreams and those that other daemons relay.
+    Parsers accept any three digits as a status and count all below 200 as
+    informational, although such a response may have a body.
+    """
+    if version not in HTTP_VERSIONS:
+        return f"version {version[:10]} of the answer"
+    if status == SWITCHING_PROTOCOLS:
+        return "change of protocol that was not requested"
+    if is_informational_status(status):
+        framing = (b"content-length", b"transfer-encoding")
+        if any(name in framing for name, _ in headers):
+            return f"body of an informational answer with status {status}"
+        return None
+    if not is_final_status(status):
+        return f"status {status:03} of the answer"
+    return None
+
+
+def is_informational_status(status: int) -> bool:
+    """Return whether a response with this status precedes the final one."""
+    return FIRST_STATUS <= status < FIRST_FINAL_STATUS
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a response with this status answers a request."""
+    return FIRST_FINAL_STATUS <= status <= LAST_STATUS
+
+
 def read_keep_alive(headers: Headers) -> float | None:
     """Return the ``timeout`` of the Keep-Alive header in seconds, if present."""
     value = find_header(headers, b"keep-alive") or b""
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -11,6 +11,7 @@
     RAN_HEADER,
     REFUSAL_HEADER,
     check_head,
+    is_final_status,
 )
 
 if TYPE_CHECKING:
@@ -101,6 +102,8 @@
 
     def start(self, status: int, headers: Headers, *, length: int | None) -> None:
         """Start the response; the body has ``length`` bytes, ``None`` if unknown."""
+        if not is_final_status(status):
+            raise ValueError(f"response with status {status}")
         has_body = status not in (NO_CONTENT, NOT_MODIFIED)
         sends_chunks = has_body and length is None and self._request.method != "HEAD"
         if sends_chunks and self._request.version == "1.0":
@@ -136,6 +139,8 @@
         """Send part of the body."""
         if not data or self.finished:
             return
+        if not self.started:
+            raise ValueError("body before the head of the response")
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         if self._head is not None:
