Let callers of the platform not name themselves

Callers saw: on the platform, a request that another daemon relayed took its turn by the header request-caller, which any caller may set; one that used its own host's upstream did not. A flood of public requests with many names would have taken the turns of organisations.

Change: without an organisation, a request on the platform belongs to the caller "".

--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -385,10 +385,13 @@
             future.set_result(result)
 
     def _build_ticket(self, upstream: LocalUpstream, call: Call) -> Ticket:
+        # Callers of the platform are not trusted to name themselves: many names would
+        # take the turns of organisations.
+        named_caller = call.caller if self._dialect.reads_keys else ""
         return Ticket(
             call.rank,
             self._compute_ticket_deadline(upstream, call),
-            call.organisation or call.caller,
+            call.organisation or named_caller,
             nested=bool(call.parent),
         )
 
--- a/flamingohead/tests/test_slots.py
+++ b/flamingohead/tests/test_slots.py
@@ -15,6 +15,8 @@
 from flamingohead.core.resources import Rank
 from flamingohead.core.stopping import StopSchedule
 from flamingohead.kernel import Kernel
+from flamingohead.platform.dialect import PLATFORM_DIALECT
+from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.reactor import install_reactor
 from flamingohead.services.slots import SlotService
@@ -238,3 +240,24 @@
         records = [r for r in caplog.records if getattr(r, "event", 0) == 590]
         assert [record.fields["caller"] for record in records] == ["large"]
         assert kernel.get("metrics").counters["waiting_refused.queue_full"] == 1
+
+
+class TestNamedCallers:
+    """Replay a flood of public requests that each name another caller."""
+
+    def get_caller(self, dialect, **fields):
+        kernel, _ = build_slots()
+        service = SlotService(kernel, dialect)
+        service.announce(
+            UpstreamState("u", "s", UpstreamStatus.READY, 1), "127.0.0.1:9"
+        )
+        call = replace(build_call(), relayed=True, **fields)
+        return service._build_ticket(service.upstreams["u"], call).caller
+
+    def test_names_take_no_turns_of_organisations(self):
+        assert self.get_caller(PLATFORM_DIALECT, caller="random-1") == ""
+        fields = {"caller": "random-1", "organisation": "large"}
+        assert self.get_caller(PLATFORM_DIALECT, **fields) == "large"
+
+    def test_callers_of_the_product_name_themselves(self):
+        assert self.get_caller(PRODUCT_DIALECT, caller="booking") == "booking"
