--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import time
 from collections import Counter
@@ -14,6 +15,7 @@
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.core.placement import LoadReport
 from flamingohead.core.rank_queues import Ticket
+from flamingohead.events import Event, log_event
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.dispatch import ResponseRelay, dispatch_call
 from flamingohead.services.ticks import PeriodicTimer
@@ -26,6 +28,7 @@
     from flamingohead.services.dialects import Dialect
     from flamingohead.services.http_server import ServerResponse
 
+logger = logging.getLogger(__name__)
 
 SERVING = (UpstreamStatus.READY, UpstreamStatus.LEAVING)
 # Waiting tickets are admitted when a slot is released. The periodic check only ends
@@ -179,6 +182,7 @@
             self._ticks.stop()
         for upstream in with_waiters:
             self._apply(upstream, upstream.admission.advance(now))
+            self._apply(upstream, upstream.admission.review(now))
             self._end_drain(upstream, now)
 
     def _report_queues(self) -> None:
@@ -317,6 +321,7 @@
         upstream.waiters[ticket] = future
         if not self._ticks.is_running:
             self._ticks.start(TICK_PERIOD_SECONDS)
+        self._apply(upstream, upstream.admission.review(now))
         try:
             return await future
         except asyncio.CancelledError:
@@ -338,6 +343,22 @@
         for ticket in result.expired:
             refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, "queued too long")
             self._resolve(upstream, ticket, refusal)
+        for ticket, refusal in result.refused:
+            self._record_refused(upstream, ticket, refusal)
+            self._resolve(upstream, ticket, refusal)
+
+    def _record_refused(
+        self, upstream: LocalUpstream, ticket: Ticket, refusal: Refusal
+    ) -> None:
+        self._kernel.get("metrics").count(f"waiting_refused.{refusal.kind.value}")
+        log_event(
+            logger,
+            Event.WAITING_REFUSED,
+            upstream=upstream.state.name,
+            rank=ticket.rank,
+            caller=ticket.caller,
+            reason=refusal.detail,
+        )
 
     def _remove(self, name: str) -> None:
         """Remove an upstream and refuse its waiting tickets."""
@@ -364,10 +385,13 @@
             future.set_result(result)
 
     def _build_ticket(self, upstream: LocalUpstream, call: Call) -> Ticket:
+        # Callers of the platform are not trusted to name themselves: many names would
+        # take the turns of organisations.
+        named_caller = call.caller if self._dialect.reads_keys else ""
         return Ticket(
             call.rank,
             self._compute_ticket_deadline(upstream, call),
-            call.organisation or call.caller,
+            call.organisation or named_caller,
             nested=bool(call.parent),
         )
 
--- a/flamingohead/tests/test_slots.py
+++ b/flamingohead/tests/test_slots.py
@@ -12,8 +12,11 @@
 from flamingohead.core.calls import Call
 from flamingohead.core.errors import ErrorKind, ExecutionStatus
 from flamingohead.core.members import UpstreamState, UpstreamStatus
+from flamingohead.core.resources import Rank
 from flamingohead.core.stopping import StopSchedule
 from flamingohead.kernel import Kernel
+from flamingohead.platform.dialect import PLATFORM_DIALECT
+from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.reactor import install_reactor
 from flamingohead.services.slots import SlotService
@@ -202,3 +205,59 @@
         self.announce(service, UpstreamStatus.DRAINING)
         self.announce(service, UpstreamStatus.READY)
         assert service.upstreams["u"].drain_deadline == math.inf
+
+
+class TestEvictions:
+    """Replay a newcomer of a small organisation at a queue that a large one filled."""
+
+    def test_evicted_request_is_refused_as_not_run_and_logged(
+        self, monkeypatch, caplog
+    ):
+        monkeypatch.setattr("flamingohead.core.admission.QUEUE_LIMIT", 2)
+        caplog.set_level("INFO")
+        kernel, service = build_slots()
+        rank = Rank("urgent", "s", 1, 10_000, 1.0, 0.0)
+        service.upstreams["u"].admission.set_ranks((rank,))
+
+        async def run():
+            tasks = []
+            for organisation in ("large", "large", "large", "small"):
+                call = replace(build_call(), organisation=organisation)
+                execution = service.execute("u", call, FakeResponse())
+                tasks.append(asyncio.create_task(execution))
+                await asyncio.sleep(0)
+            refusal = await asyncio.wait_for(tasks[2], 1)
+            kernel.get("http_client").released.set()
+            results = await asyncio.gather(tasks[0], tasks[1], tasks[3])
+            await service.stop()
+            return refusal, results
+
+        refusal, results = asyncio.run(run())
+        assert refusal.kind is ErrorKind.QUEUE_FULL
+        assert refusal.ran is ExecutionStatus.NO
+        assert refusal.compute_retry_after_ms(time.monotonic()) > 0
+        assert results == [None, None, None]
+        records = [r for r in caplog.records if getattr(r, "event", 0) == 590]
+        assert [record.fields["caller"] for record in records] == ["large"]
+        assert kernel.get("metrics").counters["waiting_refused.queue_full"] == 1
+
+
+class TestNamedCallers:
+    """Replay a flood of public requests that each name another caller."""
+
+    def get_caller(self, dialect, **fields):
+        kernel, _ = build_slots()
+        service = SlotService(kernel, dialect)
+        service.announce(
+            UpstreamState("u", "s", UpstreamStatus.READY, 1), "127.0.0.1:9"
+        )
+        call = replace(build_call(), relayed=True, **fields)
+        return service._build_ticket(service.upstreams["u"], call).caller
+
+    def test_names_take_no_turns_of_organisations(self):
+        assert self.get_caller(PLATFORM_DIALECT, caller="random-1") == ""
+        fields = {"caller": "random-1", "organisation": "large"}
+        assert self.get_caller(PLATFORM_DIALECT, **fields) == "large"
+
+    def test_callers_of_the_product_name_themselves(self):
+        assert self.get_caller(PRODUCT_DIALECT, caller="booking") == "booking"
