Show no keys in the refusal of a configuration document

Callers' keys appeared in the log (E201) and in the list of rejections of every daemon that read an invalid document: the refusal contains the value that could not be decoded, which may be the list of keys, a key that is not a text, or a whole organisation.

Values of an organisation other than its name, priority and limits are now replaced before the refusal is built, also under field names that the format does not have, since the name may be misspelt.

--- a/flamingohead/platform/documents.py
+++ b/flamingohead/platform/documents.py
@@ -36,6 +36,10 @@
     Section = tuple[str, Message, tuple[int, ...]]
     Resources = tuple[tuple[ResourceKey, Resource], ...]
 
+# Replaces values in error messages that may contain keys of callers.
+HIDDEN = "(hidden)"
+SHOWN_DOCUMENT_FIELDS = ("version", "limits", "listeners", "clusters", "tenants")
+SHOWN_TENANT_FIELDS = ("name", "priority", "rate-per-s", "burst")
 IDEMPOTENT_KINDS = ("safe", "download")
 
 NonEmptyText = Annotated[str, Meta(min_length=1)]
@@ -137,7 +141,7 @@
         try:
             document = _DOCUMENT_DECODER.decode(data)
         except DECODING_ERRORS as error:
-            detail = describe_decoding_error(error, data)
+            detail = describe_decoding_error(error, data, _decode_without_keys)
             return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
         repeated = _find_repeated(tenant.name for tenant in document.tenants)
         if repeated is not None:
@@ -160,6 +164,40 @@
         return tuple((resource.key, resource) for resource in resources)
 
 
+def _decode_without_keys(data: bytes) -> object:
+    """Decode a document for an error message, which must not contain keys of callers.
+
+    Fields of an organisation with other names are hidden too, since the name of the
+    field with the keys may be misspelt.
+    """
+    document = msgspec.json.decode(data)
+    if not isinstance(document, dict):
+        return HIDDEN
+    shown = {n: v for n, v in document.items() if n in SHOWN_DOCUMENT_FIELDS}
+    tenants = shown.get("tenants")
+    if tenants is not None:
+        shown["tenants"] = (
+            [_hide_keys(tenant) for tenant in tenants]
+            if isinstance(tenants, list)
+            else HIDDEN
+        )
+    return shown
+
+
+def _hide_keys(tenant: object) -> object:
+    if not isinstance(tenant, dict):
+        return HIDDEN
+    return {
+        name: value if name in SHOWN_TENANT_FIELDS else _hide(value)
+        for name, value in tenant.items()
+    }
+
+
+def _hide(value: object) -> object:
+    """Hide a value; a list keeps its length, so that an item can be named."""
+    return [HIDDEN] * len(value) if isinstance(value, list) else HIDDEN
+
+
 def _list_sections(document: _Document) -> Iterator[Section]:
     """Yield the sections of a document that are decoded independently."""
     for cluster in document.clusters:
--- a/flamingohead/tests/test_organisations.py
+++ b/flamingohead/tests/test_organisations.py
@@ -81,6 +81,33 @@
         assert isinstance(refusal, Refusal)
         assert next(iter(change)) in refusal.detail
 
+    @pytest.mark.parametrize(
+        "tenants",
+        [
+            [{"name": "a", "api-keys": "secret"}],
+            [{"name": "a", "api-keys": ["secret", 1]}],
+            [{"name": "a", "api-keys": [["secret"]]}],
+            [{"name": "a", "apikeys": ["secret"]}],
+            [{"api-keys": ["secret"]}],
+            {"secret": ["secret"]},
+            ["secret"],
+            "secret",
+        ],
+    )
+    def test_refusal_of_a_document_shows_no_key(self, tenants):
+        # The refusal is logged with the value that can't be decoded.
+        document = build_document(7, {"/a/": "ledger"}, tenants=tenants)
+        refusal = decode_document(document)
+        assert isinstance(refusal, Refusal)
+        assert "secret" not in refusal.detail
+
+    def test_refusal_of_a_document_without_a_version_shows_no_key(self):
+        document = json.loads(build_document(7, {"/a/": "ledger"}, tenants=[SHRINE]))
+        for part in ([document], {"tenants": [SHRINE]}, {"organisations": [SHRINE]}):
+            refusal = decode_document(json.dumps(part).encode())
+            assert isinstance(refusal, Refusal)
+            assert "key-1" not in refusal.detail
+
     def test_removed_organisation_is_not_found_in_the_next_table(self):
         table = build_table(SHRINE, SCHOOL)
         table = table.build_next(build_table(SCHOOL).snapshot)
