Accept keys only while the configuration is confirmed as the newest

Callers with a withdrawn key were served without a time limit by a host that was cut off or rejected by the store, and got 401 for a new key from a host with an old configuration.

A daemon now keeps confirmations: times at which the store had no version newer than the one in force. They come from the store's responses, dated by their requests, and from acknowledgements of pings that are sent anyway, dated by the own ping. With strict revocation, a key is accepted while its confirmation is younger than 95% of the timeout, else the answer is 503 with a Retry-After. An unknown key is denied only if the confirmation is younger than 2.5 s, the time in which a configuration takes effect. A daemon whose confirmation is half expired pings random members, mostly of other failure domains, and then reads the store at growing intervals. Without strict revocation and organisations, nothing is sent or refused that was not before.

In six processes with one host cut off and two rejected by the store, the withdrawn key runs nowhere after 5 s, and hosts with a path to the store serve the other keys all the time.

--- a/flamingohead/core/following.py
+++ b/flamingohead/core/following.py
@@ -23,6 +23,9 @@
 MAX_INTERVAL_SECONDS = 0.6
 # Requests that stayed open for this many seconds without a change end a burst.
 QUIET_PERIOD_SECONDS = 1.5
+# Longest poll after a change where keys need a recent confirmation of the
+# configuration: the response with the change only confirms the time of its request.
+CONFIRMING_POLL_SECONDS = 0.5
 # Interval before the first repetition of a failed request, in seconds, and the shortest
 # time between a failure and the next request.
 INITIAL_BACKOFF_SECONDS = 0.1
@@ -55,6 +58,12 @@
             response_seconds=LONG_POLL_SECONDS + margin,
         )
 
+    def shorten_poll(self) -> SourceTimeouts:
+        """Return the limits of a poll that confirms a change soon."""
+        return replace(
+            self, poll_seconds=min(self.poll_seconds, CONFIRMING_POLL_SECONDS)
+        )
+
 
 def derive_timeouts(settle_seconds: float) -> SourceTimeouts:
     """Return time limits for a deployment.
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -94,6 +94,21 @@
     CLAIM_MALFORMED = EventKind(570, logging.ERROR, "malformed claim row")
     OUTCOMES_HANDED_OVER = EventKind(571, logging.INFO, "key outcomes handed over")
     OUTCOME_MALFORMED = EventKind(572, logging.WARNING, "malformed key outcome")
+    KEYS_ACCEPTED = EventKind(
+        580, logging.INFO, "keys accepted: the configuration is confirmed as newest"
+    )
+    KEYS_SUSPENDED = EventKind(
+        581, logging.WARNING, "keys not accepted: the configuration is not confirmed"
+    )
+    CONFIRMATION_SOUGHT = EventKind(
+        582, logging.INFO, "peers pinged for a confirmation of the configuration"
+    )
+    CONFIRMATION_LIMITED = EventKind(
+        583, logging.WARNING, "newest document of the store is not in force"
+    )
+    CONFIRMATION_READ = EventKind(
+        584, logging.INFO, "store read for a confirmation of the configuration"
+    )
     REQUEST_ABORTED_BY_STOP = EventKind(510, logging.WARNING, "request cut by the stop")
     REQUEST_RETRIED = EventKind(520, logging.INFO, "request retried")
     REQUEST_REFUSED = EventKind(521, logging.INFO, "request refused")
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -29,6 +29,7 @@
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.metrics_page import MetricsPage
+from flamingohead.services.revocation import RevocationService
 from flamingohead.services.slots import SlotService
 from flamingohead.services.subscription import SubscriptionService
 from flamingohead.services.upstreams import UpstreamService
@@ -93,6 +94,7 @@
     _add_request_services(kernel, settings, generator)
     add_bootstrap(kernel, settings, generator, settings=BOOTSTRAP_SETTINGS)
     kernel.add("subscription", SubscriptionService(kernel))
+    kernel.add("revocation", RevocationService(kernel, settings.revocation_timeout))
     kernel.add(
         "feed", ConfigurationFeed(kernel, derive_timeouts(settings.settle_seconds))
     )
--- a/flamingohead/platform/documents.py
+++ b/flamingohead/platform/documents.py
@@ -118,6 +118,21 @@
 _DOCUMENT_DECODER = msgspec.json.Decoder(_Document)
 
 
+class _VersionOnly(Message):
+    version: Positive
+
+
+_VERSION_DECODER = msgspec.json.Decoder(_VersionOnly)
+
+
+def decode_version(data: bytes) -> int | None:
+    """Return the version of a document that may be invalid, or ``None``."""
+    try:
+        return _VERSION_DECODER.decode(data).version
+    except DECODING_ERRORS:
+        return None
+
+
 def decode_document(data: bytes) -> Snapshot | Refusal:
     """Decode a complete configuration document into a snapshot."""
     return DocumentReader().read(data)
--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -11,10 +11,17 @@
 from flamingohead.core.errors import Refusal
 from flamingohead.core.following import RequestPacer, RetryBackoff
 from flamingohead.events import Event, log_event
-from flamingohead.platform.documents import DocumentReader
+from flamingohead.platform.documents import DocumentReader, decode_version
 from flamingohead.platform.store import HistoryUnavailable, RowPage, StoredRow
+from flamingohead.services.revocation import (
+    StoreDocumentRead,
+    StoreResponse,
+    read_boot_time,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from flamingohead.core.eras import StoreVersion
     from flamingohead.core.following import SourceTimeouts
     from flamingohead.core.resources import Snapshot
@@ -40,6 +47,12 @@
         )
         self._reader = DocumentReader()
         self._pacer = RequestPacer()
+        self._last_document: StoreDocumentRead | None = None
+        # Returns whether the response after a change is needed soon.
+        self.confirms_changes: Callable[[], bool] = lambda: False
+        self._has_changed = False
+        # Called with each response about the configuration, after it was applied.
+        self.response_listeners: list[Callable[[StoreResponse], None]] = []
 
     async def start(self) -> None:
         self._kernel.get("eras").listeners.append(self._cancel_request)
@@ -78,6 +91,7 @@
     async def _read(self) -> StoreVersion | None:
         """Read the row; return the version of the store, or ``None`` on failure."""
         requested_at = time.monotonic()
+        sent_at = read_boot_time()
         page = await self._kernel.get("store").read_rows(
             TABLE,
             "",
@@ -88,7 +102,9 @@
         if isinstance(page, Refusal):
             self._record_failure()
             return None
-        self._apply_rows(page.rows, requested_at)
+        received_at = read_boot_time()
+        changed = self._apply_rows(page.rows, requested_at)
+        self._report_response(changed, sent_at=sent_at, received_at=received_at)
         return page.version
 
     def _cancel_request(self) -> None:
@@ -96,12 +112,16 @@
         if self._request is not None:
             self._request.cancel()
 
+    def _choose_timeouts(self) -> SourceTimeouts:
+        if not self._kernel.get("subscription").polls_often:
+            return self._timeouts.lengthen_polls()
+        if self._has_changed and self.confirms_changes():
+            return self._timeouts.shorten_poll()
+        return self._timeouts
+
     async def _request_changes(
-        self, version: StoreVersion
+        self, version: StoreVersion, timeouts: SourceTimeouts
     ) -> RowPage | HistoryUnavailable | Refusal:
-        timeouts = self._timeouts
-        if not self._kernel.get("subscription").polls_often:
-            timeouts = timeouts.lengthen_polls()
         request = self._kernel.get("store").follow_rows(TABLE, version, timeouts)
         self._request = asyncio.get_running_loop().create_task(request)
         # ``wait`` raises only if the feed itself is cancelled, not if the request is.
@@ -111,8 +131,10 @@
         return self._request.result()
 
     async def _follow(self, version: StoreVersion) -> StoreVersion | None:
-        requested_at = time.monotonic()
-        page = await self._request_changes(version)
+        requested_at, sent_at = time.monotonic(), read_boot_time()
+        timeouts = self._choose_timeouts()
+        page = await self._request_changes(version, timeouts)
+        received_at = read_boot_time()
         lacked_history, self._lacked_history = self._lacked_history, False
         if isinstance(page, HistoryUnavailable):
             if lacked_history:
@@ -130,6 +152,12 @@
             self._record_failure()
             return None
         changed = self._apply_rows(page.rows, requested_at)
+        self._report_response(
+            changed,
+            sent_at=sent_at,
+            received_at=received_at,
+            wait=timeouts.poll_seconds,
+        )
         now = time.monotonic()
         next_request_at = self._pacer.record_response(
             requested_at=requested_at, now=now, changed=changed
@@ -138,6 +166,16 @@
             await asyncio.sleep(next_request_at - now)
         return page.version
 
+    def _report_response(
+        self, changed: bool, *, sent_at: float, received_at: float, wait: float = 0.0
+    ) -> None:
+        """Pass a response on to the listeners, after it was applied."""
+        self._has_changed = changed
+        document = self._last_document if changed else None
+        response = StoreResponse(sent_at, received_at, wait, document)
+        for listener in self.response_listeners:
+            listener(response)
+
     def _apply_rows(self, rows: tuple[StoredRow, ...], requested_at: float) -> bool:
         """Apply the newest configuration in the rows; return whether there is one."""
         self._backoff.record_success()
@@ -150,6 +188,8 @@
             received_at = time.monotonic()
             snapshot = self._reader.read(row.value)
             self._log_read(snapshot, row, requested_at, received_at)
+            version = decode_version(row.value)
+            self._last_document = StoreDocumentRead(row.version, version, snapshot)
             if isinstance(snapshot, Refusal):
                 configuration.reject_document(
                     configuration.replica.version + 1, snapshot
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -240,13 +240,17 @@
             return NO_IDENTITY
         request_id = (request.get_header(REQUEST_ID_HEADER) or b"").decode("latin-1")
         parent = self._dialect.find_parent(request_id)
+        keys = [v for name, v in request.headers if name == self._dialect.api_key]
         organisation = identify_organisation(
             routes,
             resolved.route,
-            [value for name, value in request.headers if name == self._dialect.api_key],
+            keys,
             is_nested=bool(parent),
             parent_organisation=self._kernel.get("slots").get_organisation(parent),
         )
+        refusal = self._kernel.get("revocation").check(routes, keys, organisation)
+        if refusal is not None:
+            return refusal
         if isinstance(organisation, Refusal):
             return organisation
         return Identity(
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -108,6 +108,11 @@
         """Set whether this daemon requests from the source or relies on peers."""
         self._dissemination.follows_source = follows
 
+    def read_source(self) -> None:
+        """Read the newest version from the source once."""
+        self._log_request("source")
+        self._spawn(self._kernel.get("feed").read())
+
     def reject_document(self, version: int, refusal: Refusal) -> None:
         """Report a configuration from the source that can't be used."""
         now = time.monotonic()
@@ -136,8 +141,7 @@
 
     def _perform(self, effect: DisseminationEffect) -> None:
         if isinstance(effect, ReadSource):
-            self._log_request("source")
-            self._spawn(self._kernel.get("feed").read())
+            self.read_source()
         elif isinstance(effect, PullFromPeer):
             self._log_request(effect.address)
             self._spawn(self._pull(effect))
--- a/flamingohead/services/gossip.py
+++ b/flamingohead/services/gossip.py
@@ -5,13 +5,14 @@
 import asyncio
 import logging
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from twisted.internet.protocol import DatagramProtocol
 
 from flamingohead.addresses import split_address
 from flamingohead.core.membership import Membership, SendDatagram
-from flamingohead.core.messages import Body, RecordPush
+from flamingohead.core.messages import Ack, Body, Ping, RecordPush
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec
 from flamingohead.services.ticks import PeriodicTimer
@@ -47,6 +48,10 @@
         self._ticks = PeriodicTimer(self._tick)
         # Called with each datagram from a member of the gossip group.
         self.listeners: list[Callable[[Datagram], None]] = []
+        # Called with the sequence number of each ping that is sent.
+        self.ping_listeners: list[Callable[[int], None]] = []
+        # Returns ``confirmation_age_ms`` for an acknowledgement that has a version.
+        self.get_confirmation_age_ms: Callable[[int], int] = lambda version: 0
         # Called when another member returns a departure from this host.
         self.departure_listeners: list[Callable[[Departure], None]] = []
         self._known_departure: Departure | None = None
@@ -228,11 +233,23 @@
         )
 
     def _send(self, effect: SendDatagram) -> None:
-        data = codec.encode_datagram(effect.datagram)
+        data = codec.encode_datagram(self._prepare(effect.datagram))
         self._kernel.get("metrics").count("datagram.sent_bytes", len(data))
         if self.transport is not None:
             self.transport.write(data, split_address(effect.address))
 
+    def _prepare(self, datagram: Datagram) -> Datagram:
+        """Report a ping that is sent; add the confirmation to an acknowledgement."""
+        body = datagram.body
+        if isinstance(body, Ping):
+            for listener in self.ping_listeners:
+                listener(datagram.sequence)
+        elif isinstance(body, Ack) and body.subject == datagram.sender:
+            age_ms = self.get_confirmation_age_ms(datagram.version)
+            if age_ms:
+                return replace(datagram, confirmation_age_ms=age_ms)
+        return datagram
+
 
 def _list_statuses(member: Member) -> list[UpstreamStatus]:
     return [upstream.status for upstream in member.upstreams]
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -38,6 +38,8 @@
     metrics: str = ""
     # Address on which the upstream listens, if it isn't the announced one.
     listen: str = ""
+    # File with the names of the links that are down, of an isolated daemon.
+    links_path: Path | None = None
     daemon: Process | None = None
     instance: Process | None = None
 
@@ -175,9 +177,13 @@
         *,
         store: str = "",
         upstream: str = "",
+        isolated: bool = False,
         **settings: object,
     ) -> Host:
-        """Start a daemon; arguments replace addresses and fields of its settings."""
+        """Start a daemon; arguments replace addresses and fields of its settings.
+
+        The links of an ``isolated`` daemon can be cut with ``set_links_down``.
+        """
         addresses = [choose_address() for _ in range(5)]
         path = self.directory / f"{name}.yaml"
         host = Host(name, service, *addresses, path, choose_address())
@@ -187,14 +193,25 @@
             build_settings(host, store or self.store, peer_port, **settings)
         )
         self.hosts[name] = host
+        if isolated:
+            host.links_path = self.directory / f"{name}.links"
+            self.set_links_down(host)
         self.start_daemon(host)
         return host
 
+    def set_links_down(self, host: Host, *names: str) -> None:
+        """Set which links of an isolated daemon are down: ``store`` or ``all``."""
+        host.links_path.write_text(" ".join(names))
+
     def start_daemon(self, host: Host) -> None:
         """Start the daemon of a host."""
+        module = "flamingohead.platform"
+        if host.links_path is not None:
+            module = "flamingohead.testing.isolated_daemon"
         host.daemon = self.start_process(
             f"daemon-{host.name}",
-            ["-m", "flamingohead.platform"],
+            ["-m", module],
+            FLAMINGOHEAD_LINKS=str(host.links_path or ""),
             FLAMINGOHEAD_SETTINGS=str(host.settings_path),
             FLAMINGOHEAD_METRICS_PORT=host.metrics.rpartition(":")[2],
         )
--- /dev/null
+++ b/flamingohead/tests/test_revocation_processes.py
@@ -0,0 +1,168 @@
+"""Tests, in separate processes, of keys that are withdrawn while hosts are cut off."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import pytest
+
+from flamingohead.testing.hosts import HOST, HostMesh, build_document, send_request
+
+# Only the upstream beside the host that is cut off serves ``/own/``.
+ROUTES = {"/a/": "ledger", "/own/": "own"}
+CUT = "osu-2"
+BOUNDS = {
+    "drain": "2000ms",
+    "grace": "6s",
+    "budget-slack": 58,
+    "strict-revoke": True,
+    "revoke": "5000ms",
+}
+TIMEOUT_SECONDS = 5.0
+# A host that has had no path to the store for this long need not accept keys.
+TOLERANCE_SECONDS = 3.0
+IN_FORCE_SECONDS = 2.5
+KEPT = {"name": "kept", "api-keys": ["kept-key-7714"]}
+SHARED = {"name": "shared", "api-keys": ["old-key-3391", "new-key-3392"]}
+SHARED_AFTER = {"name": "shared", "api-keys": ["new-key-3392"]}
+
+
+class Caller:
+    """Send requests with a key to a host, and record the times and statuses."""
+
+    def __init__(self, host, key):
+        self.host, self.key = host, key
+        self.path = "/own/x" if host.name == CUT else "/a/x"
+        # Time of sending and status of each request.
+        self.responses = []
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        while not self._stopped.wait(0.05):
+            sent_at = time.monotonic()
+            self.responses.append((sent_at, request(self.host, self.key, self.path)[0]))
+
+    def stop(self):
+        self._stopped.set()
+        self._thread.join()
+
+    def list_statuses(self, since=0.0, until=float("inf")):
+        return [s for at, s in self.responses if since <= at < until]
+
+
+def request(host, key=None, path="/a/x"):
+    headers = {
+        "Host": HOST,
+        "Request-Id": f"r{time.monotonic_ns()}",
+        "Request-Deadline": "1000",
+    }
+    if key is not None:
+        headers["X-Api-Key"] = key
+    try:
+        status, response_headers, _ = send_request(
+            host.ingress, "GET", path, headers=headers
+        )
+    except OSError:
+        return 0, {}
+    return status, response_headers
+
+
+def wait_for_key(hosts, key, status, *, seconds):
+    deadline = time.monotonic() + seconds
+    pending = list(hosts)
+    while pending and time.monotonic() < deadline:
+        pending = [host for host in pending if request(host, key)[0] != status]
+        time.sleep(0.02)
+    return not pending
+
+
+@pytest.fixture()
+def mesh(tmp_path):
+    with HostMesh(tmp_path) as mesh:
+        for zone in ("makola", "osu"):
+            for number in range(3):
+                name = f"{zone}-{number}"
+                service = "own" if name == CUT else "ledger"
+                host = mesh.add_daemon(
+                    name, service, isolated=True, bounds=BOUNDS, zone=zone
+                )
+                mesh.start_instance(host, f"i-{name}")
+        mesh.write_row(
+            "op", "config", build_document(2, ROUTES, tenants=[KEPT, SHARED])
+        )
+        hosts = mesh.hosts.values()
+        assert wait_for_key(hosts, "old-key-3391", 200, seconds=30.0)
+        # Daemons that started alone query the store until they have joined each other.
+        time.sleep(5.0)
+        yield mesh
+
+
+class TestWithdrawnKey:
+    """Withdraw a key while the store rejects hosts, and another host is cut off."""
+
+    def test_key_is_used_on_no_host_after_the_timeout(self, mesh):
+        hosts = mesh.hosts
+        cut, rejected = hosts[CUT], [hosts["makola-0"], hosts["makola-1"]]
+        callers = {
+            (host.name, key): Caller(host, key)
+            for host in (cut, rejected[0], hosts["osu-0"])
+            for key in ("old-key-3391", "kept-key-7714")
+        }
+        for host in rejected:
+            mesh.set_links_down(host, "store")
+        mesh.set_links_down(cut, "all")
+        cut_at = time.monotonic()
+        time.sleep(0.5)
+        document = build_document(3, ROUTES, tenants=[KEPT, SHARED_AFTER])
+        mesh.write_row("op", "config", document)
+        withdrawn_at = time.monotonic()
+        time.sleep(9.0)
+        for caller in callers.values():
+            caller.stop()
+        # The failure guarded against: a host out of touch keeps accepting the key.
+        for (name, key), caller in callers.items():
+            if key == "old-key-3391":
+                late = caller.list_statuses(withdrawn_at + TIMEOUT_SECONDS)
+                assert late and 200 not in late, name
+        # Hosts with a path to the store deny the key, and serve others all the time.
+        for host in (rejected[0], hosts["osu-0"]):
+            old = callers[host.name, "old-key-3391"]
+            assert set(old.list_statuses(withdrawn_at + IN_FORCE_SECONDS)) == {401}
+            kept = callers[host.name, "kept-key-7714"]
+            assert set(kept.list_statuses()) == {200}
+        # The host that is cut off refuses, as soon as it may, without denying.
+        for key in ("old-key-3391", "kept-key-7714"):
+            caller = callers[cut.name, key]
+            assert 401 not in caller.list_statuses()
+            assert set(caller.list_statuses(cut_at, cut_at + 2.0)) == {200}
+            assert set(caller.list_statuses(cut_at + TIMEOUT_SECONDS)) == {503}
+        status, headers = request(cut, "kept-key-7714", "/own/x")
+        assert status == 503 and 0 < float(headers["retry-after"]) <= 5.0
+        assert request(cut, "never-a-key-1")[0] == 503
+        mesh.set_links_down(cut)
+        assert wait_for_key([cut], "kept-key-7714", 200, seconds=5.0)
+        assert wait_for_key([cut], "old-key-3391", 401, seconds=IN_FORCE_SECONDS)
+        for host in hosts.values():
+            log = host.daemon.log_path.read_text()
+            assert not any(
+                key in log for key in ("old-key", "new-key", "kept-key", "never-a-key")
+            )
+
+
+class TestRestartedDaemon:
+    def test_daemon_that_the_store_rejects_gets_its_confirmation_from_peers(self, mesh):
+        host = mesh.hosts["makola-2"]
+        mesh.set_links_down(host, "store")
+        host.daemon.kill()
+        mesh.start_daemon(host)
+        # It has neither a configuration nor a confirmation of its own at first.
+        deadline = time.monotonic() + 20.0
+        statuses = []
+        while 200 not in statuses and time.monotonic() < deadline:
+            statuses.append(request(host, "kept-key-7714")[0])
+            time.sleep(0.05)
+        assert statuses[-1] == 200
+        assert set(statuses) <= {0, 200, 503}
