Keep the organisation of nested calls whose organisation was removed

The upstream of a nested call got no name of an organisation if the organisation of the parent request had been removed from the configuration while the parent ran.

Cause: the organisation was looked up by its name in the newest configuration.

A new test also checks that a relayed request names the organisation and does not contain the key.

--- a/flamingohead/tests/test_organisations.py
+++ b/flamingohead/tests/test_organisations.py
@@ -18,6 +18,7 @@
 from flamingohead.protocol import codec
 from flamingohead.services.call_requests import Identity, build_call
 from flamingohead.services.http_messages import IncomingRequest
+from flamingohead.services.relay import build_relay_request
 from flamingohead.testing.hosts import HOST, build_document
 
 SHRINE = {"name": "shrine", "api-keys": ["key-1", "key-2"], "priority": 0}
@@ -155,6 +156,17 @@
         found = identify(table, is_nested=True, parent_organisation="shrine")
         assert found.name == "shrine"
 
+    def test_nested_call_belongs_to_an_organisation_that_was_removed_meanwhile(self):
+        # The upstream of the nested call would else get no name of an organisation.
+        found = identify(
+            build_table(SCHOOL), is_nested=True, parent_organisation="shrine"
+        )
+        assert found.name == "shrine"
+
+    def test_nested_call_of_a_parent_without_an_organisation_has_none(self):
+        found = identify(build_table(SHRINE), is_nested=True, parent_organisation="")
+        assert found is None
+
     def test_nested_call_of_an_unknown_parent_is_not_denied(self):
         # A restarted daemon doesn't know the requests that its upstream still runs.
         refusal = identify(build_table(SHRINE), is_nested=True)
@@ -190,6 +202,19 @@
         identity = Identity("shrine", is_required=True)
         assert self.build(request_headers, identity) == [(b"tenant", b"shrine")]
 
+    def test_relayed_request_contains_no_key(self, request_headers):
+        # Another daemon, and its log, have no use for the key.
+        request = IncomingRequest("GET", b"/a/x", request_headers)
+        resolved = build_table(SHRINE).match("GET", "/a/x", HOST)
+        identity = Identity("shrine", is_required=True)
+        call = build_call(
+            request, resolved, 0.0, dialect=PLATFORM_DIALECT, identity=identity
+        )
+        candidate = SimpleNamespace(upstream="i-1")
+        relayed = build_relay_request(candidate, call, 0.0)
+        assert (b"flamingohead-organisation", b"shrine") in relayed.headers
+        assert "key-1" not in repr(relayed.headers)
+
     def test_public_request_names_no_organisation(self, request_headers):
         assert self.build(request_headers, Identity(is_required=True)) == []
 
