--- a/flamingohead/services/revocation.py
+++ b/flamingohead/services/revocation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import time
 from collections import deque
@@ -147,7 +148,8 @@
 
     def _refuse(self, routes: RouteTable, now: float, delay: float) -> Refusal:
         age = self._revocation.get_age(routes.version, now)
-        detail = f"version {routes.version} not confirmed as newest for {age:.1f} s"
+        since = "since the start" if math.isinf(age) else f"for {age:.1f} s"
+        detail = f"version {routes.version} not confirmed as newest {since}"
         return _build_refusal(detail, delay)
 
     # Confirmations
@@ -258,7 +260,7 @@
             return
         now = read_boot_time()
         age = self._revocation.get_age(routes.version, now)
-        if age != float("inf"):
+        if not math.isinf(age):
             self._kernel.get("metrics").set_gauge("confirmation.age", round(age, 3))
         self._report_change(routes.version, now, age)
         polls_store = self._kernel.get("subscription").polls_often
