Test a suspended daemon, a slow store and changes in the usual state

In separate processes: a daemon that was suspended and cut off must not run requests that waited in its socket past the timeout; keys stay in use while each response of the store is delayed by a second; changes of the configuration cost no extra reads of the store.

--- a/flamingohead/tests/test_revocation_processes.py
+++ b/flamingohead/tests/test_revocation_processes.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import os
+import re
+import signal
 import threading
 import time
 
 import pytest
 
 from flamingohead.testing.hosts import HOST, HostMesh, build_document, send_request
+from flamingohead.tests.test_subscription_processes import read_counter
 
 # Only the upstream beside the host that is cut off serves ``/own/``.
 ROUTES = {"/a/": "ledger", "/own/": "own"}
@@ -70,6 +74,14 @@
     return status, response_headers
 
 
+def read_gauge(host, name):
+    page = send_request(host.metrics, "GET", "/metrics")[2].decode()
+    found = re.search(
+        rf'flamingohead_state\{{name="{re.escape(name)}"\}} ([\d.]+)', page
+    )
+    return float(found[1])
+
+
 def wait_for_key(hosts, key, status, *, seconds):
     deadline = time.monotonic() + seconds
     pending = list(hosts)
@@ -152,6 +164,76 @@
             )
 
 
+class TestSuspendedDaemon:
+    """Suspend a daemon, withdraw a key meanwhile, and let it resume."""
+
+    def test_requests_sent_after_the_timeout_do_not_run_when_it_resumes(self, mesh):
+        host = mesh.hosts[CUT]
+        responses = []
+        # Datagrams that wait in its socket would bring the new version at once.
+        mesh.set_links_down(host, "all")
+        os.kill(host.daemon.popen.pid, signal.SIGSTOP)
+        try:
+            document = build_document(3, ROUTES, tenants=[KEPT, SHARED_AFTER])
+            mesh.write_row("op", "config", document)
+            time.sleep(TIMEOUT_SECONDS + 0.5)
+            # These wait in the socket and are the first that the daemon reads.
+            threads = [
+                threading.Thread(
+                    target=lambda: responses.append(
+                        request(host, "old-key-3391", "/own/x")
+                    )
+                )
+                for _ in range(10)
+            ]
+            for thread in threads:
+                thread.start()
+            time.sleep(0.5)
+        finally:
+            os.kill(host.daemon.popen.pid, signal.SIGCONT)
+        for thread in threads:
+            thread.join()
+        statuses = {status for status, _ in responses}
+        assert statuses == {503} and len(responses) == 10
+        mesh.set_links_down(host)
+        assert wait_for_key([host], "kept-key-7714", 200, seconds=3.0)
+        assert wait_for_key([host], "old-key-3391", 401, seconds=IN_FORCE_SECONDS)
+
+
+class TestUsualState:
+    def test_changes_cost_no_extra_reads_and_keep_ages_low(self, mesh):
+        hosts = list(mesh.hosts.values())
+        ages = []
+        reads = sum(read_counter(host, "confirmation.reads") for host in hosts)
+        pings = sum(read_counter(host, "confirmation.pings") for host in hosts)
+        started_at = time.monotonic()
+        for version in range(3, 7):
+            document = build_document(version, ROUTES, tenants=[KEPT, SHARED])
+            mesh.write_row("op", "config", document)
+            next_at = time.monotonic() + 2.2
+            while time.monotonic() < next_at:
+                ages += [read_gauge(host, "confirmation.age") for host in hosts]
+                assert {request(h, "kept-key-7714")[0] for h in hosts} == {200}
+                assert {request(h, "never-a-key-1")[0] for h in hosts} == {401}
+                time.sleep(0.1)
+        seconds = time.monotonic() - started_at
+        assert sum(read_counter(host, "confirmation.reads") for host in hosts) == reads
+        extra = sum(read_counter(host, "confirmation.pings") for host in hosts) - pings
+        assert extra <= 0.2 * seconds * len(hosts)
+        assert max(ages) < 3.0
+
+
+class TestSlowStore:
+    def test_keys_stay_in_use_while_each_response_is_delayed(self, mesh):
+        # A response that is delayed by a second only confirms the time of its request.
+        mesh.set_faults(delay_ms=1000)
+        caller = Caller(mesh.hosts["osu-1"], "kept-key-7714")
+        time.sleep(10.0)
+        caller.stop()
+        mesh.set_faults()
+        assert set(caller.list_statuses()) == {200}
+
+
 class TestRestartedDaemon:
     def test_daemon_that_the_store_rejects_gets_its_confirmation_from_peers(self, mesh):
         host = mesh.hosts["makola-2"]
