Remember the first configuration that a new one replaces

Callers with a key that the first change after the start of a daemon withdrew got 401 at once, while other hosts could still accept the key.

Cause: the first routes are published when the daemon becomes ready, and listeners of activations are not called then. The configuration service now reports replaced routes to listeners of their own. A configuration with the first organisations also no longer gives a Retry-After of 5 s, counted from the start of the daemon.

--- a/flamingohead/core/organisations/revocation.py
+++ b/flamingohead/core/organisations/revocation.py
@@ -180,6 +180,13 @@
         self._next_read_at = now
         self._read_interval = READ_INTERVAL_SECONDS
 
+    def restart(self, now: float) -> None:
+        """Record that confirmations were not needed until now.
+
+        They may be missing at first, but that is no outage.
+        """
+        self._started_at = now
+
     # Confirmations
 
     def record_response(self, version: int, created_at: float) -> None:
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -63,6 +63,8 @@
         self._packed_replies: dict[int, pb.PullReply] = {}
         # Called after each activation of a version.
         self.listeners: list[Callable[[], None]] = []
+        # Called with the routes that were replaced, also when the first are in force.
+        self.route_listeners: list[Callable[[RouteTable], None]] = []
         self.routes = RouteTable(EMPTY_SNAPSHOT)
         self.activated_at = 0.0
 
@@ -184,11 +186,14 @@
         log_event(logger, Event.CONFIGURATION_READY, version=self.replica.version)
 
     def _publish_routes(self) -> None:
-        self.routes = self.routes.build_next(self.replica.snapshot)
+        replaced = self.routes
+        self.routes = replaced.build_next(self.replica.snapshot)
         self._kernel.get("slots").set_routes(self.routes)
         limits = self.routes.client_limits
         if limits is not None:
             self._kernel.get("calls").set_client_limits(limits)
+        for listener in self.route_listeners:
+            listener(replaced)
 
     def _push(self, effect: PushRecord) -> None:
         """Push a record, without its change if that is too large for a datagram."""
--- a/flamingohead/services/revocation.py
+++ b/flamingohead/services/revocation.py
@@ -83,7 +83,6 @@
         self._document = StoreDocument()
         self._random = random.Random()
         self._ticks = PeriodicTimer(self._tick)
-        self._routes: RouteTable | None = None
         # Replaced route tables with the time of their replacement.
         self._earlier_tables: deque[tuple[float, RouteTable]] = deque(
             maxlen=MAX_EARLIER_TABLES
@@ -98,8 +97,7 @@
         gossip.listeners.append(self._handle_datagram)
         gossip.get_confirmation_age_ms = self._encode_age
         configuration = self._kernel.get("configuration")
-        self._routes = configuration.routes
-        configuration.listeners.append(self._handle_activation)
+        configuration.route_listeners.append(self._handle_replaced_routes)
         feed = self._kernel.get("feed")
         feed.response_listeners.append(self.record_response)
         feed.confirms_changes = lambda: configuration.routes.requires_keys
@@ -216,14 +214,16 @@
         observed = self._kernel.get("gossip").membership.observed_versions
         return any(peer.version > held for peer in observed.values())
 
-    def _handle_activation(self) -> None:
+    def _handle_replaced_routes(self, replaced: RouteTable) -> None:
         """Keep the replaced routes, which may still be in force on other daemons."""
-        routes = self._kernel.get("configuration").routes
-        if routes is self._routes:
-            return
-        if self._routes.requires_keys or routes.requires_keys:
-            self._earlier_tables.append((read_boot_time(), self._routes))
-        self._routes = routes
+        now = read_boot_time()
+        if not replaced.requires_keys:
+            self._revocation.restart(now)
+        if replaced.version and (
+            replaced.requires_keys
+            or self._kernel.get("configuration").routes.requires_keys
+        ):
+            self._earlier_tables.append((now, replaced))
 
     def _handle_ping_sent(self, sequence: int) -> None:
         if self._is_required:
@@ -323,8 +323,6 @@
 
 def _accepts(table: RouteTable, keys: Sequence[bytes]) -> bool:
     """Return whether a table has an organisation for the keys, or needs none."""
-    if not table.version:
-        return False
     if not table.requires_keys:
         return True
     return len(keys) == 1 and table.find_organisation(keys[0]) is not None
