Date polls of a store that rounds its timers by their end

With a store that ends a long poll a fraction of a millisecond early, each poll would only confirm the time of its request, and ages would be twice as high. A poll may now end 0.05 s early, and is dated by its end less that tolerance.

--- a/flamingohead/core/organisations/revocation.py
+++ b/flamingohead/core/organisations/revocation.py
@@ -50,6 +50,8 @@
 # The wait that a store ends a long poll after may be exceeded by this much; a response
 # that took longer was delayed and may have been created earlier.
 MAX_POLL_DELAY_SECONDS = 0.5
+# A store that rounds its timers may end a poll this much earlier.
+POLL_TOLERANCE_SECONDS = 0.05
 
 
 def estimate_creation(
@@ -61,10 +63,11 @@
     response was created that long after the request. A response that came earlier, or
     was delayed, only confirms the time of the request.
     """
-    elapsed = received_at - sent_at
-    if changed or not wait <= elapsed <= wait + MAX_POLL_DELAY_SECONDS:
+    earliest = wait - POLL_TOLERANCE_SECONDS
+    latest = wait + MAX_POLL_DELAY_SECONDS
+    if changed or not 0 < earliest <= received_at - sent_at <= latest:
         return sent_at
-    return sent_at + wait
+    return sent_at + earliest
 
 
 class ConfirmationLog:
