Test the organisation of nested calls of a relayed parent

In separate processes: the upstream of a nested call receives the name of the organisation of its parent, which another host relayed, neither receives the key, and a host that does not run the parent answers 503. The stand-in of an upstream reports both.

--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -171,6 +171,8 @@
                 "id": request_id.decode(),
                 "path": request.target.decode(),
                 "host": (request.get_header(b"host") or b"").decode(),
+                "organisation": (request.get_header(b"tenant") or b"").decode(),
+                "has_key": request.get_header(b"x-api-key") is not None,
                 "caller": (request.get_header(b"caller-service") or b"").decode(),
                 "deadline": (request.get_header(b"request-deadline") or b"").decode(),
                 "connection": self._number_connection(connection),
--- a/flamingohead/tests/test_revocation_processes.py
+++ b/flamingohead/tests/test_revocation_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import re
 import signal
@@ -57,10 +58,10 @@
         return [s for at, s in self.responses if since <= at < until]
 
 
-def request(host, key=None, path="/a/x"):
+def request(host, key=None, path="/a/x", *, request_id=""):
     headers = {
         "Host": HOST,
-        "Request-Id": f"r{time.monotonic_ns()}",
+        "Request-Id": request_id or f"r{time.monotonic_ns()}",
         "Request-Deadline": "1000",
     }
     if key is not None:
@@ -170,6 +171,39 @@
             )
 
 
+def list_runs(hosts, request_id):
+    """Return the runs of a request on the upstreams of some hosts."""
+    runs = [
+        run
+        for host in hosts
+        for run in json.loads(send_request(host.upstream, "GET", "/standin/runs")[2])
+    ]
+    return [run for run in runs if run["id"] == request_id]
+
+
+class TestNestedCalls:
+    def test_nested_call_has_the_organisation_of_a_relayed_parent(self, mesh):
+        # The parent was relayed to this host; the key stayed on that of the caller.
+        hosts = mesh.hosts.values()
+        path = "/own/x?work-ms=800"
+        parent = threading.Thread(
+            target=request,
+            args=(mesh.hosts["makola-0"], "kept-key-7714", path),
+            kwargs={"request_id": "parent"},
+        )
+        parent.start()
+        time.sleep(0.4)
+        host = mesh.hosts[CUT]
+        assert request(host, request_id="parent.1")[0] == 200
+        # On another host the parent is not known, so that its organisation isn't.
+        assert request(mesh.hosts["osu-0"], request_id="parent.2")[0] == 503
+        parent.join()
+        for request_id in ("parent", "parent.1"):
+            (run,) = list_runs(hosts, request_id)
+            assert run["organisation"] == "kept"
+            assert not run["has_key"]
+
+
 class TestSuspendedDaemon:
     """Suspend a daemon, withdraw a key meanwhile, and let it resume."""
 
