Test a failure domain that the store rejects for 9 s

In separate processes: hosts that the store rejects keep serving keys through the other failure domain, receive a withdrawal from it in time, and send at most two extra pings a second.

--- a/flamingohead/tests/test_revocation_processes.py
+++ b/flamingohead/tests/test_revocation_processes.py
@@ -274,6 +274,33 @@
         assert set(caller.list_statuses()) == {200}
 
 
+class TestRejectedDomain:
+    def test_keys_stay_in_use_through_other_failure_domains(self, mesh):
+        # The store rejects all subscribers of a failure domain for 9 s.
+        rejected = [h for h in mesh.hosts.values() if h.name.startswith("makola")]
+        callers = [Caller(host, "kept-key-7714") for host in rejected]
+        for host in rejected:
+            mesh.set_links_down(host, "store")
+        started_at = time.monotonic()
+        time.sleep(3.0)
+        document = build_document(3, ROUTES, tenants=[KEPT, SHARED_AFTER])
+        mesh.write_row("op", "config", document)
+        withdrawn_at = time.monotonic()
+        ages = []
+        while time.monotonic() < started_at + 9.0:
+            ages += [read_gauge(host, "confirmation.age") for host in rejected]
+            if time.monotonic() >= withdrawn_at + IN_FORCE_SECONDS:
+                statuses = {request(host, "old-key-3391")[0] for host in rejected}
+                assert statuses <= {401, 503}
+            time.sleep(0.1)
+        for caller in callers:
+            caller.stop()
+            assert set(caller.list_statuses()) == {200}
+        assert max(ages) < 3.0
+        for host in rejected:
+            assert read_counter(host, "confirmation.pings") <= 2 * 9 + 2
+
+
 class TestRestartedDaemon:
     def test_daemon_that_the_store_rejects_gets_its_confirmation_from_peers(self, mesh):
         host = mesh.hosts["makola-2"]
