Limit organisations across all daemons

Callers of an organisation with a rate got no 429: the limit was read and not applied. A request with a key now needs a token. Daemons get tokens from the allocator of the organisation, one of the members, which keeps a bucket in whose depth the tokens held by daemons are included; a window therefore never exceeds the depth and the refill, whatever is lost, delayed or repeated. Nothing is kept in the store, and deployments without limits send no message.

--- /dev/null
+++ b/flamingohead/core/organisations/allocation.py
@@ -0,0 +1,397 @@
+"""Allocation of the limits of organisations to daemons, in tokens with a lifetime.
+
+Each organisation has one allocator among the members. It keeps a bucket that is
+refilled at the rate of the organisation. Tokens that daemons hold count against the
+bucket's depth until they are reported as used or expire, so that the requests that run
+in any window are at most the depth and the refill of the window, however late a token
+is used.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import lru_cache
+from typing import TYPE_CHECKING
+
+from flamingohead.core.members import MemberStatus
+from flamingohead.core.organisations.messages import QuotaGrant, QuotaShare
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from flamingohead.core.members import Member
+    from flamingohead.core.organisations.messages import QuotaDemand, QuotaRequest
+    from flamingohead.core.resources import Organisation
+
+# Seconds for which a daemon may use a granted token.
+TOKEN_LIFETIME = 3.0
+# An allocator that has just started or taken over an organisation waits this long: the
+# news of it reaches the previous allocator and all daemons by gossip in about 1 s.
+TAKEOVER_DELAY = 1.5
+# A gap between two calls of an allocator after which its view of the members is out of
+# date. Busy hosts do not run a process for 0.1 s at a time.
+PAUSE_THRESHOLD = 1.0
+MIN_ALLOCATORS = 4
+# An allocator answers this many times the requests that a daemon sends. With more
+# allocators, fewer reports share a datagram with other demands.
+MEMBERS_PER_ALLOCATOR = 16
+# Daemons that are refused ask again at most this often.
+MIN_RETRY_SECONDS = 0.1
+# Daemons that were refused tokens of the same limit share this many requests a second.
+RETRIES_PER_SECOND = 50.0
+# Seconds for which a daemon that asked, or was refused, counts among those that share a
+# limit.
+SHARING_SECONDS = 2.0
+# Time after its end in which a token may still be reported as returned.
+REPORT_GRACE = 1.2
+# Parts of the tolerance (overage and slack): depth of the bucket, content of the bucket
+# of a new allocator, and requests that daemons admit while the allocator is silent. The
+# rest covers calls that return tokens late.
+DEPTH_PART = 0.45
+INITIAL_PART = 0.05
+RESERVE_PART = 0.4
+# Parts of the depth that daemons may hold together: normally, and while tokens of an
+# earlier allocator may still be held.
+HELD_PART = 0.75
+YOUNG_PART = 0.25
+
+
+@dataclass(frozen=True)
+class QuotaTolerance:
+    """Bound the requests of an organisation in any window, which is in seconds.
+
+    The bound is (rate * window + burst) * (1 + overage) + slack.
+    """
+
+    window: float = 5.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def compute_bound(self, limit: Organisation) -> float:
+        """Return the requests of an organisation that may run in a window."""
+        allowed = limit.rate_per_second * self.window + limit.burst
+        return allowed * (1 + self.overage) + self.slack
+
+    def compute_extra(self, limit: Organisation) -> float:
+        """Return the part of the bound beyond the limit itself."""
+        allowed = limit.rate_per_second * self.window + limit.burst
+        return allowed * self.overage + self.slack
+
+    def compute_depth(self, limit: Organisation) -> float:
+        """Return the depth of the bucket, which includes the tokens held by daemons."""
+        return max(1.0, limit.burst + DEPTH_PART * self.compute_extra(limit))
+
+    @property
+    def reserve_fraction(self) -> float:
+        """Return the requests admitted without an allocator, per request in a window.
+
+        All requests of the last window together are at most the bound, so that this
+        fraction of them fits into the overage.
+        """
+        return RESERVE_PART * self.overage
+
+
+def choose_candidates(members: Iterable[Member]) -> tuple[str, ...]:
+    """Return the host ids of the members that are allocators.
+
+    They are those of the highest capacity. The number grows with the members, so that
+    the requests an allocator has to answer do not.
+    """
+    usable = sorted(
+        (member for member in members if member.is_usable),
+        key=lambda member: (-member.capacity, _hash(member.host_id)),
+    )
+    count = max(MIN_ALLOCATORS, math.ceil(len(usable) / MEMBERS_PER_ALLOCATOR))
+    return tuple(member.host_id for member in usable[:count])
+
+
+def choose_allocator(organisation: str, candidates: Iterable[str]) -> str:
+    """Return the allocator of an organisation, or an empty string without candidates.
+
+    If a candidate leaves, only its organisations move.
+    """
+    return max(
+        candidates, key=lambda host_id: _hash(f"{organisation}\n{host_id}"), default=""
+    )
+
+
+@lru_cache(maxsize=1 << 16)
+def _hash(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
+def sees_majority(members: Iterable[Member]) -> bool:
+    """Return whether this side of a possible partition may grant tokens.
+
+    Silent members of a failure domain of which most respond count as lost, not as cut
+    off: a partition separates failure domains, while any number of hosts may be lost.
+    Suspected members count as silent, so that an allocator in a minority stops before
+    the majority has declared it dead and replaced it.
+    """
+    alive: Counter[str] = Counter()
+    absent: Counter[str] = Counter()
+    for member in members:
+        if member.status is MemberStatus.ALIVE:
+            alive[member.failure_domain] += 1
+        elif member.status is not MemberStatus.LEFT:
+            absent[member.failure_domain] += 1
+    cut_off = sum(n for domain, n in absent.items() if n > alive[domain])
+    return alive.total() > cut_off
+
+
+@dataclass
+class _Holder:
+    """Track the tokens that one daemon holds of one organisation."""
+
+    epoch: int
+    sequence: int
+    used: int
+    returned: int
+    # Tokens and the time until which they count as held, the oldest first.
+    lots: list[list] = field(default_factory=list)
+    asked_at: float = -math.inf
+    refused_at: float = -math.inf
+
+    @property
+    def held(self) -> int:
+        return sum(lot[0] for lot in self.lots)
+
+    def expire(self, now: float) -> None:
+        self.lots = [lot for lot in self.lots if lot[1] > now]
+
+    def remove(self, count: int) -> int:
+        """Remove the oldest tokens; return how many were there to remove."""
+        removed = 0
+        while self.lots and removed < count:
+            part = min(self.lots[0][0], count - removed)
+            self.lots[0][0] -= part
+            removed += part
+            if not self.lots[0][0]:
+                self.lots.pop(0)
+        return removed
+
+
+class _Bucket:
+    """Count the tokens of one organisation."""
+
+    def __init__(self, limit: Organisation, tolerance: QuotaTolerance, now: float):
+        self.limit = limit
+        self._tolerance = tolerance
+        self._holders: dict[str, _Holder] = {}
+        self._refilled_at = now
+        self.held = 0
+        self.owned_since = now
+        self.tokens = INITIAL_PART * tolerance.compute_extra(limit)
+
+    def set_limit(self, limit: Organisation, now: float) -> None:
+        """Apply another limit; a lowered one takes effect at once."""
+        self._refill(now)
+        self.limit = limit
+        self._refill(now)
+
+    def restart(self, now: float) -> None:
+        """Empty the bucket, since another allocator may have granted meanwhile."""
+        self.tokens = 0.0
+        self.owned_since = now
+
+    def fill(self, now: float) -> None:
+        """Fill the bucket of a limit that did not exist before."""
+        self.tokens = HELD_PART * self._tolerance.compute_depth(self.limit)
+        self._refill(now)
+
+    def _refill(self, now: float) -> None:
+        self.held = 0
+        for sender, holder in list(self._holders.items()):
+            holder.expire(now)
+            self.held += holder.held
+            if not holder.lots and now - holder.asked_at > TOKEN_LIFETIME:
+                del self._holders[sender]
+        elapsed = max(0.0, now - self._refilled_at)
+        self._refilled_at = now
+        self.tokens += elapsed * self.limit.rate_per_second
+        self.tokens = max(0.0, min(self.tokens, self._get_depth(now) - self.held))
+
+    def _is_young(self, now: float) -> bool:
+        return now - self.owned_since < TAKEOVER_DELAY + TOKEN_LIFETIME
+
+    def _get_depth(self, now: float) -> float:
+        depth = self._tolerance.compute_depth(self.limit)
+        return max(1.0, YOUNG_PART * depth) if self._is_young(now) else depth
+
+    def answer(
+        self, demand: QuotaDemand, sender: str, sequence: int, now: float
+    ) -> QuotaShare | None:
+        """Return the tokens for a demand.
+
+        Reports, and demands that are old or repeated, have no answer.
+        """
+        holder = self._holders.get(sender)
+        epoch, number = split_sequence(sequence)
+        if holder is None or holder.epoch != epoch:
+            # The tokens of an earlier process on the host expire in their time.
+            lots = [] if holder is None else holder.lots
+            holder = _Holder(epoch, -1, demand.used, demand.returned, lots)
+        if number <= holder.sequence:
+            return None
+        self._holders[sender] = holder
+        self._apply_report(holder, demand, now)
+        holder.sequence = number
+        holder.asked_at = now
+        self._refill(now)
+        if not demand.wanted:
+            return None
+        granted = self._choose_tokens(demand.wanted, now)
+        if not granted:
+            holder.refused_at = now
+            return QuotaShare(demand.organisation, 0, 0, self._compute_retry_ms(now))
+        holder.lots.append([granted, now + TOKEN_LIFETIME + REPORT_GRACE])
+        self.tokens -= granted
+        self.held += granted
+        return QuotaShare(demand.organisation, granted, round(1000 * TOKEN_LIFETIME))
+
+    def _choose_tokens(self, wanted: int, now: float) -> int:
+        depth = self._tolerance.compute_depth(self.limit)
+        room = max(1.0, HELD_PART * depth) - self.held
+        available = math.floor(min(self.tokens, room) + 1e-9)
+        if available <= 0:
+            return 0
+        # One of several daemons does not take everything that the others may need.
+        sharing = sum(
+            now - holder.asked_at < SHARING_SECONDS for holder in self._holders.values()
+        )
+        return min(wanted, available if sharing < 2 else math.ceil(available / 2))
+
+    def _compute_retry_ms(self, now: float) -> int:
+        missing = max(0.0, 1.0 - self.tokens) / self.limit.rate_per_second
+        refused = sum(
+            now - holder.refused_at < SHARING_SECONDS
+            for holder in self._holders.values()
+        )
+        spread = refused / RETRIES_PER_SECOND
+        return round(1000 * max(MIN_RETRY_SECONDS, missing, spread))
+
+    def _apply_report(self, holder: _Holder, demand: QuotaDemand, now: float) -> None:
+        """Remove used and returned tokens; returned ones go back to the bucket.
+
+        ``used`` falls if a request that had used a token did not run.
+        """
+        used, returned = demand.used - holder.used, demand.returned - holder.returned
+        holder.used, holder.returned = demand.used, demand.returned
+        if used < 0:
+            again = min(-used, math.ceil(self._tolerance.compute_depth(self.limit)))
+            holder.lots.append([again, now + TOKEN_LIFETIME + REPORT_GRACE])
+        elif used > 0:
+            holder.remove(used)
+        if returned > 0:
+            self.tokens += holder.remove(returned)
+
+
+class Allocator:
+    """Grant the tokens of the organisations that this daemon is the allocator of."""
+
+    def __init__(self, host_id: str, tolerance: QuotaTolerance) -> None:
+        self._host_id = host_id
+        self._tolerance = tolerance
+        self._limits: Mapping[str, Organisation] = {}
+        self._candidates: tuple[str, ...] = ()
+        self._buckets: dict[str, _Bucket] = {}
+        self.has_majority = False
+        self._was_paused = False
+        self._last_seen_at: float | None = None
+        self._candidates_since = 0.0
+
+    @property
+    def owned(self) -> frozenset[str]:
+        """Return the organisations that this daemon is the allocator of."""
+        return frozenset(self._buckets)
+
+    def set_limits(self, limits: Mapping[str, Organisation], now: float) -> None:
+        """Apply the limits of a configuration, by name of the organisation."""
+        is_first = not self._limits
+        known = set(self._buckets)
+        self._limits = limits
+        self._update_owned(now)
+        for name in self._buckets.keys() - known:
+            # No other allocator has granted tokens of a limit that is new.
+            if not is_first:
+                self._buckets[name].owned_since = self._candidates_since
+                self._buckets[name].fill(now)
+
+    def set_members(self, members: list[Member], now: float) -> None:
+        """Apply a view of the members; call it several times a second."""
+        self.note_time(now)
+        candidates = choose_candidates(members)
+        majority = sees_majority(members)
+        if majority and not self.has_majority:
+            self._restart(now)
+        self.has_majority = majority
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._candidates_since = now
+            self._update_owned(now)
+
+    def note_time(self, now: float) -> None:
+        """Discard all state after a pause: another allocator may have begun."""
+        if (
+            self._last_seen_at is not None
+            and now - self._last_seen_at > PAUSE_THRESHOLD
+        ):
+            self._restart(now)
+            self._was_paused = bool(self._buckets)
+        self._last_seen_at = now
+
+    def take_pause(self) -> bool:
+        """Return whether state was discarded after a pause since the last call."""
+        was_paused, self._was_paused = self._was_paused, False
+        return was_paused
+
+    def _restart(self, now: float) -> None:
+        for bucket in self._buckets.values():
+            bucket.restart(now)
+
+    def _update_owned(self, now: float) -> None:
+        buckets = {}
+        for name, limit in self._limits.items():
+            if choose_allocator(name, self._candidates) != self._host_id:
+                continue
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                bucket = _Bucket(limit, self._tolerance, now)
+            elif bucket.limit != limit:
+                bucket.set_limit(limit, now)
+            buckets[name] = bucket
+        self._buckets = buckets
+
+    def grant(
+        self, request: QuotaRequest, sender: str, sequence: int, now: float
+    ) -> QuotaGrant | None:
+        """Return the answer to a request, or ``None`` if it is old or repeated.
+
+        A share without tokens, lifetime and time for a retry tells the daemon that this
+        member does not grant tokens of the organisation at present.
+        """
+        self.note_time(now)
+        shares = []
+        for demand in request.demands:
+            bucket = self._buckets.get(demand.organisation)
+            if bucket is None or not self._may_grant(bucket, now):
+                shares.append(QuotaShare(demand.organisation, 0))
+                continue
+            share = bucket.answer(demand, sender, sequence, now)
+            if share is not None:
+                shares.append(share)
+        return QuotaGrant(tuple(shares)) if shares else None
+
+    def _may_grant(self, bucket: _Bucket, now: float) -> bool:
+        return self.has_majority and now - bucket.owned_since >= TAKEOVER_DELAY
+
+
+SEQUENCE_BITS = 24
+
+
+def split_sequence(sequence: int) -> tuple[int, int]:
+    """Return the epoch of the sending process and the number of the message."""
+    return sequence >> SEQUENCE_BITS, sequence & ((1 << SEQUENCE_BITS) - 1)
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -94,6 +94,17 @@
     CLAIM_MALFORMED = EventKind(570, logging.ERROR, "malformed claim row")
     OUTCOMES_HANDED_OVER = EventKind(571, logging.INFO, "key outcomes handed over")
     OUTCOME_MALFORMED = EventKind(572, logging.WARNING, "malformed key outcome")
+    LIMIT_REACHED = EventKind(585, logging.INFO, "organisations refused at their limit")
+    ALLOCATOR_SILENT = EventKind(
+        586, logging.WARNING, "allocator of a limit does not grant"
+    )
+    ALLOCATIONS_CHANGED = EventKind(587, logging.INFO, "limits allocated here changed")
+    MAJORITY_CHANGED = EventKind(
+        588, logging.WARNING, "majority for granting limits lost or found"
+    )
+    ALLOCATOR_PAUSED = EventKind(
+        589, logging.WARNING, "allocator was paused, its limits start again"
+    )
     REQUEST_ABORTED_BY_STOP = EventKind(510, logging.WARNING, "request cut by the stop")
     REQUEST_RETRIED = EventKind(520, logging.INFO, "request retried")
     REQUEST_REFUSED = EventKind(521, logging.INFO, "request refused")
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -9,6 +9,7 @@
 from flamingohead.core.dissemination import Dissemination, DisseminationSettings
 from flamingohead.core.following import derive_timeouts
 from flamingohead.core.membership import MembershipSettings
+from flamingohead.core.organisations.allocation import QuotaTolerance
 from flamingohead.core.placement import Placement
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
 from flamingohead.core.upstreams import UpstreamSettings
@@ -29,6 +30,7 @@
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.metrics_page import MetricsPage
+from flamingohead.services.quotas import QuotaService
 from flamingohead.services.slots import SlotService
 from flamingohead.services.subscription import SubscriptionService
 from flamingohead.services.upstreams import UpstreamService
@@ -120,6 +122,10 @@
     kernel.add("slots", slots)
     kernel.add("configuration", ConfigurationService(kernel, dissemination))
     kernel.add("attempts", GroupAttemptService(kernel, placement, budget))
+    tolerance = QuotaTolerance(
+        settings.quota_window, settings.quota_overage, settings.quota_slack
+    )
+    kernel.add("quotas", QuotaService(kernel, settings.host_id, tolerance))
     kernel.add(
         "calls",
         CallService(
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -336,7 +336,12 @@
         service = self._kernel.get("scopes" if scoped else "attempts")
         started_at = time.monotonic()
         refusal = self._check_start(call, started_at)
-        if refusal is None:
+        if refusal is None and call.organisation and not call.parent:
+            quotas = self._kernel.get("quotas")
+            refusal = await quotas.admit(call.organisation, call.deadline)
+            if refusal is None:
+                refusal = await quotas.serve(service, call, response)
+        elif refusal is None:
             refusal = await service.serve(call, response)
         outcome = "answered" if refusal is None else refusal.kind.value
         self._kernel.get("metrics").observe_request(
