Grant no limits on daemons that know no other

A daemon that started while it was cut off saw itself as the only member, had a majority and granted whole limits to itself. Daemons now wait until they have joined, or the store names no other host, or 30 s have passed.

--- a/flamingohead/core/organisations/allocation.py
+++ b/flamingohead/core/organisations/allocation.py
@@ -31,9 +31,10 @@
 # An allocator that has just started or taken over an organisation waits this long: the
 # news of it reaches the previous allocator and all daemons by gossip in about 1 s.
 TAKEOVER_DELAY = 1.5
-# A gap between two calls of an allocator after which its view of the members is out of
-# date. Busy hosts do not run a process for 0.1 s at a time.
-PAUSE_THRESHOLD = 1.0
+# A gap between two calls of an allocator after which another one may have replaced it:
+# members are declared dead after 3 s at the earliest. Busy hosts do not run a process
+# for 0.1 s at a time, and rarely for 1.5 s.
+PAUSE_THRESHOLD = 2.0
 MIN_ALLOCATORS = 4
 # An allocator answers this many times the requests that a daemon sends. With more
 # allocators, fewer reports share a datagram with other demands.
@@ -320,11 +321,13 @@
                 self._buckets[name].owned_since = self._candidates_since
                 self._buckets[name].fill(now)
 
-    def set_members(self, members: list[Member], now: float) -> None:
-        """Apply a view of the members; call it several times a second."""
+    def set_members(
+        self, candidates: tuple[str, ...], now: float, *, majority: bool
+    ) -> None:
+        """Apply the allocators and whether this side may grant; call it once a second
+        or more often.
+        """
         self.note_time(now)
-        candidates = choose_candidates(members)
-        majority = sees_majority(members)
         if majority and not self.has_majority:
             self._restart(now)
         self.has_majority = majority
--- a/flamingohead/services/bootstrap.py
+++ b/flamingohead/services/bootstrap.py
@@ -62,6 +62,8 @@
         self._bootstrap = bootstrap
         self._ticks = PeriodicTimer(self._tick)
         self._tasks: set[asyncio.Task] = set()
+        # Whether the rows as read last name no other host of the group.
+        self.is_only_host = False
 
     async def start(self) -> None:
         self._ticks.start(TICK_PERIOD_SECONDS, now=True)
@@ -138,6 +140,8 @@
         if rows is not None and len(scanned) == SCAN_LIMIT:
             # The scan may be incomplete.
             rows = None
+        own_id = self._get_membership().local_member.host_id
+        self.is_only_host = rows is not None and {r.host_id for r in rows} <= {own_id}
         members = self._get_membership().members
         self._run(self._bootstrap.receive_rows(rows, members, time.monotonic()))
 
--- a/flamingohead/services/quotas.py
+++ b/flamingohead/services/quotas.py
@@ -17,6 +17,7 @@
     Allocator,
     choose_allocator,
     choose_candidates,
+    sees_majority,
 )
 from flamingohead.core.organisations.messages import QuotaGrant, QuotaRequest
 from flamingohead.core.organisations.quotas import (
@@ -46,6 +47,10 @@
 MAX_WAIT_SECONDS = 0.06
 # Bytes of a demand or a share beside the name of the organisation.
 _NUMBERS_BYTES = 26
+MEMBERS_PERIOD_SECONDS = 0.5
+# A daemon that has joined no other grants nothing for this long, unless the store names
+# no other host: daemons that start during a cut know nobody on the other side.
+ALONE_SECONDS = 30.0
 LOG_PERIOD_SECONDS = 10.0
 MAX_LOGGED_ORGANISATIONS = 5
 
@@ -75,7 +80,8 @@
         self._sequence = random.SystemRandom().getrandbits(39) << SEQUENCE_BITS
         # Allocator and time of requests without an answer, by sequence number.
         self._pending: dict[int, tuple[str, float]] = {}
-        self._ticked_at = read_clock()
+        self._started_at = self._ticked_at = read_clock()
+        self._members_read_at = 0.0
         self._refused: Counter[str] = Counter()
         self._logged_at = 0.0
         self._silence_logged_at: dict[str, float] = {}
@@ -225,7 +231,9 @@
         self._apply_limits()
         if not self._limits:
             return
-        self._update_members(now)
+        if now - self._members_read_at >= MEMBERS_PERIOD_SECONDS:
+            self._members_read_at = now
+            self._update_members(now)
         self._quotas.tick(now, max(elapsed, TICK_SECONDS))
         for sequence, (_, sent_at) in list(self._pending.items()):
             if now - sent_at > TOKEN_LIFETIME:
@@ -242,7 +250,8 @@
             self._candidates = candidates
             self._chosen.clear()
         could_grant = self._allocator.has_majority
-        self._allocator.set_members(members, now)
+        majority = self._knows_members(now) and sees_majority(members)
+        self._allocator.set_members(candidates, now, majority=majority)
         if self._allocator.has_majority is not could_grant:
             log_event(
                 logger, Event.MAJORITY_CHANGED, granting=self._allocator.has_majority
@@ -251,6 +260,13 @@
             log_event(logger, Event.ALLOCATOR_PAUSED)
         self._report_owned()
 
+    def _knows_members(self, now: float) -> bool:
+        return (
+            self._kernel.get("gossip").has_joined
+            or self._kernel.get("bootstrap").is_only_host
+            or now - self._started_at >= ALONE_SECONDS
+        )
+
     def _report_owned(self) -> None:
         count = len(self._allocator.owned)
         gauges = self._kernel.get("metrics").gauges
--- a/flamingohead/testing/quota_fleet.py
+++ b/flamingohead/testing/quota_fleet.py
@@ -61,6 +61,10 @@
     def list_all(self) -> list[Member]:
         return self._fleet.list_members(self.local_member)
 
+    @property
+    def has_joined(self) -> bool:
+        return any(m.status is MemberStatus.ALIVE for m in self.members.values())
+
     def send_remote(self, address: str, sequence: int, body) -> None:
         own = self.local_member
         datagram = Datagram(
@@ -118,11 +122,23 @@
         kernel.add("gossip", FakeGossip(self, self.members[host_id]))
         configuration = SimpleNamespace(routes=self.routes, listeners=[])
         kernel.add("configuration", configuration)
+        kernel.add("bootstrap", SimpleNamespace(is_only_host=False))
         service = quotas.QuotaService(kernel, host_id, self.tolerance)
         kernel.add("quotas", service)
         self.kernels[host_id] = kernel
+        for other in self.members:
+            if not self._reaches(host_id, other):
+                self._changed.pop((host_id, other), None)
         self.loop.create_task(service.start())
 
+    def add(self, member: Member) -> None:
+        """Start the daemon of a new host, of which the others learn by gossip."""
+        self.members[member.host_id] = member
+        for observer in self.kernels:
+            since = self.loop.now + self.random.uniform(0, SPREAD_SECONDS)
+            self._changed[observer, member.host_id] = (True, since)
+        self.start(member.host_id)
+
     async def kill(self, host_id: str) -> None:
         await self.kernels.pop(host_id).get("quotas").stop()
 
@@ -166,7 +182,7 @@
             known = self._changed[pair] = (reaches, since)
         age = self.loop.now - known[1]
         if reaches:
-            return MemberStatus.ALIVE if age > BACK_SECONDS else MemberStatus.SUSPECT
+            return MemberStatus.ALIVE if age > BACK_SECONDS else MemberStatus.LEFT
         if age < SUSPECT_SECONDS:
             return MemberStatus.ALIVE
         return MemberStatus.SUSPECT if age < DEAD_SECONDS else MemberStatus.DEAD
--- a/flamingohead/tests/test_quotas.py
+++ b/flamingohead/tests/test_quotas.py
@@ -94,6 +94,14 @@
         await asyncio.sleep(1.5)
 
 
+async def join_better_hosts(fleet):
+    # Each takes over organisations from allocators that do not know of it yet.
+    for number in range(5):
+        await asyncio.sleep(3)
+        host_id = f"better-{number}"
+        fleet.add(Member(host_id, "z0", host_id, "", 1, capacity=9, group="mesh"))
+
+
 async def spoil_network(fleet):
     fleet.loss, fleet.duplication, fleet.delay = 0.2, 0.3, (0.0, 0.4)
     await asyncio.sleep(12)
@@ -118,6 +126,7 @@
             restart_herd,
             partition,
             pause_allocator,
+            join_better_hosts,
             spoil_network,
         ],
     )
@@ -144,6 +153,19 @@
 
         check_bound(run(scenario, seed=seed))
 
+    def test_daemons_that_start_during_a_cut_grant_nothing_to_themselves(self, run):
+        # Each would count for itself and admit the whole limit.
+        async def scenario(fleet):
+            for host in list(fleet.kernels):
+                await fleet.kill(host)
+            fleet._reaches = lambda a, b: False
+            for host in fleet.members:
+                fleet.start(host)
+            await flood(fleet, 20)
+
+        fleet = run(scenario)
+        assert not fleet.admitted
+
     def test_lowered_limit_binds_after_one_window(self, run):
         lowered = Organisation("shrine", ("b",), rate_per_second=40, burst=10)
 
