Hand over limits between allocators without a gap

Each change of the members' order of capacity left the organisations that moved without grants for 1.5 s, also if the replaced allocator was still there. It now goes on for 1.5 s and daemons keep to it for that time; the next one begins later. One that follows a dead allocator begins after 0.5 s, as the dead one has stopped long before it is declared dead.

--- a/flamingohead/core/organisations/allocation.py
+++ b/flamingohead/core/organisations/allocation.py
@@ -20,7 +20,7 @@
 from flamingohead.core.organisations.messages import QuotaGrant, QuotaShare
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Container, Iterable, Mapping
 
     from flamingohead.core.members import Member
     from flamingohead.core.organisations.messages import QuotaDemand, QuotaRequest
@@ -28,9 +28,15 @@
 
 # Seconds for which a daemon may use a granted token.
 TOKEN_LIFETIME = 3.0
-# An allocator that has just started or taken over an organisation waits this long: the
-# news of it reaches the previous allocator and all daemons by gossip in about 1 s.
-TAKEOVER_DELAY = 1.5
+# An allocator that has just started waits this long: the news of it reaches all daemons
+# by gossip in about 1 s.
+START_DELAY = 1.5
+# An allocator that is replaced by a better one goes on for a time, and the next one
+# begins after it, even if the news takes 1 s longer to reach the first than the second.
+HANDOVER_SECONDS = 1.5
+HANDOVER_DELAY = 2.5
+# Delay of an allocator that follows one that is dead or has left.
+SUCCESSION_DELAY = 0.5
 # A gap between two calls of an allocator after which another one may have replaced it:
 # members are declared dead after 3 s at the earliest. Busy hosts do not run a process
 # for 0.1 s at a time, and rarely for 1.5 s.
@@ -184,7 +190,9 @@
         self._holders: dict[str, _Holder] = {}
         self._refilled_at = now
         self.held = 0
-        self.owned_since = now
+        self.grants_from = now + START_DELAY
+        # Set while another allocator is about to take over.
+        self.ends_at = math.inf
         self.tokens = INITIAL_PART * tolerance.compute_extra(limit)
 
     def set_limit(self, limit: Organisation, now: float) -> None:
@@ -196,7 +204,7 @@
     def restart(self, now: float) -> None:
         """Empty the bucket, since another allocator may have granted meanwhile."""
         self.tokens = 0.0
-        self.owned_since = now
+        self.grants_from = now + START_DELAY
 
     def fill(self, now: float) -> None:
         """Fill the bucket of a limit that did not exist before."""
@@ -216,7 +224,7 @@
         self.tokens = max(0.0, min(self.tokens, self._get_depth(now) - self.held))
 
     def _is_young(self, now: float) -> bool:
-        return now - self.owned_since < TAKEOVER_DELAY + TOKEN_LIFETIME
+        return now < self.grants_from + TOKEN_LIFETIME
 
     def _get_depth(self, now: float) -> float:
         depth = self._tolerance.compute_depth(self.limit)
@@ -303,38 +311,50 @@
         self._was_paused = False
         self._last_seen_at: float | None = None
         self._candidates_since = 0.0
+        # Time before which this process grants nothing.
+        self._starts_at = 0.0
 
     @property
     def owned(self) -> frozenset[str]:
         """Return the organisations that this daemon is the allocator of."""
-        return frozenset(self._buckets)
+        return frozenset(n for n, b in self._buckets.items() if b.ends_at == math.inf)
 
     def set_limits(self, limits: Mapping[str, Organisation], now: float) -> None:
         """Apply the limits of a configuration, by name of the organisation."""
         is_first = not self._limits
+        self._starts_at = self._starts_at or now + START_DELAY
         known = set(self._buckets)
         self._limits = limits
         self._update_owned(now)
         for name in self._buckets.keys() - known:
             # No other allocator has granted tokens of a limit that is new.
             if not is_first:
-                self._buckets[name].owned_since = self._candidates_since
+                self._buckets[name].grants_from = self._candidates_since + START_DELAY
                 self._buckets[name].fill(now)
 
     def set_members(
-        self, candidates: tuple[str, ...], now: float, *, majority: bool
+        self,
+        candidates: tuple[str, ...],
+        usable: Container[str],
+        now: float,
+        *,
+        majority: bool,
     ) -> None:
-        """Apply the allocators and whether this side may grant; call it once a second
-        or more often.
+        """Apply the allocators, the members and whether this side may grant.
+
+        Call it once a second or more often.
         """
         self.note_time(now)
         if majority and not self.has_majority:
             self._restart(now)
         self.has_majority = majority
         if candidates != self._candidates:
-            self._candidates = candidates
+            previous, self._candidates = self._candidates, candidates
             self._candidates_since = now
-            self._update_owned(now)
+            self._update_owned(now, previous, usable)
+        for name, bucket in list(self._buckets.items()):
+            if now >= bucket.ends_at:
+                del self._buckets[name]
 
     def note_time(self, now: float) -> None:
         """Discard all state after a pause: another allocator may have begun."""
@@ -355,15 +375,26 @@
         for bucket in self._buckets.values():
             bucket.restart(now)
 
-    def _update_owned(self, now: float) -> None:
+    def _update_owned(
+        self, now: float, previous: tuple[str, ...] = (), usable: Container[str] = ()
+    ) -> None:
         buckets = {}
         for name, limit in self._limits.items():
-            if choose_allocator(name, self._candidates) != self._host_id:
-                continue
             bucket = self._buckets.get(name)
-            if bucket is None:
+            if choose_allocator(name, self._candidates) != self._host_id:
+                if bucket is None:
+                    continue
+                bucket.ends_at = min(bucket.ends_at, now + HANDOVER_SECONDS)
+            elif bucket is None:
                 bucket = _Bucket(limit, self._tolerance, now)
-            elif bucket.limit != limit:
+                predecessor = choose_allocator(name, previous)
+                if predecessor:
+                    is_alive = predecessor in usable
+                    delay = HANDOVER_DELAY if is_alive else SUCCESSION_DELAY
+                    bucket.grants_from = max(self._starts_at, now + delay)
+            else:
+                bucket.ends_at = math.inf
+            if bucket.limit != limit:
                 bucket.set_limit(limit, now)
             buckets[name] = bucket
         self._buckets = buckets
@@ -389,7 +420,7 @@
         return QuotaGrant(tuple(shares)) if shares else None
 
     def _may_grant(self, bucket: _Bucket, now: float) -> bool:
-        return self.has_majority and now - bucket.owned_since >= TAKEOVER_DELAY
+        return self.has_majority and bucket.grants_from <= now < bucket.ends_at
 
 
 SEQUENCE_BITS = 24
--- a/flamingohead/core/organisations/quotas.py
+++ b/flamingohead/core/organisations/quotas.py
@@ -378,19 +378,20 @@
 
     def receive(
         self, share: QuotaShare, source: str, sent_at: float, now: float
-    ) -> None:
+    ) -> bool:
         """Apply the answer to a request that was sent at ``sent_at``.
 
-        The lifetime of the tokens begins when the request was sent, so that a delayed
+        Returns whether its sender grants tokens of the organisation at present. The
+        lifetime of the tokens begins when the request was sent, so that a delayed
         answer does not extend it.
         """
         account = self._accounts.get(share.organisation)
         if account is None:
-            return
+            return True
         if not (share.tokens or share.lifetime_ms or share.retry_after_ms):
             # The member does not grant tokens at present; nobody waits for it.
             account.unanswered_since = sent_at - SILENCE_SECONDS
-            return
+            return False
         account.unanswered_since = account.asked_at = None
         if share.tokens:
             expires_at = sent_at + share.lifetime_ms / 1000
@@ -400,3 +401,4 @@
         if share.retry_after_ms:
             until = now + share.retry_after_ms / 1000
             account.refused_until = max(account.refused_until, until)
+        return True
--- a/flamingohead/services/quotas.py
+++ b/flamingohead/services/quotas.py
@@ -12,6 +12,7 @@
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.core.messages import MAX_DATAGRAM_BYTES, estimate_envelope_size
 from flamingohead.core.organisations.allocation import (
+    HANDOVER_SECONDS,
     SEQUENCE_BITS,
     TOKEN_LIFETIME,
     Allocator,
@@ -31,7 +32,7 @@
 from flamingohead.services.ticks import PeriodicTimer
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Container, Iterable, Iterator
 
     from flamingohead.core.calls import Call
     from flamingohead.core.messages import Datagram
@@ -73,6 +74,8 @@
         self._snapshot: object = None
         self._candidates: tuple[str, ...] = ()
         self._chosen: dict[str, str] = {}
+        # Allocators that another one is about to follow, and when daemons change to it.
+        self._replaced: dict[str, tuple[str, float]] = {}
         self._waiting: dict[str, deque[asyncio.Future]] = defaultdict(deque)
         self._flush_handle: asyncio.Handle | None = None
         self._repeat_handle: asyncio.TimerHandle | None = None
@@ -175,7 +178,7 @@
     def _refuse(self, organisation: str, decision: Decision) -> Refusal:
         metrics = self._kernel.get("metrics")
         now = read_clock()
-        allocator = self._choose(organisation)
+        allocator = self._choose(organisation, now)
         if decision is Decision.UNREACHABLE:
             metrics.count("quota.unreachable")
             self._log_silence(organisation, allocator, now)
@@ -244,14 +247,18 @@
             self._log_refused()
 
     def _update_members(self, now: float) -> None:
-        members = self._kernel.get("gossip").membership.list_all()
+        membership = self._kernel.get("gossip").membership
+        members = membership.list_all()
+        usable = membership.members
         candidates = choose_candidates(members)
         if candidates != self._candidates:
             self._candidates = candidates
-            self._chosen.clear()
+            self._change_allocators(usable, now)
         could_grant = self._allocator.has_majority
         majority = self._knows_members(now) and sees_majority(members)
-        self._allocator.set_members(candidates, now, majority=majority)
+        self._allocator.set_members(
+            candidates, {self._host_id, *usable}, now, majority=majority
+        )
         if self._allocator.has_majority is not could_grant:
             log_event(
                 logger, Event.MAJORITY_CHANGED, granting=self._allocator.has_majority
@@ -260,6 +267,17 @@
             log_event(logger, Event.ALLOCATOR_PAUSED)
         self._report_owned()
 
+    def _change_allocators(self, usable: Container[str], now: float) -> None:
+        """Choose allocators anew; replaced ones that go on for a time are kept."""
+        previous = {name: self._choose(name, now) for name in self._chosen}
+        self._chosen.clear()
+        until = now + HANDOVER_SECONDS
+        self._replaced = {
+            name: (allocator, until)
+            for name, allocator in previous.items()
+            if allocator in usable or allocator == self._host_id
+        }
+
     def _knows_members(self, now: float) -> bool:
         return (
             self._kernel.get("gossip").has_joined
@@ -290,7 +308,12 @@
             )
             self._refused.clear()
 
-    def _choose(self, organisation: str) -> str:
+    def _choose(self, organisation: str, now: float) -> str:
+        replaced = self._replaced.get(organisation)
+        if replaced is not None:
+            if now < replaced[1]:
+                return replaced[0]
+            del self._replaced[organisation]
         allocator = self._chosen.get(organisation)
         if allocator is None:
             allocator = choose_allocator(organisation, self._candidates)
@@ -309,7 +332,9 @@
 
     def _flush(self) -> None:
         now = read_clock()
-        messages = self._quotas.collect_demands(self._choose, now)
+        messages = self._quotas.collect_demands(
+            lambda organisation: self._choose(organisation, now), now
+        )
         for allocator, demands in messages.items():
             for batch in self._split(demands):
                 self._send_request(allocator, batch, now)
@@ -377,7 +402,10 @@
     def _apply_grant(self, grant: QuotaGrant, source: str, sent_at: float) -> None:
         now = read_clock()
         for share in grant.shares:
-            self._quotas.receive(share, source, sent_at, now)
+            replaced = self._replaced.get(share.organisation)
+            grants = self._quotas.receive(share, source, sent_at, now)
+            if not grants and replaced is not None and replaced[0] == source:
+                del self._replaced[share.organisation]
             self._wake(share.organisation)
             if share.retry_after_ms:
                 self._refuse_waiting(share.organisation)
