Count tokens of waiting requests as used in advance

Small limits were refused while idle reports were outstanding: a token that a waiting request had used counted as held for up to 1 s, until its daemon reported it. The daemon now counts these tokens as used when it asks for them.

Two allocators could also grant at the same time after a quick restart: the one that had taken over went on for longer than the restarted one waited. The replaced one now goes on for 0.5 s, and a started or better one begins after 2 s.

--- a/flamingohead/core/organisations/allocation.py
+++ b/flamingohead/core/organisations/allocation.py
@@ -28,13 +28,12 @@
 
 # Seconds for which a daemon may use a granted token.
 TOKEN_LIFETIME = 3.0
-# An allocator that has just started waits this long: the news of it reaches all daemons
-# by gossip in about 1 s.
-START_DELAY = 1.5
-# An allocator that is replaced by a better one goes on for a time, and the next one
-# begins after it, even if the news takes 1 s longer to reach the first than the second.
-HANDOVER_SECONDS = 1.5
-HANDOVER_DELAY = 2.5
+# An allocator that is replaced by a better one goes on for a time.
+HANDOVER_SECONDS = 0.5
+# The next one begins after that, although the news may reach the first 1 s later and is
+# evaluated twice a second. The same holds for a host that comes back.
+HANDOVER_DELAY = 2.0
+START_DELAY = 2.0
 # Delay of an allocator that follows one that is dead or has left.
 SUCCESSION_DELAY = 0.5
 # A gap between two calls of an allocator after which another one may have replaced it:
@@ -239,26 +238,35 @@
         """
         holder = self._holders.get(sender)
         epoch, number = split_sequence(sequence)
-        if holder is None or holder.epoch != epoch:
+        is_new = holder is None or holder.epoch != epoch
+        if is_new:
             # The tokens of an earlier process on the host expire in their time.
             lots = [] if holder is None else holder.lots
             holder = _Holder(epoch, -1, demand.used, demand.returned, lots)
         if number <= holder.sequence:
             return None
         self._holders[sender] = holder
-        self._apply_report(holder, demand, now)
+        in_advance = self._apply_report(holder, demand, now)
         holder.sequence = number
         holder.asked_at = now
         self._refill(now)
         if not demand.wanted:
             return None
         granted = self._choose_tokens(demand.wanted, now)
+        if is_new and granted:
+            # It is not known how many requests of this daemon wait; one does usually.
+            granted = in_advance = 1
         if not granted:
             holder.refused_at = now
             return QuotaShare(demand.organisation, 0, 0, self._compute_retry_ms(now))
-        holder.lots.append([granted, now + TOKEN_LIFETIME + REPORT_GRACE])
         self.tokens -= granted
-        self.held += granted
+        used = min(granted, in_advance)
+        if not is_new:
+            holder.used += used
+        if granted > used:
+            expires_at = now + TOKEN_LIFETIME + REPORT_GRACE
+            holder.lots.append([granted - used, expires_at])
+            self.held += granted - used
         return QuotaShare(demand.organisation, granted, round(1000 * TOKEN_LIFETIME))
 
     def _choose_tokens(self, wanted: int, now: float) -> int:
@@ -282,20 +290,23 @@
         spread = refused / RETRIES_PER_SECOND
         return round(1000 * max(MIN_RETRY_SECONDS, missing, spread))
 
-    def _apply_report(self, holder: _Holder, demand: QuotaDemand, now: float) -> None:
+    def _apply_report(self, holder: _Holder, demand: QuotaDemand, now: float) -> int:
         """Remove used and returned tokens; returned ones go back to the bucket.
 
-        ``used`` falls if a request that had used a token did not run.
+        ``used`` falls if a request that had used a token did not run. Returns how many
+        of the used tokens are still to be granted.
         """
         used, returned = demand.used - holder.used, demand.returned - holder.returned
-        holder.used, holder.returned = demand.used, demand.returned
+        holder.returned = demand.returned
         if used < 0:
+            holder.used = demand.used
             again = min(-used, math.ceil(self._tolerance.compute_depth(self.limit)))
             holder.lots.append([again, now + TOKEN_LIFETIME + REPORT_GRACE])
-        elif used > 0:
-            holder.remove(used)
+        removed = holder.remove(used)
+        holder.used += removed
         if returned > 0:
             self.tokens += holder.remove(returned)
+        return max(0, used - removed)
 
 
 class Allocator:
--- a/flamingohead/core/organisations/messages.py
+++ b/flamingohead/core/organisations/messages.py
@@ -9,8 +9,9 @@
 class QuotaDemand:
     """Report what a daemon needs of an organisation's limit, in tokens.
 
-    ``used`` and ``returned`` are the tokens of earlier grants that it used since its
-    last request, and those that it no longer needs.
+    ``used`` and ``returned`` count the tokens of this allocator since the daemon's
+    start: those that it has used, or that waiting requests will use as soon as they are
+    granted, and those that it does not need.
     """
 
     organisation: str
--- a/flamingohead/core/organisations/quotas.py
+++ b/flamingohead/core/organisations/quotas.py
@@ -368,13 +368,16 @@
         self, name: str, account: _Account, allocator: str, now: float
     ) -> QuotaDemand:
         wanted = self._count_wanted(account, now)
+        report = account.reports[allocator]
+        # Requests that wait use their tokens as soon as these arrive. Counted in
+        # advance, the tokens are not held and need no message later.
+        used = report.used + min(wanted, account.waiting)
         if wanted:
             if account.unanswered_since is None or not account.is_asked(now):
                 account.unanswered_since = now
             account.asked_at = now
-        report = account.reports[allocator]
-        report.sent = (report.used, report.returned)
-        return QuotaDemand(name, wanted, report.used, report.returned)
+        report.sent = (used, report.returned)
+        return QuotaDemand(name, wanted, used, report.returned)
 
     def receive(
         self, share: QuotaShare, source: str, sent_at: float, now: float
--- a/flamingohead/testing/quota_fleet.py
+++ b/flamingohead/testing/quota_fleet.py
@@ -23,7 +23,6 @@
 # Times after which members see that another one is silent, dead or back.
 SUSPECT_SECONDS = 1.0
 DEAD_SECONDS = 4.0
-BACK_SECONDS = 0.5
 SPREAD_SECONDS = 1.0
 
 
@@ -103,7 +102,7 @@
             for n in range(hosts)
         }
         self.kernels: dict[str, Kernel] = {}
-        self._changed: dict[tuple[str, str], tuple[bool, float]] = {}
+        self._changed: dict[tuple, tuple[bool, float, MemberStatus]] = {}
         self.set_limits(limits)
         for host_id in self.members:
             self.start(host_id)
@@ -136,7 +135,8 @@
         self.members[member.host_id] = member
         for observer in self.kernels:
             since = self.loop.now + self.random.uniform(0, SPREAD_SECONDS)
-            self._changed[observer, member.host_id] = (True, since)
+            change = (True, since, MemberStatus.LEFT)
+            self._changed[observer, member.host_id] = change
         self.start(member.host_id)
 
     async def kill(self, host_id: str) -> None:
@@ -179,10 +179,15 @@
         if known is None or known[0] != reaches:
             spread = self.random.uniform(0, SPREAD_SECONDS)
             since = self.loop.now + spread if known is not None else 0.0
-            known = self._changed[pair] = (reaches, since)
-        age = self.loop.now - known[1]
+            before = MemberStatus.ALIVE if known is None else self._judge(known)
+            known = self._changed[pair] = (reaches, since, before)
+        return self._judge(known)
+
+    def _judge(self, change: tuple[bool, float, MemberStatus]) -> MemberStatus:
+        reaches, since, before = change
+        age = self.loop.now - since
         if reaches:
-            return MemberStatus.ALIVE if age > BACK_SECONDS else MemberStatus.LEFT
+            return MemberStatus.ALIVE if age >= 0 else before
         if age < SUSPECT_SECONDS:
             return MemberStatus.ALIVE
         return MemberStatus.SUSPECT if age < DEAD_SECONDS else MemberStatus.DEAD
