--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -108,6 +108,7 @@
     )
     CONFIRMATION_READ = EventKind(
         584, logging.INFO, "store read for a confirmation of the configuration"
+    )
     LIMIT_REACHED = EventKind(585, logging.INFO, "organisations refused at their limit")
     ALLOCATOR_SILENT = EventKind(
         586, logging.WARNING, "allocator of a limit does not grant"
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -30,8 +30,8 @@
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.metrics_page import MetricsPage
-from flamingohead.services.revocation import RevocationService
 from flamingohead.services.quotas import QuotaService
+from flamingohead.services.revocation import RevocationService
 from flamingohead.services.slots import SlotService
 from flamingohead.services.subscription import SubscriptionService
 from flamingohead.services.upstreams import UpstreamService
