Bound the memory that connections of callers hold

Callers saw: requests cut, because a few callers ended the daemon by its memory.

Cause: only bytes of bodies were counted. Header lines hold 30 times their bytes, and one read may contain 64,000 of them; the limit of a head was not checked within the read that began it. Chunks of one byte held a list element each. Responses that a caller did not read, and the data of a full pipeline, were not bounded. The event loop referred to the requests of all responses finished in an iteration.

Change: one budget, a fifth of `memory-mb`, counts for each connection what it holds: lines with their objects, unparsed data, waiting and running requests, bodies with one copy, unread responses. Without room, connections that stalled or hold most are refused or closed first; then the request gets 503 before it is started. Empty lines before a request are bounded, and open connections by `max-fds`. A request with a large body that can't be served is refused by its head.

--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -117,6 +117,21 @@
         logging.INFO,
         "connection not reused: a duplicate could pass for its next response",
     )
+    CALLER_LIMITS_SET = EventKind(
+        595, logging.INFO, "limits of callers' connections in force"
+    )
+    REQUEST_REFUSED_FOR_MEMORY = EventKind(
+        596, logging.WARNING, "request refused for the memory of connections"
+    )
+    CONNECTION_CLOSED_FOR_MEMORY = EventKind(
+        597, logging.WARNING, "connection closed: its caller does not read"
+    )
+    CONNECTION_REPLACED = EventKind(
+        598, logging.WARNING, "connection closed: too many are open"
+    )
+    BODY_REFUSED = EventKind(
+        599, logging.INFO, "request refused before its body was read"
+    )
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream readmitted")
 
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+import resource
 from typing import TYPE_CHECKING
 
 from flamingohead.core.bootstrap import BootstrapSettings
 from flamingohead.core.dissemination import Dissemination, DisseminationSettings
 from flamingohead.core.following import derive_timeouts
 from flamingohead.core.membership import MembershipSettings
+from flamingohead.core.memory import compute_budget, compute_connection_limits
 from flamingohead.core.placement import Placement
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
 from flamingohead.core.upstreams import UpstreamSettings
@@ -103,6 +105,13 @@
     kernel.add("watch", SettingsWatcher(kernel, settings, path))
 
 
+def _read_max_descriptors(setting: int) -> int:
+    """Return the limit of the settings or of the process, the lower one."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    known = [n for n in (setting, limit) if n not in (0, resource.RLIM_INFINITY)]
+    return min(known, default=0)
+
+
 def _add_request_services(
     kernel: Kernel, settings: HostSettings, generator: random.Random
 ) -> None:
@@ -131,6 +140,10 @@
             steps_back=True,
             dialect=PLATFORM_DIALECT,
             own_service=settings.service,
+            budget_bytes=compute_budget(settings.memory_bytes),
+            connection_limits=compute_connection_limits(
+                _read_max_descriptors(settings.max_descriptors)
+            ),
         ),
     )
     lifetime = MAX_MISSED_HEARTBEATS * settings.announcement_period
--- a/flamingohead/services/buffered_response.py
+++ b/flamingohead/services/buffered_response.py
@@ -29,8 +29,7 @@
         super().__init__(response)
         self._headers: Headers = []
         self._length: int | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._is_buffered = False
         self.status = 0
         self.is_complete = False
@@ -59,9 +58,9 @@
         if not self._is_buffered:
             self._response.write(data)
             return
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_BUFFERED_BYTES:
+        self._body += data
+        self._response.collected_bytes = len(self._body)
+        if len(self._body) > MAX_BUFFERED_BYTES:
             self._forward()
 
     def finish(self) -> None:
@@ -80,8 +79,8 @@
         self._is_buffered = False
         length = self._length
         if self.is_complete and length is None and self._body:
-            length = self._body_bytes
+            length = len(self._body)
+        body, self._body = bytes(self._body), bytearray()
+        self._response.collected_bytes = 0
         self._response.start(self.status, self._headers, length=length)
-        for part in self._body:
-            self._response.write(part)
-        self._body = []
+        self._response.write(body)
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -12,7 +12,7 @@
 from flamingohead.core.calls import REQUEST_ID_HEADER, Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import qualify_refusal
-from flamingohead.core.memory import ByteBudget
+from flamingohead.core.memory import DEFAULT_BUDGET_BYTES, ByteBudget, Relief
 from flamingohead.core.organisations.identity import identify_organisation
 from flamingohead.core.scopes import is_scoped_key
 from flamingohead.core.splits import WeightedRoundRobin
@@ -50,6 +50,14 @@
 logger = logging.getLogger(__name__)
 
 STOP_POLL_SECONDS = 0.05
+# A body up to this size is read before its request is refused, so that the connection
+# stays open; a larger one costs more than a new connection.
+MAX_UNCHECKED_BODY_BYTES = 64 * 1024
+RELIEF_EVENTS = {
+    Relief.REQUEST_REFUSED: Event.REQUEST_REFUSED_FOR_MEMORY,
+    Relief.CONNECTION_CLOSED: Event.CONNECTION_CLOSED_FOR_MEMORY,
+    Relief.CONNECTION_REPLACED: Event.CONNECTION_REPLACED,
+}
 
 
 class CallService:
@@ -66,8 +74,12 @@
         steps_back: bool = False,
         dialect: Dialect = PRODUCT_DIALECT,
         own_service: str = "",
+        budget_bytes: int = DEFAULT_BUDGET_BYTES,
+        connection_limits: tuple[int, int] = (0, 0),
     ) -> None:
         self._dialect = dialect
+        self._budget = ByteBudget(budget_bytes)
+        self._connection_limits = connection_limits
         self.own_service = own_service
         self._settle_seconds = settle_seconds
         self._steps_back = steps_back
@@ -91,17 +103,29 @@
     async def start(self) -> None:
         handlers = (self._handle_ingress, self._handle_relay)
         count = self._kernel.get("metrics").count_refusal
-        budget = ByteBudget()
-        for address, handler in zip(self._addresses, handlers, strict=True):
+        rows = zip(self._addresses, handlers, self._connection_limits, strict=True)
+        for address, handler, max_connections in rows:
             host, port = split_address(address)
             factory = HttpServerFactory(
                 handler,
                 count,
-                budget,
+                self._budget,
                 sends_fractional_retry_after=self._dialect.sends_fractional_retry_after,
             )
+            factory.max_connections = max_connections
+            factory.peers = self._factories
+            factory.report = self._report_relief
+            factory.report_held = self._report_held
             self._factories.append(factory)
             self._ports.append(await listen(factory, host, port))
+        self._factories[0].check_head = self._check_head
+        log_event(
+            logger,
+            Event.CALLER_LIMITS_SET,
+            budget_bytes=self._budget.limit,
+            ingress_connections=self._connection_limits[0],
+            relay_connections=self._connection_limits[1],
+        )
 
     async def stop(self) -> None:
         """Leave the mesh, finish the calls in progress and abort the remaining ones."""
@@ -136,6 +160,24 @@
             idle_timeout=limits.idle_timeout_ms / 1000,
         )
 
+    def _report_held(self, size: int) -> None:
+        self._kernel.get("metrics").set_gauge("memory.held_bytes", size)
+
+    def _report_relief(self, relief: Relief, size: int) -> None:
+        metrics = self._kernel.get("metrics")
+        if relief is Relief.REQUEST_REFUSED:
+            metrics.count("memory.refused")
+        elif relief is Relief.CONNECTION_CLOSED:
+            metrics.count("memory.closed")
+        else:
+            metrics.count("connections.replaced")
+        log_event(
+            logger,
+            RELIEF_EVENTS[relief],
+            connection_bytes=size,
+            held_bytes=self._budget.reserved_bytes,
+        )
+
     def _compute_exclusive_timeout(self) -> float | None:
         """Return the shortest timeout of the services that only this host serves."""
         if not self._steps_back:
@@ -231,6 +273,56 @@
             call = replace(call, parent=parent)
         self._spawn(self._serve(call, response), request, response)
 
+    def _check_head(
+        self, request: IncomingRequest, length: int | None
+    ) -> Refusal | None:
+        """Return a refusal of a large request that can't be served, before its body."""
+        refusal = self._find_refusal(request, length)
+        if refusal is None:
+            return None
+        self._kernel.get("metrics").count("calls.refused_heads")
+        request_id = request.get_header(REQUEST_ID_HEADER) or b""
+        log_event(
+            logger,
+            Event.BODY_REFUSED,
+            request=request_id.decode("latin-1"),
+            reason=refusal.kind.value,
+            detail=refusal.detail,
+            body_bytes=length,
+            version=self._kernel.get("configuration").routes.version,
+        )
+        return qualify_for_key(request, refusal)
+
+    def _find_refusal(
+        self, request: IncomingRequest, length: int | None
+    ) -> Refusal | None:
+        routes = self._kernel.get("configuration").routes
+        target = request.target.decode("latin-1")
+        resolved = routes.match(request.method, target, read_host(request))
+        is_large = length is not None and length > MAX_UNCHECKED_BODY_BYTES
+        if isinstance(resolved, Refusal):
+            return resolved if is_large else None
+        if not is_large and not resolved.route.large_body:
+            return None
+        identity = self._identify(request, resolved)
+        if isinstance(identity, Refusal):
+            return identity
+        call = build_call(
+            request,
+            resolved,
+            time.monotonic(),
+            dialect=self._dialect,
+            identity=identity,
+        )
+        if isinstance(call, Refusal) or not resolved.route.large_body:
+            return call if isinstance(call, Refusal) else None
+        attempts = self._kernel.get("attempts")
+        services = [pool.service for pool in resolved.pools]
+        if self._steps_back and not attempts.has_upstream(services):
+            detail = f"no upstream of {call.service!r}"
+            return Refusal(ErrorKind.NO_UPSTREAM, detail)
+        return self._kernel.get("slots").check_stop(call)
+
     def _identify(
         self, request: IncomingRequest, resolved: ResolvedRoute
     ) -> Identity | Refusal:
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -23,6 +23,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from flamingohead.core.calls import Call
     from flamingohead.core.placement import Placement, PlacementChoice
     from flamingohead.core.retries import SharedRetryBudget
@@ -60,6 +62,11 @@
         """Return whether another host serves a service and is not about to stop."""
         return self._placement.has_other_host(service, self._host_id)
 
+    def has_upstream(self, services: Iterable[str]) -> bool:
+        """Return whether one of the services has an upstream, or may still get one."""
+        present = self._placement.list_services()
+        return not self.can_serve() or any(name in present for name in services)
+
     def can_serve(self) -> bool:
         """Return whether all routed services are discovered, or the grace is over."""
         if self._is_ready:
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -46,7 +46,8 @@
 class IncomingRequest:
     """Represent a complete request, ``received_at`` in monotonic seconds.
 
-    It may wait behind others of its connection before it is served.
+    It may wait behind others of its connection before it is served. ``held_bytes`` is
+    the memory that it holds until its response is complete.
     """
 
     method: str
@@ -56,6 +57,7 @@
     keep_alive: bool = True
     version: str = "1.1"
     received_at: float = 0.0
+    held_bytes: int = 0
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` in lower case."""
--- a/flamingohead/services/http_parser.py
+++ b/flamingohead/services/http_parser.py
@@ -8,6 +8,7 @@
 import httptools
 
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.memory import BODY_COPIES, LINE_BYTES, REQUEST_BYTES
 from flamingohead.services.byte_bounds import FramingMeter
 from flamingohead.services.http_messages import (
     PROTECTED_HEADERS,
@@ -19,10 +20,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from flamingohead.core.memory import ByteBudget
-
 MAX_HEAD_BYTES = 32 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Bytes on the wire of a head, by those of its target, names and values: a line of one
+# byte is four bytes long with its colon and line break.
+MAX_WIRE_RATIO = 4
+# Callers send at most a line break or two after a body (RFC 9112, 2.2).
+MAX_BLANK_BYTES = 1024
 VERSIONS = ("1.0", "1.1")
 
 
@@ -38,17 +42,19 @@
     """Parse received data into complete requests and reject malformed input.
 
     ``on_begin`` is called at the first byte of a request, ``on_head`` when its head is
-    complete, with whether the caller sent ``Expect: 100-continue``, and ``on_request``
-    when the request is complete. Changed ``limits`` apply from the next request on.
+    complete, with the length of the body (``None`` if it is sent in chunks) and
+    whether the caller sent ``Expect: 100-continue``, and ``on_request`` when the
+    request is complete. Changed ``limits`` apply from the next request on.
+
+    ``held_bytes`` is the memory that the incomplete request holds.
     """
 
     def __init__(
         self,
         *,
         on_begin: Callable[[], None],
-        on_head: Callable[[bool], None],
+        on_head: Callable[[IncomingRequest, int | None, bool], None],
         on_request: Callable[[IncomingRequest], None],
-        budget: ByteBudget,
         limits: ReadLimits = ReadLimits(),
     ) -> None:
         self.limits = limits
@@ -58,11 +64,16 @@
         self._parser = httptools.HttpRequestParser(self)
         self._request: IncomingRequest | None = None
         self._in_head = False
+        self._has_begun = False
+        # Bytes of the head on the wire, and of its parts that the parser has reported.
         self._head_bytes = 0
+        self._reported_bytes = 0
+        self._blank_bytes = 0
+        # Received since the last reported line or part of the body; the parser may
+        # hold them back.
+        self._unreported_bytes = 0
         self._framing = FramingMeter()
-        self._budget = budget
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body: bytes | bytearray = b""
         self._refusal: Refusal | None = None
         self._ended = False
 
@@ -71,55 +82,94 @@
         """Return whether a request has begun and is still incomplete."""
         return self._request is not None
 
+    @property
+    def held_bytes(self) -> int:
+        if self._request is None:
+            return 0
+        return (
+            REQUEST_BYTES
+            + LINE_BYTES * len(self._request.headers)
+            + self._reported_bytes
+            + 2 * self._unreported_bytes
+            + BODY_COPIES * len(self._body)
+        )
+
     def feed(self, data: bytes) -> Refusal | None:
         """Parse data; return a refusal if no further request can be read."""
         if self._refusal is not None or self._ended:
             return self._refusal
-        if self._in_head:
-            self._head_bytes += len(data)
-        request, body_bytes = self._request, self._body_bytes
+        request, reported = self._request, self._reported_bytes
+        body_bytes = len(self._body)
         was_in_body = request is not None and not self._in_head
+        self._has_begun = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             # Data after the last request of the connection is ignored.
             if self._refusal is None and not self._ended:
                 self._refusal = Refusal(ErrorKind.MALFORMED_REQUEST, str(error))
-        if self._refusal is None and self._in_head:
+        if self._refusal is not None:
+            return self._refusal
+        if self._request is None:
+            if request is None and not self._has_begun:
+                self._check_blank_bytes(len(data))
+            return self._refusal
+        is_same = self._request is request
+        progress = self._reported_bytes - reported + len(self._body) - body_bytes
+        if is_same and progress == 0:
+            self._unreported_bytes += len(data)
+        else:
+            self._unreported_bytes = len(data)
+        if self._in_head:
+            self._head_bytes = len(data) + (self._head_bytes if is_same else 0)
             self._check_head_bytes()
-        if self._refusal is None and was_in_body and self._request is request:
-            self._framing.add(len(data), self._body_bytes - body_bytes)
+        elif was_in_body and is_same:
+            self._framing.add(len(data), len(self._body) - body_bytes)
             self._check_framing()
         return self._refusal
 
     def discard(self) -> None:
-        """Discard an incomplete request and release its bytes of the budget."""
-        self._budget.release(self._body_bytes)
-        self._body = []
-        self._body_bytes = 0
+        """Discard an incomplete request; nothing more is read."""
+        self._ended = True
+        self._request = None
+        self._parser = None
+        self._body = b""
 
     def reject(self, kind: ErrorKind, detail: str) -> None:
         """Refuse from within a parser callback, and raise to stop the parsing."""
-        self._refusal = Refusal(kind, detail)
-        raise ValueError(detail)
+        self.refuse(Refusal(kind, detail))
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse from within a parser callback, and raise to stop the parsing."""
+        self._refusal = refusal
+        raise ValueError(refusal.detail)
 
     # Parser callbacks
 
     def on_message_begin(self) -> None:
         self._request = IncomingRequest("", b"")
         self._in_head = True
+        self._has_begun = True
         self._head_bytes = 0
+        self._reported_bytes = 0
+        self._blank_bytes = 0
         self._framing = FramingMeter()
-        self._body = []
-        self._body_bytes = 0
+        self._body = b""
         self._on_begin()
 
     def on_url(self, url: bytes) -> None:
+        self._reported_bytes += len(url)
+        if self._reported_bytes > self.limits.head_bytes:
+            self._reject_head()
         self._request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # The parser also reports trailers here; they are discarded.
         if self._in_head:
+            self._reported_bytes += len(name) + len(value)
+            # Checked for each line, since one read may contain many.
+            if self._reported_bytes > self.limits.head_bytes:
+                self._reject_head()
             self._request.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -135,39 +185,47 @@
         self._check_head()
 
     def on_body(self, body: bytes) -> None:
-        if self._body_bytes + len(body) > self.limits.body_bytes:
+        if len(self._body) + len(body) > self.limits.body_bytes:
             self._reject_body()
-        if not self._budget.reserve(len(body)):
-            detail = f"bodies of requests hold {self._budget.reserved_bytes} bytes"
-            self.reject(ErrorKind.QUEUE_FULL, detail)
-        self._body_bytes += len(body)
-        self._body.append(body)
+        if not self._body:
+            self._body = body
+            return
+        # One buffer, since a list of small chunks holds many times their bytes.
+        if type(self._body) is bytes:
+            self._body = bytearray(self._body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         request = self._request
         self._request = None
         self._ended = not request.keep_alive
-        request.body = b"".join(self._body)
-        self._body = []
-        self._body_bytes = 0
+        request.body = bytes(self._body)
+        self._body = b""
+        request.held_bytes = (
+            REQUEST_BYTES
+            + LINE_BYTES * len(request.headers)
+            + self._reported_bytes
+            + BODY_COPIES * len(request.body)
+        )
         self._on_request(request)
 
     # Checks
 
     def _check_head(self) -> None:
         request = self._request
-        size = len(request.target)
-        size += sum(len(name) + len(value) for name, value in request.headers)
-        if size > self.limits.head_bytes:
-            self._reject_head()
         has_host = expects_continue = False
+        length: int | None = 0
         for name, value in request.headers:
             if name == b"host":
                 if has_host:
                     self.reject(ErrorKind.MALFORMED_REQUEST, "two Host headers")
                 has_host = True
-            elif name == b"content-length" and int(value) > self.limits.body_bytes:
-                self._reject_body()
+            elif name == b"content-length":
+                length = int(value)
+                if length > self.limits.body_bytes:
+                    self._reject_body()
+            elif name == b"transfer-encoding":
+                length = None
             elif name == b"expect":
                 expects_continue = True
                 if value.lower() != b"100-continue":
@@ -181,12 +239,20 @@
             detail = f"Connection must not name {min(forbidden).decode()}"
             self.reject(ErrorKind.MALFORMED_REQUEST, detail)
         request.headers = drop_hop_by_hop_headers(request.headers, options)
-        self._on_head(expects_continue and request.version == "1.1")
+        expects_continue = expects_continue and request.version == "1.1"
+        self._on_head(request, length, expects_continue)
 
     def _check_head_bytes(self) -> None:
-        if self._head_bytes > self.limits.head_bytes:
+        limit = self.limits.head_bytes
+        if self._unreported_bytes > limit or self._head_bytes > MAX_WIRE_RATIO * limit:
             self._refusal = self._refuse_head()
 
+    def _check_blank_bytes(self, size: int) -> None:
+        self._blank_bytes += size
+        if self._blank_bytes > MAX_BLANK_BYTES:
+            detail = f"over {MAX_BLANK_BYTES} bytes of empty lines before a request"
+            self._refusal = Refusal(ErrorKind.MALFORMED_REQUEST, detail)
+
     def _check_framing(self) -> None:
         if self._framing.is_exceeded:
             detail = "more framing than body in the request"
--- a/flamingohead/services/http_response.py
+++ b/flamingohead/services/http_response.py
@@ -10,6 +10,7 @@
     KEY_CHECKED_HEADER,
     RAN_HEADER,
     REFUSAL_HEADER,
+    IncomingRequest,
     check_head,
 )
 
@@ -17,7 +18,7 @@
     from collections.abc import Callable
 
     from flamingohead.core.errors import Refusal
-    from flamingohead.services.http_messages import Headers, IncomingRequest
+    from flamingohead.services.http_messages import Headers
     from flamingohead.services.http_server import HttpServerProtocol
 
 NO_CONTENT = 204
@@ -27,6 +28,12 @@
 MAX_BUFFERED_BYTES = 64 * 1024
 
 
+# Replaces the request of a finished response. The event loop still refers to the
+# response, and would keep the headers and bodies of all requests finished in an
+# iteration: 531 MB resident with 60 connections and pipelined requests of 7,000 lines.
+FINISHED_REQUEST = IncomingRequest("", b"")
+
+
 def _build_status_line(status: int) -> bytes:
     try:
         phrase = HTTPStatus(status).phrase
@@ -59,8 +66,10 @@
         self._request = request
         self._chunked = False
         self._head: bytes | None = None
-        self._buffered: list[bytes] = []
+        self._buffered = bytearray()
         self._buffered_bytes = 0
+        # Held by a stage in front of this response.
+        self.collected_bytes = 0
         self._is_aborted = False
         self.started = False
         self.status = 0
@@ -90,9 +99,9 @@
             handler()
 
     @property
-    def request_bytes(self) -> int:
-        """Return the size of the request body."""
-        return len(self._request.body)
+    def held_bytes(self) -> int:
+        """Return the memory held by the request and by output not yet written."""
+        return self._request.held_bytes + self._buffered_bytes + self.collected_bytes
 
     @property
     def is_disconnected(self) -> bool:
@@ -158,6 +167,7 @@
             end = self._head + end
             self._head = None
         self.finished = True
+        self._request = FINISHED_REQUEST
         if end:
             self._send(end)
         self._protocol.finish_response(self)
@@ -172,6 +182,7 @@
         self.finished = True
         self.closes_connection = True
         self._is_aborted = True
+        self._request = FINISHED_REQUEST
         if self._protocol.is_first(self):
             self._protocol.abort()
 
@@ -185,10 +196,10 @@
 
     def become_first(self) -> None:
         """Send the buffered output once the earlier responses are finished."""
-        buffered, self._buffered = self._buffered, []
+        buffered, self._buffered = self._buffered, bytearray()
         if buffered:
             self._buffered_bytes = 0
-            self._protocol.write(b"".join(buffered))
+            self._protocol.write(bytes(buffered))
         if self._is_aborted:
             self._protocol.abort()
         elif self.finished:
@@ -217,7 +228,7 @@
             return
         if self._protocol.is_closing:
             return
-        self._buffered.append(data)
+        self._buffered += data
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             self.pause()
