Share the time for parsing among the connections

Callers saw: with 300 callers that send chunks of one byte or pipelined requests of 7,000 lines, an ordinary request waited for over 10 s, although memory was bounded.

Cause: each read of up to 256 KiB was parsed at once, which takes 5 ms with chunks of one byte, for each connection in each iteration of the event loop; requests were served then.

Change: once parsing has taken 5 ms in an iteration, reads over 4 KiB wait for the next one, in the order of arrival. Smaller reads are parsed at once.

--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -42,6 +42,11 @@
 # Data is parsed in parts, so that a refusal or a full pipeline stops it early: 256 KiB,
 # the most that is read at once, may contain 64,000 header lines.
 PART_BYTES = 16 * 1024
+# Reads up to this size are parsed at once, which takes at most 0.4 ms. Larger ones wait
+# for the next iteration of the event loop once parsing has taken this long in one:
+# without it, 300 callers that send short chunks delay all others by seconds.
+SMALL_READ_BYTES = 4 * 1024
+PARSE_SECONDS = 0.005
 # Time before memory is searched for again, after a search that freed too little.
 RELIEF_RETRY_SECONDS = 0.05
 
@@ -85,6 +90,7 @@
         self.is_write_paused = False
         # Received, but not parsed yet.
         self._unparsed = b""
+        self._unparsed_since = 0.0
         self._is_parsing = False
         self._reserved_bytes = 0
         self._unsent_bytes = 0
@@ -140,36 +146,48 @@
 
     def _parse(self, data: bytes) -> None:
         """Parse data and start requests until the pipeline is full."""
+        factory = self._factory
         self._is_parsing = True
         position, size = 0, len(data)
         while position < size and not self.is_closing and self._rejection is None:
+            is_small = size - position <= SMALL_READ_BYTES
             if self._is_full():
-                self._unparsed = data[position:] + self._unparsed
-                self._update_reservation()
-                self.transport.pauseProducing()
+                self._hold(data[position:])
+                break
+            if not is_small and not factory.may_parse:
+                self._hold(data[position:])
+                factory.defer(self)
                 break
             part = data
             if size > PART_BYTES:
                 part = data[position : position + PART_BYTES]
             position += len(part)
+            started_at = 0.0 if is_small else factory.clock()
             refusal = self._reader.feed(part) or self._reserve()
             if refusal is not None:
                 self._reject(refusal)
             self._start_next()
+            if not is_small:
+                factory.count_parsing(factory.clock() - started_at)
         self._is_parsing = False
 
-    def _continue_parsing(self) -> None:
-        """Parse the data that waited for the pipeline, then read again."""
+    def _hold(self, data: bytes) -> None:
+        """Keep data to parse it later; nothing more is read until then."""
+        self._unparsed = data + self._unparsed
+        self._unparsed_since = self._factory.clock()
+        self._update_reservation()
+        self.transport.pauseProducing()
+
+    def continue_parsing(self) -> None:
+        """Parse the data that was kept, then read again."""
         if self._is_parsing or self._is_full():
             return
         if self.is_closing or self._rejection is not None:
             return
         data, self._unparsed = self._unparsed, b""
         if data:
-            if self._reader.is_reading:
-                # The caller had no influence on the time of the pause.
-                timeout = self._factory.limits.body_timeout
-                self._read_deadline = self._factory.clock() + timeout
+            # The caller had no influence on the time of the pause.
+            self._read_deadline += self._factory.clock() - self._unparsed_since
             self._parse(data)
         if not self._unparsed:
             self.transport.resumeProducing()
@@ -194,7 +212,7 @@
         if was_paused and self._active:
             self._active[0].resume()
         if was_paused and not self.is_closing:
-            self._continue_parsing()
+            self.continue_parsing()
             self._update_reservation()
 
     def _measure_unsent(self) -> None:
@@ -404,7 +422,7 @@
         self._start_next()
         self._update_reservation()
         if self._unparsed:
-            self._continue_parsing()
+            self.continue_parsing()
 
     def _set_idle_deadline(self) -> None:
         factory = self._factory
@@ -504,6 +522,9 @@
         self.report: Callable[[Relief, int], None] = _ignore_relief
         self.report_held: Callable[[int], None] = _ignore_held
         self._next_relief_at = 0.0
+        # Connections with data that waits for the next iteration of the event loop.
+        self._deferred: dict[HttpServerProtocol, None] = {}
+        self._parse_seconds = 0.0
         self.draining = False
         self.budget = budget or ByteBudget()
         self.limits = ServerLimits()
@@ -523,6 +544,30 @@
     def buildProtocol(self, address) -> HttpServerProtocol:  # noqa: N802
         return HttpServerProtocol(self)
 
+    @property
+    def may_parse(self) -> bool:
+        """Return whether parsing has not taken too long in this iteration."""
+        return self._parse_seconds < PARSE_SECONDS
+
+    def count_parsing(self, seconds: float) -> None:
+        """Count the time that parsing took in this iteration of the event loop."""
+        if not self._parse_seconds and seconds:
+            self.call_soon(self._begin_iteration)
+        self._parse_seconds += seconds
+
+    def defer(self, connection: HttpServerProtocol) -> None:
+        """Let a connection continue to parse in a later iteration."""
+        self._deferred[connection] = None
+
+    def _begin_iteration(self) -> None:
+        self._parse_seconds = 0.0
+        while self._deferred and self.may_parse:
+            connection = next(iter(self._deferred))
+            del self._deferred[connection]
+            connection.continue_parsing()
+        if self._deferred and not self._parse_seconds:
+            self.call_soon(self._begin_iteration)
+
     def admit_connection(self) -> bool:
         """Return whether a connection may be opened; close another if necessary.
 
--- a/flamingohead/tests/test_caller_memory.py
+++ b/flamingohead/tests/test_caller_memory.py
@@ -179,6 +179,31 @@
         assert server.factory.budget.reserved_bytes <= 600_000
 
 
+class TestSharing:
+    """Guard against callers whose data takes all the processor time of the daemon."""
+
+    def test_large_reads_wait_for_the_next_iteration(self):
+        server = Server()
+        deferred = []
+        server.factory.call_soon = deferred.append
+        server.factory.clock = self.advance
+        self.now = 0.0
+        slow, ordinary = server.connect(), server.connect()
+        slow.deliver(POST + b"transfer-encoding: chunked\r\n\r\n")
+        slow.deliver(b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n")
+        assert not slow.is_reading
+        ordinary.deliver(START + b"\r\n")
+        assert list_statuses(ordinary) == [200] and list_statuses(slow) == []
+        while deferred:
+            deferred.pop(0)()
+        assert list_statuses(slow) == [200] and slow.is_reading
+        assert server.requests[1].body == b"x" * 20_000
+
+    def advance(self):
+        self.now += 0.003
+        return self.now
+
+
 class TestRefusals:
     """Guard against callers that hold memory until others can't be served."""
 
