--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -10,8 +10,8 @@
 from flamingohead.core.dissemination import Dissemination, DisseminationSettings
 from flamingohead.core.following import derive_timeouts
 from flamingohead.core.membership import MembershipSettings
-from flamingohead.core.organisations.allocation import QuotaTolerance
 from flamingohead.core.memory import compute_budget, compute_connection_limits
+from flamingohead.core.organisations.allocation import QuotaTolerance
 from flamingohead.core.placement import Placement
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
 from flamingohead.core.upstreams import UpstreamSettings
