Choose upstreams by the service times that their owners report

Callers saw: requests outside their target on deployments whose upstreams differ in speed or have noisy neighbours, and with a demand that moves between failure domains more requests between domains than the target needs.

Cause: each sender measured the speed of each upstream by itself, from the few requests that it sent there. All hosts without a free slot cost the same, however slow a host with one was. A request left its domain as soon as no slot was free at home.

Change: the owner estimates the service time of each rank, now and usually, from all of its requests and the pace that the upstream reports (`Instance-Load`), and sends it in a second `flamingohead-load` line, which earlier builds do not read and remove by name. A slowness that has lasted is expected to last; figures of senders decay with that time. Costs are expected completion times at the reported speed and limit; an upstream that is unlikely to meet the target costs more.

--- a/flamingohead/core/candidates.py
+++ b/flamingohead/core/candidates.py
@@ -18,6 +18,7 @@
     """Describe an upstream: its host, the host's relay address and its slots.
 
     A ``leaving`` upstream is used only for requests that have no alternative.
+    ``link_mbps`` is the bandwidth of the host's link, 0 if it is not known.
     """
 
     host_id: str
@@ -27,6 +28,7 @@
     slots: int
     failure_domain: str = ""
     leaving: bool = False
+    link_mbps: int = 0
 
     @property
     def key(self) -> UpstreamKey:
@@ -54,6 +56,7 @@
             upstream.slots,
             member.failure_domain,
             upstream.status is UpstreamStatus.LEAVING,
+            member.link_mbps,
         )
         for upstream in member.upstreams
         if upstream.status in statuses
--- /dev/null
+++ b/flamingohead/core/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""What upstreams take well: service times, concurrency limits and transfers."""
--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -13,6 +13,10 @@
 A request is therefore first offered to the best hosts without queueing there, since
 their admission control knows exactly whether a slot is free. Only then it is queued, at
 the host with the shortest expected wait.
+
+The owner of each upstream reports its service times with every response, so that all
+senders know a change of speed after one response. Costs are expected completion times:
+the requests ahead divided by the slots, and the service itself, at the reported speed.
 """
 
 from __future__ import annotations
@@ -22,21 +26,22 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
+from flamingohead.core.capacity.speeds import Baselines, ReportedSpeed
+from flamingohead.core.capacity.transfers import estimate_transfer, may_arrive
 from flamingohead.core.decay import compute_decay
 from flamingohead.core.ejection import OVERLOAD_KINDS, is_server_error
-from flamingohead.core.errors import ErrorKind
+from flamingohead.core.errors import ErrorKind, Refusal
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from random import Random
 
-    from flamingohead.core.errors import Refusal
+    from flamingohead.core.capacity.service_times import ServiceTime
     from flamingohead.core.members import Member
 
-# Weights of one response in the relative latency of an upstream and in the baseline of
-# a rank.
+# Weight of one response in the relative latency of an upstream whose owner does not
+# report service times.
 LATENCY_SMOOTHING = 0.2
-BASELINE_SMOOTHING = 0.02
 MAX_RELATIVE_LATENCY = 10.0
 # Weight of one outcome in the failure rate.
 FAILURE_SMOOTHING = 0.25
@@ -52,10 +57,22 @@
 REMOTE_TARGET_FRACTION = 0.25
 # A large response also uses bandwidth of the links between failure domains.
 BULKY_REMOTE_COST = 1.5
-# If a request has to queue anyway, a shorter queue outweighs the network latency.
+# If a request has to queue anyway, a shorter queue outweighs the network latency. With
+# a target that can be met at home, it has to be shorter by a few requests.
 QUEUED_REMOTE_COST = 0.05
-# Cost of a host that is likely to have no free slot.
-FULL_HOST_COST = 5.0
+TARGET_QUEUED_REMOTE_COST = 0.5
+# Cost of a host that is likely to have no free slot. An upstream half as fast as usual
+# costs as much: rather than use a much slower one, a request queues.
+FULL_HOST_COST = 2.5
+# Cost of an upstream that is unlikely to meet the target. Response times vary, so that
+# the expected one has to be shorter than the target by this factor.
+TARGET_MARGIN = 2.0
+MISSED_TARGET_COST = 4.0
+# Age, in seconds, up to which a reported concurrency limit is used.
+LIMIT_LIFETIME_SECONDS = 5.0
+# Cost of an occupied upstream: the last free slots may be taken before a request
+# arrives.
+OCCUPANCY_COST = 0.1
 # Cost of a host that is being stopped; it is chosen only if there is no other.
 LEAVING_HOST_COST = 20.0
 # Candidates whose costs differ by less than this are tied; one is chosen at random.
@@ -88,24 +105,33 @@
     """Hold the load that a host reports with each response.
 
     ``running`` counts the requests on its slots, ``waiting`` the queued ones that are
-    served before a new one of the same rank. ``held_ms`` is the time for which the
-    request occupied its slot, or ``None`` if it had none.
+    served before a new one of the same rank. ``slots`` is the concurrency limit.
+    ``held_ms`` is the time for which the request occupied its slot, or ``None`` if it
+    had none. ``times`` are the service times that the host expects for the rank; hosts
+    of earlier builds report none.
     """
 
     running: int
     waiting: int
     slots: int
     held_ms: float | None = None
+    times: ServiceTime | None = None
 
 
 @dataclass(frozen=True)
 class PlacementRequest:
-    """Describe a request to be placed; ``target_deadline`` in monotonic seconds."""
+    """Describe a request to be placed; ``target_deadline`` in monotonic seconds.
+
+    ``body_bytes`` is set if its body is large, ``deadline`` the time by which the
+    response must begin.
+    """
 
     service: str
     rank: str
     bulky: bool = False
     target_deadline: float = math.inf
+    body_bytes: int = 0
+    deadline: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -135,6 +161,16 @@
     relative_latency_at: float = 0.0
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
+    speed: ReportedSpeed = field(default_factory=ReportedSpeed)
+    limit: int = 0
+    sending_bytes: int = 0
+
+    def estimate_limit(self, now: float) -> int:
+        """Return the concurrency limit reported by the owner, or else the slots."""
+        slots = max(self.candidate.slots, 1)
+        if self.limit and now - self.reported_at < LIMIT_LIFETIME_SECONDS:
+            return min(self.limit, slots)
+        return slots
 
     def estimate_occupancy(self, rank: str, now: float) -> float:
         """Return the estimated number of requests served before a new one of a rank.
@@ -146,7 +182,11 @@
         others_ahead = self.other_in_flight + self.waiting.get(rank, 0)
         return self.in_flight + others_ahead * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
 
-    def estimate_relative_latency(self, now: float) -> float:
+    def estimate_relative_latency(self, rank: str, now: float) -> float:
+        """Return the service time as a multiple of that of the service."""
+        reported = self.speed.estimate(rank, now)
+        if reported is not None:
+            return reported
         weight = compute_decay(now - self.relative_latency_at)
         if now - self.ready_since < NEW_UPSTREAM_SECONDS:
             return max(
@@ -158,16 +198,20 @@
         return self.failure_rate * compute_decay(now - self.failure_rate_at)
 
     def is_full(self, rank: str, now: float) -> bool:
-        return self.estimate_occupancy(rank, now) >= self.candidate.slots
+        return self.estimate_occupancy(rank, now) >= self.estimate_limit(now)
 
 
 @dataclass(frozen=True, eq=False)
 class PlacedAttempt:
-    """Represent a request sent to an upstream; ``started_at`` in seconds."""
+    """Represent a request sent to an upstream; ``started_at`` in seconds.
+
+    ``body_bytes`` is the size of a large body that is sent over the links.
+    """
 
     upstream_state: _UpstreamState
     rank: str
     started_at: float
+    body_bytes: int = 0
 
 
 class Placement:
@@ -179,7 +223,14 @@
         self._upstream_states: dict[UpstreamKey, _UpstreamState] = {}
         self._local_pools: dict[str, list[_UpstreamState]] = {}
         self._remote_pools: dict[str, list[_UpstreamState]] = {}
-        self._baselines: dict[tuple[str, str], float] = {}
+        self._baselines = Baselines()
+        self._host_id = ""
+        self._link_mbps = 0
+        self._sending_bytes = 0
+
+    def set_host(self, host_id: str) -> None:
+        """Set the host of this daemon, to which bodies need no transfer."""
+        self._host_id = host_id
 
     def set_members(self, members: Iterable[Member], now: float) -> None:
         """Replace the candidates by the ready upstreams of ``members``."""
@@ -187,6 +238,8 @@
         local: dict[str, list[_UpstreamState]] = {}
         remote: dict[str, list[_UpstreamState]] = {}
         for member in members:
+            if member.host_id == self._host_id:
+                self._link_mbps = member.link_mbps
             is_local = member.failure_domain == self._failure_domain
             pools = local if is_local else remote
             for candidate in list_candidates(member, include_leaving=True):
@@ -223,9 +276,9 @@
     ) -> PlacementChoice | None:
         """Return the upstream for a request, or ``None`` if there is none.
 
-        Without ``must_wait``, the request may queue only if all candidates are
-        estimated to be full, or if its response is large: queueing locally is then
-        cheaper than a transfer from another failure domain.
+        Without ``must_wait``, the request may queue only if the upstream is chosen
+        although it is estimated to be full, or if its response or body is large:
+        queueing is then cheaper than another transfer.
         """
         local = self._local_pools.get(request.service, [])
         remote = self._remote_pools.get(request.service, [])
@@ -237,10 +290,30 @@
         may_wait = (
             must_wait
             or request.bulky
-            or all(upstream.is_full(request.rank, now) for upstream in upstreams)
+            or request.body_bytes > 0
+            or chosen.is_full(request.rank, now)
         )
         return PlacementChoice(chosen.candidate, may_wait)
 
+    def check_body(self, request: PlacementRequest, now: float) -> Refusal | None:
+        """Return a refusal if a large body is likely to arrive too late everywhere."""
+        if not request.body_bytes or request.deadline == math.inf:
+            return None
+        baseline = self._baselines.get(request.service, request.rank) or 0.0
+        pools = self._local_pools, self._remote_pools
+        upstreams = [u for pool in pools for u in pool.get(request.service, ())]
+        shortest = math.inf
+        for upstream in upstreams:
+            transfer = self._estimate_transfer(upstream, request)
+            service = baseline * upstream.estimate_relative_latency(request.rank, now)
+            if may_arrive(transfer, service, request.deadline, now):
+                return None
+            shortest = min(shortest, transfer + service)
+        if not upstreams:
+            return None
+        detail = f"the body needs {shortest:.2f} s to arrive and be served"
+        return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail)
+
     def _sample(
         self, pool: list[_UpstreamState], count: int, excluded: frozenset[UpstreamKey]
     ) -> list[_UpstreamState]:
@@ -251,12 +324,18 @@
             return self._random.sample(pool, count)
         return list(pool)
 
-    def start(self, candidate: Candidate, rank: str, now: float) -> PlacedAttempt:
-        """Record a request sent to an upstream."""
+    def start(
+        self, candidate: Candidate, rank: str, now: float, *, body_bytes: int = 0
+    ) -> PlacedAttempt:
+        """Record a request sent to an upstream, and the size of a large body."""
         key = candidate.key
         upstream = self._upstream_states.get(key) or _UpstreamState(key, candidate, now)
         upstream.in_flight += 1
-        return PlacedAttempt(upstream, rank, now)
+        if candidate.host_id == self._host_id:
+            body_bytes = 0
+        upstream.sending_bytes += body_bytes
+        self._sending_bytes += body_bytes
+        return PlacedAttempt(upstream, rank, now, body_bytes)
 
     def finish(
         self,
@@ -269,6 +348,8 @@
         """Record the outcome; without a refusal it is a response with ``status``."""
         upstream = attempt.upstream_state
         upstream.in_flight -= 1
+        upstream.sending_bytes -= attempt.body_bytes
+        self._sending_bytes -= attempt.body_bytes
         if refusal is None:
             failed = is_server_error(status)
         elif refusal.kind in NEUTRAL_KINDS:
@@ -296,16 +377,19 @@
             0, load.waiting - max(0, own_in_flight - load.running)
         )
         upstream.reported_at = now
-        if load.held_ms is not None:
+        upstream.limit = load.slots
+        service = upstream.candidate.service
+        if load.times is not None:
+            baseline = self._baselines.update(service, rank, load.times.usual)
+            upstream.speed.record(rank, load.times, baseline, now)
+        elif load.held_ms is not None:
             self._record_time(upstream, rank, load.held_ms / 1000, now)
 
     def _record_time(
         self, upstream: _UpstreamState, rank: str, service_time: float, now: float
     ) -> None:
-        key = upstream.candidate.service, rank
-        baseline = self._baselines.get(key, service_time)
-        baseline += BASELINE_SMOOTHING * (service_time - baseline)
-        self._baselines[key] = baseline
+        service = upstream.candidate.service
+        baseline = self._baselines.update(service, rank, service_time)
         ratio = (
             min(service_time / baseline, MAX_RELATIVE_LATENCY) if baseline > 0 else 1.0
         )
@@ -317,42 +401,74 @@
     def _pick(
         self, upstreams: list[_UpstreamState], request: PlacementRequest, now: float
     ) -> _UpstreamState:
+        baseline = self._baselines.get(request.service, request.rank) or 0.0
+        target = 0.0
+        if baseline and request.target_deadline < math.inf:
+            target = max(0.0, request.target_deadline - now) / baseline
         costs = [
-            (self._compute_cost(upstream, request, now), upstream)
+            self._compute_cost(upstream, request, now, target, baseline)
             for upstream in upstreams
         ]
-        lowest = min(cost for cost, _ in costs)
-        tied = [upstream for cost, upstream in costs if cost <= lowest + TIE_COST]
+        bound = min(costs) + TIE_COST
+        tied = [u for cost, u in zip(costs, upstreams) if cost <= bound]
         return tied[0] if len(tied) == 1 else self._random.choice(tied)
 
     def _compute_cost(
-        self, upstream: _UpstreamState, request: PlacementRequest, now: float
+        self,
+        upstream: _UpstreamState,
+        request: PlacementRequest,
+        now: float,
+        target: float,
+        baseline: float,
     ) -> float:
-        """Return the expected response time, in multiples of the baseline."""
-        slots = max(upstream.candidate.slots, 1)
+        """Return the expected response time, in multiples of the baseline.
+
+        ``target`` is the remaining time to the target in the same unit, 0 if there is
+        none.
+        """
+        limit = upstream.estimate_limit(now)
         occupancy = upstream.estimate_occupancy(request.rank, now)
-        queued = max(0.0, occupancy + 1 - slots)
-        cost = upstream.estimate_relative_latency(now) * (1 + queued / slots)
-        cost += TIE_COST * occupancy / slots
+        queued = max(0.0, occupancy + 1 - limit)
+        relative_latency = upstream.estimate_relative_latency(request.rank, now)
+        cost = relative_latency * (1 + queued / limit)
+        if request.body_bytes and baseline:
+            cost += self._estimate_transfer(upstream, request) / baseline
+        if target and cost * TARGET_MARGIN > target:
+            cost += MISSED_TARGET_COST * min(cost * TARGET_MARGIN / target - 1, 1.0)
+        cost += relative_latency * OCCUPANCY_COST * min(occupancy / limit, 1.0)
         cost += FAILURE_COST * upstream.estimate_failure_rate(now)
         if upstream.candidate.leaving:
             cost += LEAVING_HOST_COST
-        is_full = occupancy >= slots
+        is_full = occupancy >= limit
         if is_full and not request.bulky:
             cost += FULL_HOST_COST
         if upstream.candidate.failure_domain != self._failure_domain:
-            cost += self._compute_remote_cost(request, now, is_full=is_full)
+            cost += _compute_remote_cost(request, target, is_full=is_full)
         return cost
 
-    def _compute_remote_cost(
-        self, request: PlacementRequest, now: float, *, is_full: bool
+    def _estimate_transfer(
+        self, upstream: _UpstreamState, request: PlacementRequest
     ) -> float:
-        if request.bulky:
-            return BULKY_REMOTE_COST
-        if is_full:
-            return QUEUED_REMOTE_COST
-        baseline = self._baselines.get((request.service, request.rank))
-        if not baseline or request.target_deadline == math.inf:
-            return REMOTE_COST
-        cost = REMOTE_TARGET_FRACTION * (request.target_deadline - now) / baseline
-        return min(max(cost, REMOTE_COST), MAX_REMOTE_COST)
+        """Return the seconds that the transfer of a large body takes."""
+        if upstream.candidate.host_id == self._host_id:
+            return 0.0
+        return estimate_transfer(
+            request.body_bytes,
+            own_link_mbps=self._link_mbps,
+            target_link_mbps=upstream.candidate.link_mbps,
+            own_queued_bytes=self._sending_bytes,
+            target_queued_bytes=upstream.sending_bytes,
+        )
+
+
+def _compute_remote_cost(
+    request: PlacementRequest, target: float, *, is_full: bool
+) -> float:
+    """Return the cost of leaving the failure domain, for the bytes between domains."""
+    if request.bulky or request.body_bytes:
+        return BULKY_REMOTE_COST
+    if is_full:
+        return TARGET_QUEUED_REMOTE_COST if target else QUEUED_REMOTE_COST
+    if not target:
+        return REMOTE_COST
+    return min(max(REMOTE_TARGET_FRACTION * target, REMOTE_COST), MAX_REMOTE_COST)
--- a/flamingohead/platform/dialect.py
+++ b/flamingohead/platform/dialect.py
@@ -6,6 +6,7 @@
 
 from flamingohead.core.errors import NOT_RUN_STATUSES
 from flamingohead.services.dialects import Dialect
+from flamingohead.services.http_messages import find_header
 
 if TYPE_CHECKING:
     from flamingohead.services.http_messages import Headers
@@ -13,6 +14,9 @@
 NOT_EXECUTED_HEADER = b"not-executed"
 INSTANCE_HEADER = b"instance-id"
 LOAD_HEADER = b"instance-load"
+# Running and waiting requests, slots, and the pace in percent.
+LOAD_FIGURES = 4
+MAX_PACE_DIGITS = 6
 # HTTP status: the upstream at the address is not the expected one.
 MISDIRECTED_REQUEST = 421
 
@@ -34,6 +38,23 @@
     return parent if separator else ""
 
 
+def read_pace(headers: Headers) -> float | None:
+    """Return how long work takes on the upstream, as a multiple of the usual.
+
+    The load header contains it in percent as its fourth figure, on some services only.
+    """
+    value = find_header(headers, LOAD_HEADER)
+    if value is None:
+        return None
+    figures = value.split(b",")
+    if len(figures) != LOAD_FIGURES:
+        return None
+    percent = figures[-1].strip()
+    if not percent.isdigit() or len(percent) > MAX_PACE_DIGITS or not int(percent):
+        return None
+    return int(percent) / 100
+
+
 PLATFORM_DIALECT = Dialect(
     deadline=b"request-deadline",
     upstream=b"expect-instance",
@@ -43,6 +64,7 @@
     states_not_executed=states_not_executed,
     not_run_statuses=NOT_RUN_STATUSES,
     find_parent=find_parent,
+    read_pace=read_pace,
     preserves_host=True,
     reads_keys=False,
     sends_fractional_retry_after=True,
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -32,9 +32,8 @@
 from flamingohead.services.relay import (
     RELAY_HOME,
     RELAY_LACKS_NESTED,
-    RELAY_LOAD,
     RELAY_UPSTREAM,
-    encode_load,
+    build_load_headers,
     read_relayed_call,
 )
 from flamingohead.services.transport import listen
@@ -324,7 +323,7 @@
         headers: Headers = []
         load = slots.report_load(upstream, call.rank, held_ms)
         if load is not None:
-            headers.append((RELAY_LOAD, encode_load(load)))
+            headers += build_load_headers(load)
         if slots.has_refused_nested_call(call.request_id):
             headers.append((RELAY_LACKS_NESTED, b"yes"))
         return headers
--- a/flamingohead/services/dialects.py
+++ b/flamingohead/services/dialects.py
@@ -15,6 +15,10 @@
     return ""
 
 
+def _read_no_pace(headers: Headers) -> float | None:
+    return None
+
+
 def _states_not_executed(status: int, headers: Headers) -> bool:
     return status == 503 and (b"request-executed", b"no") in headers
 
@@ -31,7 +35,9 @@
     whether the status and headers of an upstream's response state that it did not
     execute the request. ``not_run_statuses`` are the statuses that callers take for
     this statement, also in the response of an upstream that lacks it. ``find_parent``
-    returns the id of the request that may have made the request with the given id. With
+    returns the id of the request that may have made the request with the given id.
+    ``read_pace`` returns how long work takes on the upstream when it responds, as a
+    multiple of the usual, or ``None`` if it does not report it. With
     ``echo_request_ids``, upstreams repeat the id of a request in its response.
     """
 
@@ -45,6 +51,7 @@
     )
     not_run_statuses: frozenset[int] = frozenset()
     find_parent: Callable[[str], str] = field(default=_find_no_parent)
+    read_pace: Callable[[Headers], float | None] = field(default=_read_no_pace)
     preserves_host: bool = False
     reads_keys: bool = True
     sends_fractional_retry_after: bool = False
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -31,6 +31,7 @@
     Discards a response by which the upstream states that it did not execute the
     request, so that the request can be tried elsewhere, and one whose status callers
     would take for this statement although it lacks it (``lacks_statement``).
+    ``pace`` is that which the upstream reported.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.not_executed = False
         self.lacks_statement = False
         self.is_complete = False
+        self.pace: float | None = None
         self.connection: ClientConnection | None = None
         self._discarded = ByteBound(MAX_DISCARDED_BYTES)
 
@@ -68,6 +70,7 @@
         headers = [h for h in headers if not h[0].startswith(RELAY_PREFIX)]
         self.status = status
         self.headers = headers
+        self.pace = self._dialect.read_pace(headers)
         self.not_executed = self._dialect.states_not_executed(status, headers)
         if self.not_executed and self.connection is not None:
             self.connection.record_refusal()
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.calls import Call
+from flamingohead.core.capacity.service_times import (
+    MIN_LIFETIME_SECONDS,
+    ServiceTime,
+)
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.core.idempotency import FIRST_ATTEMPT, UNMARKED
 from flamingohead.core.placement import LoadReport
@@ -42,6 +48,9 @@
 RELAY_CLAIMED = b"flamingohead-claimed"
 RELAY_HOME = b"flamingohead-home"
 RELAY_LOAD = b"flamingohead-load"
+# Begins the second line of a load report: expected and usual service time, and the time
+# for which the difference is expected to last, in milliseconds.
+SERVICE_TIMES_PREFIX = "times="
 RELAY_WAIT = b"flamingohead-wait"
 RELAY_HOST = b"flamingohead-host"
 RELAY_PARENT = b"flamingohead-parent"
@@ -80,7 +89,7 @@
 
     def start(self, status: int, headers: Headers, length: int | None) -> None:
         self.refusal = _read_refusal(headers, time.monotonic())
-        load = _read_load(headers)
+        load = read_load(headers)
         if load is not None and self._on_load is not None:
             self._on_load(load)
         if self.refusal is None:
@@ -214,16 +223,56 @@
     return f"{load.running},{load.waiting},{load.slots},{slot_time}".encode()
 
 
-def _read_load(headers: Headers) -> LoadReport | None:
+def build_load_headers(load: LoadReport) -> Headers:
+    """Return the header lines of a load report.
+
+    Service times are sent in a second line of the same name: daemons of earlier builds
+    read the first line only, and remove both.
+    """
+    headers = [(RELAY_LOAD, encode_load(load))]
+    if load.times is not None:
+        figures = load.times.current, load.times.usual, load.times.lifetime
+        value = ",".join(f"{1000 * seconds:.1f}" for seconds in figures)
+        headers.append((RELAY_LOAD, (SERVICE_TIMES_PREFIX + value).encode()))
+    return headers
+
+
+def read_load(headers: Headers) -> LoadReport | None:
+    """Return the load report of a host; service times are absent in earlier builds."""
     value = find_header(headers, RELAY_LOAD)
     if value is None:
         return None
     try:
         running, waiting, slots, slot_time = value.decode("latin-1").split(",")
-        held_ms = float(slot_time) if slot_time else None
-        return LoadReport(int(running), int(waiting), int(slots), held_ms)
+        held_ms = _read_milliseconds(slot_time) if slot_time else None
+        load = LoadReport(int(running), int(waiting), int(slots), held_ms)
     except ValueError:
         return None
+    prefix = SERVICE_TIMES_PREFIX.encode()
+    for name, value in headers:
+        if name == RELAY_LOAD and value.startswith(prefix):
+            return _add_service_times(load, value[len(prefix) :].decode("latin-1"))
+    return load
+
+
+def _add_service_times(load: LoadReport, value: str) -> LoadReport:
+    """Return the report with its service times; without them if they are malformed."""
+    try:
+        current, usual, lifetime = (
+            _read_milliseconds(figure) / 1000 for figure in value.split(",")
+        )
+        # A half-life of 0 would be a division by zero.
+        times = ServiceTime(current, usual, max(lifetime, MIN_LIFETIME_SECONDS))
+    except ValueError:
+        return load
+    return replace(load, times=times)
+
+
+def _read_milliseconds(value: str) -> float:
+    number = float(value)
+    if not 0 <= number < math.inf:
+        raise ValueError(f"{value!r} is no duration")
+    return number
 
 
 def _read_refusal(headers: Headers, now: float) -> Refusal | None:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.admission import Admission, AdmissionResult
+from flamingohead.core.capacity.service_times import ServiceTimes
+from flamingohead.core.ejection import is_server_error
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.core.placement import LoadReport
@@ -43,6 +45,8 @@
     state: UpstreamState
     address: str
     admission: Admission
+    times: ServiceTimes
+    running: set[Ticket] = field(default_factory=set)
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
     # Time after which waiting requests are refused, so that they are tried elsewhere.
     drain_deadline: float = math.inf
@@ -91,7 +95,9 @@
                 self._remove(state.name)
             ranks = self._routes.list_ranks(state.service) if self._routes else ()
             admission = Admission(slots=state.slots, ranks=ranks)
-            self.upstreams[state.name] = LocalUpstream(state, address, admission)
+            self.upstreams[state.name] = LocalUpstream(
+                state, address, admission, ServiceTimes(time.monotonic())
+            )
         else:
             known.state = state
             result = known.admission.set_limit(state.slots, time.monotonic())
@@ -271,8 +277,14 @@
         if upstream is None:
             return None
         admission = upstream.admission
+        now = time.monotonic()
+        running = ((ticket.rank, ticket.admitted_at) for ticket in upstream.running)
         return LoadReport(
-            admission.in_use, admission.count_ahead(rank), admission.limit, held_ms
+            admission.in_use,
+            admission.count_ahead(rank),
+            admission.limit,
+            held_ms,
+            upstream.times.estimate(rank, now, running),
         )
 
     def _relay(self, response: ServerResponse) -> ResponseRelay:
@@ -292,8 +304,11 @@
         if refusal is not None:
             return refusal
         relay.record_admission(ticket.admitted_at)
+        upstream.running.add(ticket)
+        pace = upstream.times.estimate_pace(ticket.admitted_at)
+        refusal = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
         try:
-            return await dispatch_call(
+            refusal = await dispatch_call(
                 self._kernel,
                 upstream.address,
                 call,
@@ -301,7 +316,10 @@
                 upstream=upstream.state.name,
                 dialect=self._dialect,
             )
+            return refusal
         finally:
+            upstream.running.discard(ticket)
+            _record_service_time(upstream, ticket, relay, refusal, pace)
             self._release(upstream, ticket)
 
     async def _admit(
@@ -382,3 +400,30 @@
         # A request may take twice its expected time before the stop aborts it.
         service_time = upstream.admission.get_expected_service_time(call.rank)
         return min(latest_start + service_time, self._stop.ends_at - service_time)
+
+
+def _record_service_time(
+    upstream: LocalUpstream,
+    ticket: Ticket,
+    relay: ResponseRelay,
+    refusal: Refusal | None,
+    pace: float,
+) -> None:
+    """Record how long the upstream worked on a request, and the pace it reported.
+
+    ``pace`` is that at the start. A failed request may have ended early.
+    """
+    now = time.monotonic()
+    if relay.pace is not None:
+        upstream.times.record_pace(relay.pace, now)
+    if relay.is_discarded:
+        return
+    is_complete = refusal is None and not is_server_error(relay.status)
+    mean_pace = (pace + upstream.times.estimate_pace(now)) / 2
+    upstream.times.record(
+        ticket.rank,
+        now - ticket.admitted_at,
+        now,
+        pace=mean_pace,
+        is_complete=is_complete,
+    )
