Place large bodies by the links of the hosts

Callers saw: uploads sent to hosts with slow links or many at a time to one host, and answered after their deadline although the bytes had been transferred.

Cause: the choice of an upstream did not know of links.

The cost of a large body includes its transfer over the slower of both links, behind the bodies that this daemon already sends over them; the own host needs none, another domain costs more. A body that is unlikely to arrive and be served before its deadline on any host is refused at once, with the time at which the bodies on their way will have arrived.

--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -27,7 +27,7 @@
 
 from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
 from flamingohead.core.capacity.speeds import Baselines, ReportedSpeed
-from flamingohead.core.capacity.transfers import estimate_transfer, may_arrive
+from flamingohead.core.capacity.transfers import Link, estimate_transfer, may_arrive
 from flamingohead.core.decay import compute_decay
 from flamingohead.core.ejection import OVERLOAD_KINDS, is_server_error
 from flamingohead.core.errors import ErrorKind, Refusal
@@ -61,6 +61,9 @@
 # a target that can be met at home, it has to be shorter by a few requests.
 QUEUED_REMOTE_COST = 0.05
 TARGET_QUEUED_REMOTE_COST = 0.5
+# Cost of any transfer of a large body, in addition to its time: bytes are few on slow
+# links.
+BODY_TRANSFER_COST = 0.5
 # Cost of a host that is likely to have no free slot. An upstream half as fast as usual
 # costs as much: rather than use a much slower one, a request queues.
 FULL_HOST_COST = 2.5
@@ -163,7 +166,7 @@
     failure_rate_at: float = 0.0
     speed: ReportedSpeed = field(default_factory=ReportedSpeed)
     limit: int = 0
-    sending_bytes: int = 0
+    link: Link = field(default_factory=Link)
 
     def estimate_limit(self, now: float) -> int:
         """Return the concurrency limit reported by the owner, or else the slots."""
@@ -203,15 +206,11 @@
 
 @dataclass(frozen=True, eq=False)
 class PlacedAttempt:
-    """Represent a request sent to an upstream; ``started_at`` in seconds.
-
-    ``body_bytes`` is the size of a large body that is sent over the links.
-    """
+    """Represent a request sent to an upstream; ``started_at`` in seconds."""
 
     upstream_state: _UpstreamState
     rank: str
     started_at: float
-    body_bytes: int = 0
 
 
 class Placement:
@@ -225,8 +224,7 @@
         self._remote_pools: dict[str, list[_UpstreamState]] = {}
         self._baselines = Baselines()
         self._host_id = ""
-        self._link_mbps = 0
-        self._sending_bytes = 0
+        self._link = Link()
 
     def set_host(self, host_id: str) -> None:
         """Set the host of this daemon, to which bodies need no transfer."""
@@ -239,7 +237,7 @@
         remote: dict[str, list[_UpstreamState]] = {}
         for member in members:
             if member.host_id == self._host_id:
-                self._link_mbps = member.link_mbps
+                self._link.mbps = member.link_mbps
             is_local = member.failure_domain == self._failure_domain
             pools = local if is_local else remote
             for candidate in list_candidates(member, include_leaving=True):
@@ -248,6 +246,7 @@
                 if upstream is None or upstream.candidate.service != candidate.service:
                     upstream = _UpstreamState(key, candidate, now)
                 upstream.candidate = candidate
+                upstream.link.mbps = candidate.link_mbps
                 upstreams[key] = upstream
                 pools.setdefault(candidate.service, []).append(upstream)
         self._upstream_states, self._local_pools, self._remote_pools = (
@@ -284,6 +283,8 @@
         remote = self._remote_pools.get(request.service, [])
         upstreams = self._sample(local, LOCAL_SAMPLE_SIZE, excluded)
         upstreams += self._sample(remote, REMOTE_SAMPLE_SIZE, excluded)
+        if request.body_bytes:
+            upstreams = [u for u in upstreams if self._may_arrive(u, request, now)]
         if not upstreams:
             return None
         chosen = self._pick(upstreams, request, now)
@@ -297,22 +298,36 @@
 
     def check_body(self, request: PlacementRequest, now: float) -> Refusal | None:
         """Return a refusal if a large body is likely to arrive too late everywhere."""
-        if not request.body_bytes or request.deadline == math.inf:
+        if not request.body_bytes:
             return None
-        baseline = self._baselines.get(request.service, request.rank) or 0.0
         pools = self._local_pools, self._remote_pools
         upstreams = [u for pool in pools for u in pool.get(request.service, ())]
-        shortest = math.inf
-        for upstream in upstreams:
-            transfer = self._estimate_transfer(upstream, request)
-            service = baseline * upstream.estimate_relative_latency(request.rank, now)
-            if may_arrive(transfer, service, request.deadline, now):
-                return None
-            shortest = min(shortest, transfer + service)
-        if not upstreams:
+        if not upstreams or any(self._may_arrive(u, request, now) for u in upstreams):
             return None
-        detail = f"the body needs {shortest:.2f} s to arrive and be served"
-        return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail)
+        seconds = min(self._estimate_body_time(u, request, now) for u in upstreams)
+        detail = f"the body takes {seconds:.2f} s to arrive and be served"
+        # The bodies on their way will have arrived by then.
+        retry_at = now + seconds - (request.deadline - now)
+        return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail, retry_at)
+
+    def _may_arrive(
+        self, upstream: _UpstreamState, request: PlacementRequest, now: float
+    ) -> bool:
+        seconds = self._estimate_body_time(upstream, request, now)
+        return may_arrive(seconds, request.deadline, now)
+
+    def _estimate_body_time(
+        self, upstream: _UpstreamState, request: PlacementRequest, now: float
+    ) -> float:
+        """Return the seconds until a request with a large body has been served."""
+        baseline = self._baselines.get(request.service, request.rank) or 0.0
+        limit = upstream.estimate_limit(now)
+        queued = max(0.0, upstream.estimate_occupancy(request.rank, now) + 1 - limit)
+        relative = upstream.estimate_relative_latency(request.rank, now)
+        # Requests that are queued now are served during the transfer.
+        wait = baseline * relative * queued / limit
+        transfer = self._estimate_transfer(upstream, request, now)
+        return max(transfer, wait) + baseline * relative
 
     def _sample(
         self, pool: list[_UpstreamState], count: int, excluded: frozenset[UpstreamKey]
@@ -331,11 +346,10 @@
         key = candidate.key
         upstream = self._upstream_states.get(key) or _UpstreamState(key, candidate, now)
         upstream.in_flight += 1
-        if candidate.host_id == self._host_id:
-            body_bytes = 0
-        upstream.sending_bytes += body_bytes
-        self._sending_bytes += body_bytes
-        return PlacedAttempt(upstream, rank, now, body_bytes)
+        if body_bytes and candidate.host_id != self._host_id:
+            upstream.link.add(body_bytes, now)
+            self._link.add(body_bytes, now)
+        return PlacedAttempt(upstream, rank, now)
 
     def finish(
         self,
@@ -348,8 +362,6 @@
         """Record the outcome; without a refusal it is a response with ``status``."""
         upstream = attempt.upstream_state
         upstream.in_flight -= 1
-        upstream.sending_bytes -= attempt.body_bytes
-        self._sending_bytes -= attempt.body_bytes
         if refusal is None:
             failed = is_server_error(status)
         elif refusal.kind in NEUTRAL_KINDS:
@@ -431,8 +443,10 @@
         queued = max(0.0, occupancy + 1 - limit)
         relative_latency = upstream.estimate_relative_latency(request.rank, now)
         cost = relative_latency * (1 + queued / limit)
+        if request.body_bytes and upstream.candidate.host_id != self._host_id:
+            cost += BODY_TRANSFER_COST
         if request.body_bytes and baseline:
-            cost += self._estimate_transfer(upstream, request) / baseline
+            cost += self._estimate_transfer(upstream, request, now) / baseline
         if target and cost * TARGET_MARGIN > target:
             cost += MISSED_TARGET_COST * min(cost * TARGET_MARGIN / target - 1, 1.0)
         cost += relative_latency * OCCUPANCY_COST * min(occupancy / limit, 1.0)
@@ -447,18 +461,12 @@
         return cost
 
     def _estimate_transfer(
-        self, upstream: _UpstreamState, request: PlacementRequest
+        self, upstream: _UpstreamState, request: PlacementRequest, now: float
     ) -> float:
         """Return the seconds that the transfer of a large body takes."""
         if upstream.candidate.host_id == self._host_id:
             return 0.0
-        return estimate_transfer(
-            request.body_bytes,
-            own_link_mbps=self._link_mbps,
-            target_link_mbps=upstream.candidate.link_mbps,
-            own_queued_bytes=self._sending_bytes,
-            target_queued_bytes=upstream.sending_bytes,
-        )
+        return estimate_transfer(request.body_bytes, self._link, upstream.link, now)
 
 
 def _compute_remote_cost(
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -52,6 +52,7 @@
 
     async def start(self) -> None:
         self._host_id = self._kernel.get("gossip").membership.local_member.host_id
+        self._placement.set_host(self._host_id)
 
     async def stop(self) -> None:
         pass
@@ -94,9 +95,10 @@
         if cached_refusal is not None and not call.parent:
             self._kernel.get("metrics").count("refusal.known")
             return cached_refusal
-        placement_request = PlacementRequest(
-            call.service, call.rank, call.bulky, call.target_deadline
-        )
+        placement_request = _build_placement_request(call)
+        refusal = self._placement.check_body(placement_request, time.monotonic())
+        if refusal is not None:
+            return refusal
         tracker = AttemptTracker(call.idempotent, call.max_attempts, call.deadline)
         failed_response: BufferedResponse | None = None
         while True:
@@ -172,7 +174,12 @@
     ) -> Refusal | None:
         candidate = choice.candidate
         call = replace(call, may_wait=choice.may_wait)
-        attempt = self._placement.start(candidate, call.rank, time.monotonic())
+        attempt = self._placement.start(
+            candidate,
+            call.rank,
+            time.monotonic(),
+            body_bytes=len(call.body) if call.large_body else 0,
+        )
         refusal: Refusal | None = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
         try:
             if candidate.host_id == self._host_id:
@@ -223,3 +230,14 @@
     ) -> None:
         now = time.monotonic()
         self._placement.record_load_report(choice.candidate, call.rank, report, now)
+
+
+def _build_placement_request(call: Call) -> PlacementRequest:
+    return PlacementRequest(
+        call.service,
+        call.rank,
+        call.bulky,
+        call.target_deadline,
+        body_bytes=len(call.body) if call.large_body else 0,
+        deadline=call.deadline,
+    )
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -45,7 +45,7 @@
     state: UpstreamState
     address: str
     admission: Admission
-    times: ServiceTimes
+    times: ServiceTimes = field(default_factory=lambda: ServiceTimes(time.monotonic()))
     running: set[Ticket] = field(default_factory=set)
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
     # Time after which waiting requests are refused, so that they are tried elsewhere.
@@ -95,9 +95,7 @@
                 self._remove(state.name)
             ranks = self._routes.list_ranks(state.service) if self._routes else ()
             admission = Admission(slots=state.slots, ranks=ranks)
-            self.upstreams[state.name] = LocalUpstream(
-                state, address, admission, ServiceTimes(time.monotonic())
-            )
+            self.upstreams[state.name] = LocalUpstream(state, address, admission)
         else:
             known.state = state
             result = known.admission.set_limit(state.slots, time.monotonic())
