Learn a concurrency limit for each upstream, and show limits and speeds

Callers saw: under overload, an upstream that slows down from three of its six slots finished fewer requests than it could.

Cause: the owner always filled all slots.

Change: while an upstream is saturated, its owner compares the throughput under the current and a lower limit in random order and lowers the limit only where the throughput is kept; it tries higher limits again and drops the learned one after a minute without saturation (`core/capacity/limits.py`).

--- a/flamingohead/core/capacity/service_times.py
+++ b/flamingohead/core/capacity/service_times.py
@@ -103,10 +103,11 @@
         *,
         pace: float = 1.0,
         is_complete: bool = True,
-    ) -> None:
+    ) -> float | None:
         """Record a service time under the mean pace during it.
 
-        An incomplete request shows only that the service takes at least ``seconds``.
+        Return it as a multiple of the usual one, or ``None`` if that is not known. An
+        incomplete request shows only that the service takes at least ``seconds``.
         """
         self._end_cold_start(now)
         seconds /= pace
@@ -114,10 +115,10 @@
         if not is_complete:
             if usual is not None and seconds > usual.seconds:
                 self._add_sample(min(seconds / usual.seconds, MAX_SAMPLE_RATIO), now)
-            return
+            return None
         if usual is None:
             self._usual[rank] = _Usual(max(seconds, 1e-6), 1, now)
-            return
+            return None
         ratio = seconds / usual.seconds
         self._add_sample(min(ratio, MAX_SAMPLE_RATIO), now)
         is_known = usual.count >= MIN_USUAL_COUNT
@@ -129,6 +130,7 @@
         weight = min(weight, 1 / min(usual.count, 2 * MIN_USUAL_COUNT))
         usual.seconds *= 1 + weight * (min(ratio, bound) - 1)
         usual.updated_at = now
+        return ratio
 
     def estimate(
         self, rank: str, now: float, running: Iterable[tuple[str, float]] = ()
@@ -141,6 +143,15 @@
         usual = self._usual.get(rank)
         if usual is None:
             return None
+        relative = self.estimate_relative(now, running)
+        lifetime = self._estimate_lifetime(relative, now)
+        mean = usual.seconds * self._mean_pace
+        return ServiceTime(mean * relative, mean, lifetime)
+
+    def estimate_relative(
+        self, now: float, running: Iterable[tuple[str, float]] = ()
+    ) -> float:
+        """Return the service time over all ranks as a multiple of the usual one."""
         pace = self.estimate_pace(now)
         weight = _decay(now - self._updated_at, WINDOW_HALF_LIFE_SECONDS)
         count = self._count * weight + PRIOR_COUNT
@@ -153,10 +164,7 @@
         tolerance = 1 / math.sqrt(count)
         change = max(0.0, abs(ratio - 1) - tolerance)
         ratio = max(1 + math.copysign(change, ratio - 1), 0.1)
-        relative = ratio * pace / self._mean_pace
-        lifetime = self._estimate_lifetime(relative, now)
-        mean = usual.seconds * self._mean_pace
-        return ServiceTime(mean * relative, mean, lifetime)
+        return ratio * pace / self._mean_pace
 
     def _estimate_lifetime(self, relative: float, now: float) -> float:
         """Return the time for which the current speed is expected to last."""
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -119,6 +119,14 @@
     )
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream readmitted")
+    CONCURRENCY_LIMIT_CHANGED = EventKind(
+        542, logging.INFO, "concurrency limit of an upstream changed"
+    )
+    UPSTREAM_SLOW = EventKind(543, logging.INFO, "upstream slower than usual")
+    UPSTREAM_USUAL = EventKind(544, logging.INFO, "upstream as fast as usual again")
+    REQUEST_SLOW = EventKind(
+        545, logging.INFO, "request took several times the usual service time"
+    )
 
 
 class _Details:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
+from random import Random
 from typing import TYPE_CHECKING
 
 from flamingohead.core.admission import Admission, AdmissionResult
+from flamingohead.core.capacity.limits import ConcurrencyLimit
 from flamingohead.core.capacity.service_times import ServiceTimes
+from flamingohead.core.capacity.slowness import SlownessWatch, SpeedChange
 from flamingohead.core.ejection import is_server_error
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.core.placement import LoadReport
 from flamingohead.core.rank_queues import Ticket
+from flamingohead.events import Event, log_event
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.dispatch import ResponseRelay, dispatch_call
 from flamingohead.services.ticks import PeriodicTimer
@@ -29,6 +34,8 @@
     from flamingohead.services.http_server import ServerResponse
 
 
+logger = logging.getLogger(__name__)
+
 SERVING = (UpstreamStatus.READY, UpstreamStatus.LEAVING)
 # Waiting tickets are admitted when a slot is released. The periodic check only ends
 # expired tickets, and runs only while tickets are waiting.
@@ -36,6 +43,10 @@
 REPORT_PERIOD_SECONDS = 1.0
 # A leaving upstream must get no new requests after a few seconds.
 DRAIN_TIMEOUT_SECONDS = 2.0
+_SPEED_EVENTS = {
+    SpeedChange.SLOW: Event.UPSTREAM_SLOW,
+    SpeedChange.USUAL: Event.UPSTREAM_USUAL,
+}
 
 
 @dataclass
@@ -48,9 +59,14 @@
     times: ServiceTimes = field(default_factory=lambda: ServiceTimes(time.monotonic()))
     running: set[Ticket] = field(default_factory=set)
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
+    limiter: ConcurrencyLimit = field(init=False)
+    slowness: SlownessWatch = field(default_factory=SlownessWatch)
     # Time after which waiting requests are refused, so that they are tried elsewhere.
     drain_deadline: float = math.inf
 
+    def __post_init__(self) -> None:
+        self.limiter = ConcurrencyLimit(self.state.slots, random=Random())
+
 
 class SlotService:
     """Manage the slots of the upstreams of this host."""
@@ -98,8 +114,8 @@
             self.upstreams[state.name] = LocalUpstream(state, address, admission)
         else:
             known.state = state
-            result = known.admission.set_limit(state.slots, time.monotonic())
-            self._apply(known, result)
+            known.limiter.set_slots(state.slots)
+            self._set_limit(known, time.monotonic())
             if state.status is UpstreamStatus.DRAINING:
                 self._begin_drain(known)
             else:
@@ -201,6 +217,29 @@
                 running = sum(a.count_in_use(rank.name) for a in admissions)
                 metrics.set_gauge(f"queue.{service}.{rank.name}", waiting)
                 metrics.set_gauge(f"running.{service}.{rank.name}", running)
+            self._report_capacity(service)
+
+    def _report_capacity(self, service: str) -> None:
+        """Set the gauges of learned limits and speeds; log lasting slowness."""
+        now = time.monotonic()
+        upstreams = [u for u in self.upstreams.values() if u.state.service == service]
+        relatives = [upstream.times.estimate_relative(now) for upstream in upstreams]
+        metrics = self._kernel.get("metrics")
+        limits = sum(upstream.limiter.learned for upstream in upstreams)
+        metrics.set_gauge(f"limit.{service}", limits)
+        metrics.set_gauge(f"speed.{service}", sum(relatives) / len(relatives))
+        for upstream, relative in zip(upstreams, relatives):
+            event = upstream.slowness.record(relative, now)
+            if event is not None:
+                log_event(
+                    logger,
+                    _SPEED_EVENTS[event],
+                    upstream=upstream.state.name,
+                    service=service,
+                    relative=round(relative, 2),
+                    pace=round(upstream.times.estimate_pace(now), 2),
+                    limit=upstream.limiter.learned,
+                )
 
     # Calls
 
@@ -304,6 +343,7 @@
         relay.record_admission(ticket.admitted_at)
         upstream.running.add(ticket)
         pace = upstream.times.estimate_pace(ticket.admitted_at)
+        in_use = upstream.admission.in_use
         refusal = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
         try:
             refusal = await dispatch_call(
@@ -317,9 +357,56 @@
             return refusal
         finally:
             upstream.running.discard(ticket)
-            _record_service_time(upstream, ticket, relay, refusal, pace)
+            relative_time = _record_service_time(upstream, ticket, relay, refusal, pace)
+            self._record_end(upstream, ticket, call, relative_time, in_use)
             self._release(upstream, ticket)
 
+    def _record_end(
+        self,
+        upstream: LocalUpstream,
+        ticket: Ticket,
+        call: Call,
+        relative_time: float | None,
+        started_in_use: int,
+    ) -> None:
+        """Learn the concurrency limit, and log what slows down requests."""
+        now = time.monotonic()
+        in_use = upstream.admission.in_use
+        previous = upstream.limiter.learned
+        upstream.limiter.record(
+            in_use,
+            now,
+            level=(started_in_use + in_use) / 2,
+            relative_time=relative_time,
+        )
+        if upstream.limiter.learned != previous:
+            log_event(
+                logger,
+                Event.CONCURRENCY_LIMIT_CHANGED,
+                upstream=upstream.state.name,
+                previous=previous,
+                limit=upstream.limiter.learned,
+                slots=upstream.state.slots,
+            )
+        self._set_limit(upstream, now)
+        if upstream.slowness.should_log_request(relative_time, now):
+            log_event(
+                logger,
+                Event.REQUEST_SLOW,
+                request=call.request_id,
+                upstream=upstream.state.name,
+                rank=ticket.rank,
+                held_ms=round(1000 * (now - ticket.admitted_at)),
+                times_usual=round(relative_time, 1),
+                pace=round(upstream.times.estimate_pace(now), 2),
+                relative=round(upstream.times.estimate_relative(now), 2),
+                in_use=in_use,
+                limit=upstream.limiter.learned,
+            )
+
+    def _set_limit(self, upstream: LocalUpstream, now: float) -> None:
+        self._apply(upstream, upstream.admission.set_limit(upstream.limiter.limit, now))
+
     async def _admit(
         self, upstream: LocalUpstream, ticket: Ticket, *, may_wait: bool
     ) -> Refusal | None:
@@ -406,19 +493,20 @@
     relay: ResponseRelay,
     refusal: Refusal | None,
     pace: float,
-) -> None:
+) -> float | None:
     """Record how long the upstream worked on a request, and the pace it reported.
 
-    ``pace`` is that at the start. A failed request may have ended early.
+    ``pace`` is that at the start. A failed request may have ended early. Return the
+    service time as a multiple of the usual one, if it is known.
     """
     now = time.monotonic()
     if relay.pace is not None:
         upstream.times.record_pace(relay.pace, now)
     if relay.is_discarded:
-        return
+        return None
     is_complete = refusal is None and not is_server_error(relay.status)
     mean_pace = (pace + upstream.times.estimate_pace(now)) / 2
-    upstream.times.record(
+    return upstream.times.record(
         ticket.rank,
         now - ticket.admitted_at,
         now,
