Keep the slots of requests that an upstream may still work on

Callers saw: requests without any answer until their deadline, from upstreams that never respond to what they cannot take.

Cause: a slot was free as soon as the caller had left or the deadline had passed, while the upstream may have worked on; an upstream that stopped announcing for a moment came back with all slots free; a restarted daemon assumed an idle upstream.

Change: the slot of such a request is kept for a few expected service times, longer while the upstream reports more requests than it was sent. A lost upstream that returns keeps its slots in use, and a restarted daemon keeps as many slots as the health page reports.

Tests without processes only; requests that run longer than 2 s without a report, and those sent between the first announcement after a restart and the response of the health page, are not covered.

--- a/flamingohead/platform/dialect.py
+++ b/flamingohead/platform/dialect.py
@@ -55,6 +55,15 @@
     return int(percent) / 100
 
 
+def read_busy_count(headers: Headers) -> int | None:
+    """Return the number of running and waiting requests of the upstream."""
+    figures = (find_header(headers, LOAD_HEADER) or b"").split(b",")[:2]
+    counts = [figure.strip() for figure in figures]
+    if len(counts) < 2 or not all(c.isdigit() and len(c) <= 6 for c in counts):
+        return None
+    return sum(map(int, counts))
+
+
 PLATFORM_DIALECT = Dialect(
     deadline=b"request-deadline",
     upstream=b"expect-instance",
@@ -65,6 +74,7 @@
     not_run_statuses=NOT_RUN_STATUSES,
     find_parent=find_parent,
     read_pace=read_pace,
+    read_busy_count=read_busy_count,
     preserves_host=True,
     reads_keys=False,
     sends_fractional_retry_after=True,
--- a/flamingohead/platform/probe.py
+++ b/flamingohead/platform/probe.py
@@ -14,7 +14,11 @@
 from flamingohead.core.errors import Refusal
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import Announcement
-from flamingohead.platform.dialect import INSTANCE_HEADER, LOAD_HEADER
+from flamingohead.platform.dialect import (
+    INSTANCE_HEADER,
+    LOAD_HEADER,
+    read_busy_count,
+)
 from flamingohead.services.http_client import CollectedResponse
 from flamingohead.services.http_messages import OutgoingRequest, find_header
 
@@ -40,6 +44,7 @@
         self._kernel = kernel
         self._settings = settings
         self._task: asyncio.Task | None = None
+        self._busy_count: int | None = None
 
     async def start(self) -> None:
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -56,6 +61,13 @@
             announcement = await self._send_probe()
             if announcement is not None and self._kernel.get("upstreams").is_empty:
                 self._kernel.get("upstreams").announce(announcement)
+            if announcement is not None:
+                self._keep_slots(announcement.name)
+
+    def _keep_slots(self, name: str) -> None:
+        """Keep the slots of requests that an earlier daemon of this host has sent."""
+        if self._busy_count:
+            self._kernel.get("slots").inherit(name, self._busy_count)
 
     async def _send_probe(self) -> Announcement | None:
         settings = self._settings
@@ -72,6 +84,7 @@
         self._kernel.get("metrics").count("upstream.probed")
         if isinstance(refusal, Refusal) or response.status != OK:
             return None
+        self._busy_count = read_busy_count(response.headers)
         return decode_health(response.headers, settings)
 
 
--- a/flamingohead/services/dialects.py
+++ b/flamingohead/services/dialects.py
@@ -19,6 +19,10 @@
     return None
 
 
+def _read_no_busy_count(headers: Headers) -> int | None:
+    return None
+
+
 def _states_not_executed(status: int, headers: Headers) -> bool:
     return status == 503 and (b"request-executed", b"no") in headers
 
@@ -37,7 +41,8 @@
     this statement, also in the response of an upstream that lacks it. ``find_parent``
     returns the id of the request that may have made the request with the given id.
     ``read_pace`` returns how long work takes on the upstream when it responds, as a
-    multiple of the usual, or ``None`` if it does not report it. With
+    multiple of the usual, and ``read_busy_count`` the number of requests that it works
+    on or has queued; both return ``None`` if it does not report them. With
     ``echo_request_ids``, upstreams repeat the id of a request in its response.
     """
 
@@ -52,6 +57,9 @@
     not_run_statuses: frozenset[int] = frozenset()
     find_parent: Callable[[str], str] = field(default=_find_no_parent)
     read_pace: Callable[[Headers], float | None] = field(default=_read_no_pace)
+    read_busy_count: Callable[[Headers], int | None] = field(
+        default=_read_no_busy_count
+    )
     preserves_host: bool = False
     reads_keys: bool = True
     sends_fractional_retry_after: bool = False
--- a/flamingohead/services/dispatch.py
+++ b/flamingohead/services/dispatch.py
@@ -31,7 +31,7 @@
     Discards a response by which the upstream states that it did not execute the
     request, so that the request can be tried elsewhere, and one whose status callers
     would take for this statement although it lacks it (``lacks_statement``).
-    ``pace`` is that which the upstream reported.
+    ``pace`` and ``busy_count`` are those which the upstream reported.
     """
 
     def __init__(
@@ -45,6 +45,7 @@
         self.lacks_statement = False
         self.is_complete = False
         self.pace: float | None = None
+        self.busy_count: int | None = None
         self.connection: ClientConnection | None = None
         self._discarded = ByteBound(MAX_DISCARDED_BYTES)
 
@@ -71,6 +72,7 @@
         self.status = status
         self.headers = headers
         self.pace = self._dialect.read_pace(headers)
+        self.busy_count = self._dialect.read_busy_count(headers)
         self.not_executed = self._dialect.states_not_executed(status, headers)
         if self.not_executed and self.connection is not None:
             self.connection.record_refusal()
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.admission import Admission, AdmissionResult
+from flamingohead.core.capacity.abandoned import AbandonedRequests
 from flamingohead.core.capacity.limits import ConcurrencyLimit
 from flamingohead.core.capacity.service_times import ServiceTimes
 from flamingohead.core.capacity.slowness import SlownessWatch, SpeedChange
@@ -43,6 +44,7 @@
 REPORT_PERIOD_SECONDS = 1.0
 # A leaving upstream must get no new requests after a few seconds.
 DRAIN_TIMEOUT_SECONDS = 2.0
+_CANCELLED = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
 _SPEED_EVENTS = {
     SpeedChange.SLOW: Event.UPSTREAM_SLOW,
     SpeedChange.USUAL: Event.UPSTREAM_USUAL,
@@ -61,6 +63,8 @@
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
     limiter: ConcurrencyLimit = field(init=False)
     slowness: SlownessWatch = field(default_factory=SlownessWatch)
+    abandoned: AbandonedRequests = field(default_factory=AbandonedRequests)
+    expiry: asyncio.TimerHandle | None = None
     # Time after which waiting requests are refused, so that they are tried elsewhere.
     drain_deadline: float = math.inf
 
@@ -82,6 +86,8 @@
         self._dialect = dialect
         self._drain_timeout = drain_timeout
         self.upstreams: dict[str, LocalUpstream] = {}
+        # Upstreams that stopped announcing while they worked on requests.
+        self._lost: dict[str, LocalUpstream] = {}
         self._routes: RouteTable | None = None
         self._ticks = PeriodicTimer(self._tick)
         self._reports = PeriodicTimer(self._report_queues)
@@ -100,12 +106,15 @@
     async def stop(self) -> None:
         self._ticks.stop()
         self._reports.stop()
+        for upstream in (*self.upstreams.values(), *self._lost.values()):
+            if upstream.expiry is not None:
+                upstream.expiry.cancel()
 
     # Upstreams
 
     def announce(self, state: UpstreamState, address: str) -> None:
         """Add or update the state of an upstream of this host."""
-        known = self.upstreams.get(state.name)
+        known = self.upstreams.get(state.name) or self._restore(state.name, address)
         if known is None or known.address != address:
             if known is not None:
                 self._remove(state.name)
@@ -122,6 +131,19 @@
                 known.drain_deadline = math.inf
         self._publish()
 
+    def _restore(self, name: str, address: str) -> LocalUpstream | None:
+        """Return an upstream that was lost while it worked on requests, if it is known.
+
+        Its slots are still in use; a new record would send it more than it can take.
+        """
+        lost = self._lost.pop(name, None)
+        if lost is None or lost.address != address:
+            return None
+        if self._routes is not None:
+            lost.admission.set_ranks(self._routes.list_ranks(lost.state.service))
+        self.upstreams[name] = lost
+        return lost
+
     def remove(self, name: str) -> None:
         """Remove an upstream that has stopped or is lost."""
         if name in self.upstreams:
@@ -344,7 +366,7 @@
         upstream.running.add(ticket)
         pace = upstream.times.estimate_pace(ticket.admitted_at)
         in_use = upstream.admission.in_use
-        refusal = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
+        refusal = _CANCELLED
         try:
             refusal = await dispatch_call(
                 self._kernel,
@@ -357,9 +379,18 @@
             return refusal
         finally:
             upstream.running.discard(ticket)
+            self._keep_abandoned(upstream, ticket, relay, refusal)
             relative_time = _record_service_time(upstream, ticket, relay, refusal, pace)
             self._record_end(upstream, ticket, call, relative_time, in_use)
             self._release(upstream, ticket)
+            self._forget_lost(upstream)
+
+    def _forget_lost(self, upstream: LocalUpstream) -> None:
+        """Forget a lost upstream that has ended its requests."""
+        name = upstream.state.name
+        is_idle = not upstream.running and not upstream.abandoned.count
+        if is_idle and self._lost.get(name) is upstream:
+            del self._lost[name]
 
     def _record_end(
         self,
@@ -405,7 +436,56 @@
             )
 
     def _set_limit(self, upstream: LocalUpstream, now: float) -> None:
-        self._apply(upstream, upstream.admission.set_limit(upstream.limiter.limit, now))
+        limit = max(0, upstream.limiter.limit - upstream.abandoned.count)
+        self._apply(upstream, upstream.admission.set_limit(limit, now))
+
+    def _keep_abandoned(
+        self,
+        upstream: LocalUpstream,
+        ticket: Ticket,
+        relay: ResponseRelay,
+        refusal: Refusal | None,
+    ) -> None:
+        """Keep the slot of a request that the upstream may still work on."""
+        now = time.monotonic()
+        if relay.busy_count is not None:
+            upstream.abandoned.record_load(
+                relay.busy_count, upstream.admission.in_use, now
+            )
+        is_abandoned = refusal is _CANCELLED or (
+            refusal is not None and refusal.kind is ErrorKind.UPSTREAM_TIMEOUT
+        )
+        if not is_abandoned or relay.connection is None or relay.status:
+            return
+        times = upstream.times.estimate(ticket.rank, now)
+        expected = None if times is None else times.current
+        upstream.abandoned.add(now - ticket.admitted_at, expected, now)
+        self._kernel.get("metrics").count("upstream.abandoned")
+        self._expire_abandoned(upstream)
+
+    def inherit(self, name: str, busy_count: int) -> None:
+        """Keep slots for the requests that an upstream has from an earlier daemon."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return
+        count = min(busy_count - upstream.admission.in_use, upstream.state.slots)
+        if count > 0:
+            upstream.abandoned.inherit(count, time.monotonic())
+            self._expire_abandoned(upstream)
+
+    def _expire_abandoned(self, upstream: LocalUpstream) -> None:
+        now = time.monotonic()
+        next_at = upstream.abandoned.expire(now)
+        self._set_limit(upstream, now)
+        self._forget_lost(upstream)
+        if upstream.expiry is not None:
+            upstream.expiry.cancel()
+            upstream.expiry = None
+        if next_at is not None and not self._is_closed:
+            loop = asyncio.get_running_loop()
+            upstream.expiry = loop.call_later(
+                max(0.0, next_at - now), self._expire_abandoned, upstream
+            )
 
     async def _admit(
         self, upstream: LocalUpstream, ticket: Ticket, *, may_wait: bool
@@ -444,7 +524,10 @@
 
     def _remove(self, name: str) -> None:
         """Remove an upstream and refuse its waiting tickets."""
-        self._refuse_waiting(self.upstreams.pop(name))
+        upstream = self.upstreams.pop(name)
+        self._refuse_waiting(upstream)
+        if upstream.running or upstream.abandoned.count:
+            self._lost[name] = upstream
 
     def _refuse_waiting(self, upstream: LocalUpstream) -> None:
         self._refuse_tickets(upstream, list(upstream.waiters), "is gone")
