--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -22,21 +22,20 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
-from flamingohead.core.capacity.speeds import Baselines, ReportedSpeed
+from flamingohead.core.capacity.speeds import Baselines
 from flamingohead.core.capacity.transfers import Link, estimate_transfer, may_arrive
-from flamingohead.core.decay import compute_decay
 from flamingohead.core.ejection import OVERLOAD_KINDS, is_server_error
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.upstream_views import LoadReport, UpstreamView
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from random import Random
 
-    from flamingohead.core.capacity.service_times import ServiceTime
     from flamingohead.core.members import Member
 
 # Weight of one response in the relative latency of an upstream whose owner does not
@@ -47,8 +46,6 @@
 FAILURE_SMOOTHING = 0.25
 # Cost of a failed attempt, as a multiple of the baseline service time.
 FAILURE_COST = 10.0
-# Half-life, in seconds, of the part of a load report that is due to other senders.
-REPORT_HALF_LIFE_SECONDS = 0.5
 # Cost of leaving the failure domain, in multiples of the baseline service time. If the
 # target allows, a slower local upstream still meets it: a quarter of the remaining
 # target may be spent on staying in the failure domain.
@@ -71,8 +68,6 @@
 # the expected one has to be shorter than the target by this factor.
 TARGET_MARGIN = 2.0
 MISSED_TARGET_COST = 4.0
-# Age, in seconds, up to which a reported concurrency limit is used.
-LIMIT_LIFETIME_SECONDS = 5.0
 # Cost of an occupied upstream: the last free slots may be taken before a request
 # arrives.
 OCCUPANCY_COST = 0.1
@@ -84,9 +79,6 @@
 # in remote ones. Larger pools are sampled.
 LOCAL_SAMPLE_SIZE = 8
 REMOTE_SAMPLE_SIZE = 6
-# A new upstream is slow at first, and only its responses show that it is healthy.
-NEW_UPSTREAM_SECONDS = 3.0
-NEW_UPSTREAM_LATENCY = 1.5
 
 # Failures that one attempt proves: nothing listens, or the host reports draining.
 CONCLUSIVE_KINDS = frozenset(
@@ -103,24 +95,6 @@
 }
 
 
-@dataclass(frozen=True)
-class LoadReport:
-    """Hold the load that a host reports with each response.
-
-    ``running`` counts the requests on its slots, ``waiting`` the queued ones that are
-    served before a new one of the same rank. ``slots`` is the concurrency limit.
-    ``held_ms`` is the time for which the request occupied its slot, or ``None`` if it
-    had none. ``times`` are the service times that the host expects for the rank; hosts
-    of earlier builds report none.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    held_ms: float | None = None
-    times: ServiceTime | None = None
-
-
 @dataclass(frozen=True)
 class PlacementRequest:
     """Describe a request to be placed; ``target_deadline`` in monotonic seconds.
@@ -145,70 +119,11 @@
     may_wait: bool
 
 
-@dataclass(eq=False)
-class _UpstreamState:
-    """Hold the local and reported state of an upstream.
-
-    ``in_flight`` counts the requests of this daemon, ``other_in_flight`` those of other
-    senders at the time of the last report.
-    """
-
-    key: UpstreamKey
-    candidate: Candidate
-    ready_since: float
-    in_flight: int = 0
-    other_in_flight: float = 0.0
-    waiting: dict[str, int] = field(default_factory=dict)
-    reported_at: float = 0.0
-    relative_latency: float = 1.0
-    relative_latency_at: float = 0.0
-    failure_rate: float = 0.0
-    failure_rate_at: float = 0.0
-    speed: ReportedSpeed = field(default_factory=ReportedSpeed)
-    limit: int = 0
-    link: Link = field(default_factory=Link)
-
-    def estimate_limit(self, now: float) -> int:
-        """Return the concurrency limit reported by the owner, or else the slots."""
-        slots = max(self.candidate.slots, 1)
-        if self.limit and now - self.reported_at < LIMIT_LIFETIME_SECONDS:
-            return min(self.limit, slots)
-        return slots
-
-    def estimate_occupancy(self, rank: str, now: float) -> float:
-        """Return the estimated number of requests served before a new one of a rank.
-
-        The requests of this daemon are counted exactly; the reported ones of others
-        decay with the age of the report.
-        """
-        age = max(0.0, now - self.reported_at)
-        others_ahead = self.other_in_flight + self.waiting.get(rank, 0)
-        return self.in_flight + others_ahead * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
-
-    def estimate_relative_latency(self, rank: str, now: float) -> float:
-        """Return the service time as a multiple of that of the service."""
-        reported = self.speed.estimate(rank, now)
-        if reported is not None:
-            return reported
-        weight = compute_decay(now - self.relative_latency_at)
-        if now - self.ready_since < NEW_UPSTREAM_SECONDS:
-            return max(
-                NEW_UPSTREAM_LATENCY, 1.0 + weight * (self.relative_latency - 1.0)
-            )
-        return 1.0 + weight * (self.relative_latency - 1.0)
-
-    def estimate_failure_rate(self, now: float) -> float:
-        return self.failure_rate * compute_decay(now - self.failure_rate_at)
-
-    def is_full(self, rank: str, now: float) -> bool:
-        return self.estimate_occupancy(rank, now) >= self.estimate_limit(now)
-
-
 @dataclass(frozen=True, eq=False)
 class PlacedAttempt:
     """Represent a request sent to an upstream; ``started_at`` in seconds."""
 
-    upstream_state: _UpstreamState
+    upstream_state: UpstreamView
     rank: str
     started_at: float
 
@@ -219,9 +134,9 @@
     def __init__(self, failure_domain: str, *, random: Random) -> None:
         self._failure_domain = failure_domain
         self._random = random
-        self._upstream_states: dict[UpstreamKey, _UpstreamState] = {}
-        self._local_pools: dict[str, list[_UpstreamState]] = {}
-        self._remote_pools: dict[str, list[_UpstreamState]] = {}
+        self._upstream_states: dict[UpstreamKey, UpstreamView] = {}
+        self._local_pools: dict[str, list[UpstreamView]] = {}
+        self._remote_pools: dict[str, list[UpstreamView]] = {}
         self._baselines = Baselines()
         self._host_id = ""
         self._link = Link()
@@ -232,9 +147,9 @@
 
     def set_members(self, members: Iterable[Member], now: float) -> None:
         """Replace the candidates by the ready upstreams of ``members``."""
-        upstreams: dict[UpstreamKey, _UpstreamState] = {}
-        local: dict[str, list[_UpstreamState]] = {}
-        remote: dict[str, list[_UpstreamState]] = {}
+        upstreams: dict[UpstreamKey, UpstreamView] = {}
+        local: dict[str, list[UpstreamView]] = {}
+        remote: dict[str, list[UpstreamView]] = {}
         for member in members:
             if member.host_id == self._host_id:
                 self._link.mbps = member.link_mbps
@@ -244,7 +159,7 @@
                 key = candidate.key
                 upstream = self._upstream_states.get(key)
                 if upstream is None or upstream.candidate.service != candidate.service:
-                    upstream = _UpstreamState(key, candidate, now)
+                    upstream = UpstreamView(key, candidate, now)
                 upstream.candidate = candidate
                 upstream.link.mbps = candidate.link_mbps
                 upstreams[key] = upstream
@@ -311,13 +226,13 @@
         return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail, retry_at)
 
     def _may_arrive(
-        self, upstream: _UpstreamState, request: PlacementRequest, now: float
+        self, upstream: UpstreamView, request: PlacementRequest, now: float
     ) -> bool:
         seconds = self._estimate_body_time(upstream, request, now)
         return may_arrive(seconds, request.deadline, now)
 
     def _estimate_body_time(
-        self, upstream: _UpstreamState, request: PlacementRequest, now: float
+        self, upstream: UpstreamView, request: PlacementRequest, now: float
     ) -> float:
         """Return the seconds until a request with a large body has been served."""
         baseline = self._baselines.get(request.service, request.rank) or 0.0
@@ -330,8 +245,8 @@
         return max(transfer, wait) + baseline * relative
 
     def _sample(
-        self, pool: list[_UpstreamState], count: int, excluded: frozenset[UpstreamKey]
-    ) -> list[_UpstreamState]:
+        self, pool: list[UpstreamView], count: int, excluded: frozenset[UpstreamKey]
+    ) -> list[UpstreamView]:
         """Return up to ``count`` random upstreams of a pool."""
         if excluded:
             pool = [upstream for upstream in pool if upstream.key not in excluded]
@@ -344,7 +259,7 @@
     ) -> PlacedAttempt:
         """Record a request sent to an upstream, and the size of a large body."""
         key = candidate.key
-        upstream = self._upstream_states.get(key) or _UpstreamState(key, candidate, now)
+        upstream = self._upstream_states.get(key) or UpstreamView(key, candidate, now)
         upstream.in_flight += 1
         if body_bytes and candidate.host_id != self._host_id:
             upstream.link.add(body_bytes, now)
@@ -398,7 +313,7 @@
             self._record_time(upstream, rank, load.held_ms / 1000, now)
 
     def _record_time(
-        self, upstream: _UpstreamState, rank: str, service_time: float, now: float
+        self, upstream: UpstreamView, rank: str, service_time: float, now: float
     ) -> None:
         service = upstream.candidate.service
         baseline = self._baselines.update(service, rank, service_time)
@@ -411,8 +326,8 @@
         upstream.relative_latency_at = now
 
     def _pick(
-        self, upstreams: list[_UpstreamState], request: PlacementRequest, now: float
-    ) -> _UpstreamState:
+        self, upstreams: list[UpstreamView], request: PlacementRequest, now: float
+    ) -> UpstreamView:
         baseline = self._baselines.get(request.service, request.rank) or 0.0
         target = 0.0
         if baseline and request.target_deadline < math.inf:
@@ -427,7 +342,7 @@
 
     def _compute_cost(
         self,
-        upstream: _UpstreamState,
+        upstream: UpstreamView,
         request: PlacementRequest,
         now: float,
         target: float,
@@ -461,7 +376,7 @@
         return cost
 
     def _estimate_transfer(
-        self, upstream: _UpstreamState, request: PlacementRequest, now: float
+        self, upstream: UpstreamView, request: PlacementRequest, now: float
     ) -> float:
         """Return the seconds that the transfer of a large body takes."""
         if upstream.candidate.host_id == self._host_id:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -3,27 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 import time
 from collections import Counter
-from dataclasses import dataclass, field, replace
-from random import Random
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.admission import Admission, AdmissionResult
-from flamingohead.core.capacity.abandoned import AbandonedRequests
-from flamingohead.core.capacity.limits import ConcurrencyLimit
-from flamingohead.core.capacity.service_times import ServiceTimes
-from flamingohead.core.capacity.slowness import SlownessWatch, SpeedChange
-from flamingohead.core.ejection import is_server_error
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.members import UpstreamState, UpstreamStatus
 from flamingohead.core.placement import LoadReport
 from flamingohead.core.rank_queues import Ticket
-from flamingohead.events import Event, log_event
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.dispatch import ResponseRelay, dispatch_call
+from flamingohead.services.local_upstream import (
+    CANCELLED,
+    LocalUpstream,
+    ServiceEnd,
+    record_end,
+    report_speeds,
+)
 from flamingohead.services.ticks import PeriodicTimer
 
 if TYPE_CHECKING:
@@ -35,8 +34,6 @@
     from flamingohead.services.http_server import ServerResponse
 
 
-logger = logging.getLogger(__name__)
-
 SERVING = (UpstreamStatus.READY, UpstreamStatus.LEAVING)
 # Waiting tickets are admitted when a slot is released. The periodic check only ends
 # expired tickets, and runs only while tickets are waiting.
@@ -44,32 +41,6 @@
 REPORT_PERIOD_SECONDS = 1.0
 # A leaving upstream must get no new requests after a few seconds.
 DRAIN_TIMEOUT_SECONDS = 2.0
-_CANCELLED = Refusal(ErrorKind.INTERNAL, "attempt cancelled")
-_SPEED_EVENTS = {
-    SpeedChange.SLOW: Event.UPSTREAM_SLOW,
-    SpeedChange.USUAL: Event.UPSTREAM_USUAL,
-}
-
-
-@dataclass
-class LocalUpstream:
-    """Represent an upstream of this host with its admission control."""
-
-    state: UpstreamState
-    address: str
-    admission: Admission
-    times: ServiceTimes = field(default_factory=lambda: ServiceTimes(time.monotonic()))
-    running: set[Ticket] = field(default_factory=set)
-    waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
-    limiter: ConcurrencyLimit = field(init=False)
-    slowness: SlownessWatch = field(default_factory=SlownessWatch)
-    abandoned: AbandonedRequests = field(default_factory=AbandonedRequests)
-    expiry: asyncio.TimerHandle | None = None
-    # Time after which waiting requests are refused, so that they are tried elsewhere.
-    drain_deadline: float = math.inf
-
-    def __post_init__(self) -> None:
-        self.limiter = ConcurrencyLimit(self.state.slots, random=Random())
 
 
 class SlotService:
@@ -239,29 +210,7 @@
                 running = sum(a.count_in_use(rank.name) for a in admissions)
                 metrics.set_gauge(f"queue.{service}.{rank.name}", waiting)
                 metrics.set_gauge(f"running.{service}.{rank.name}", running)
-            self._report_capacity(service)
-
-    def _report_capacity(self, service: str) -> None:
-        """Set the gauges of learned limits and speeds; log lasting slowness."""
-        now = time.monotonic()
-        upstreams = [u for u in self.upstreams.values() if u.state.service == service]
-        relatives = [upstream.times.estimate_relative(now) for upstream in upstreams]
-        metrics = self._kernel.get("metrics")
-        limits = sum(upstream.limiter.learned for upstream in upstreams)
-        metrics.set_gauge(f"limit.{service}", limits)
-        metrics.set_gauge(f"speed.{service}", sum(relatives) / len(relatives))
-        for upstream, relative in zip(upstreams, relatives):
-            event = upstream.slowness.record(relative, now)
-            if event is not None:
-                log_event(
-                    logger,
-                    _SPEED_EVENTS[event],
-                    upstream=upstream.state.name,
-                    service=service,
-                    relative=round(relative, 2),
-                    pace=round(upstream.times.estimate_pace(now), 2),
-                    limit=upstream.limiter.learned,
-                )
+            report_speeds(metrics, service, self.upstreams.values())
 
     # Calls
 
@@ -336,14 +285,13 @@
         if upstream is None:
             return None
         admission = upstream.admission
-        now = time.monotonic()
-        running = ((ticket.rank, ticket.admitted_at) for ticket in upstream.running)
+        times = upstream.estimate_times(rank, time.monotonic())
         return LoadReport(
             admission.in_use,
             admission.count_ahead(rank),
             admission.limit,
             held_ms,
-            upstream.times.estimate(rank, now, running),
+            times,
         )
 
     def _relay(self, response: ServerResponse) -> ResponseRelay:
@@ -366,7 +314,7 @@
         upstream.running.add(ticket)
         pace = upstream.times.estimate_pace(ticket.admitted_at)
         in_use = upstream.admission.in_use
-        refusal = _CANCELLED
+        refusal = CANCELLED
         try:
             refusal = await dispatch_call(
                 self._kernel,
@@ -378,12 +326,12 @@
             )
             return refusal
         finally:
-            upstream.running.discard(ticket)
-            self._keep_abandoned(upstream, ticket, relay, refusal)
-            relative_time = _record_service_time(upstream, ticket, relay, refusal, pace)
-            self._record_end(upstream, ticket, call, relative_time, in_use)
+            end = ServiceEnd(call.request_id, ticket, relay, refusal, pace, in_use)
+            record_end(upstream, end)
+            if end.is_abandoned:
+                self._kernel.get("metrics").count("upstream.abandoned")
+            self._expire_abandoned(upstream)
             self._release(upstream, ticket)
-            self._forget_lost(upstream)
 
     def _forget_lost(self, upstream: LocalUpstream) -> None:
         """Forget a lost upstream that has ended its requests."""
@@ -392,77 +340,10 @@
         if is_idle and self._lost.get(name) is upstream:
             del self._lost[name]
 
-    def _record_end(
-        self,
-        upstream: LocalUpstream,
-        ticket: Ticket,
-        call: Call,
-        relative_time: float | None,
-        started_in_use: int,
-    ) -> None:
-        """Learn the concurrency limit, and log what slows down requests."""
-        now = time.monotonic()
-        in_use = upstream.admission.in_use
-        previous = upstream.limiter.learned
-        upstream.limiter.record(
-            in_use,
-            now,
-            level=(started_in_use + in_use) / 2,
-            relative_time=relative_time,
-        )
-        if upstream.limiter.learned != previous:
-            log_event(
-                logger,
-                Event.CONCURRENCY_LIMIT_CHANGED,
-                upstream=upstream.state.name,
-                previous=previous,
-                limit=upstream.limiter.learned,
-                slots=upstream.state.slots,
-            )
-        self._set_limit(upstream, now)
-        if upstream.slowness.should_log_request(relative_time, now):
-            log_event(
-                logger,
-                Event.REQUEST_SLOW,
-                request=call.request_id,
-                upstream=upstream.state.name,
-                rank=ticket.rank,
-                held_ms=round(1000 * (now - ticket.admitted_at)),
-                times_usual=round(relative_time, 1),
-                pace=round(upstream.times.estimate_pace(now), 2),
-                relative=round(upstream.times.estimate_relative(now), 2),
-                in_use=in_use,
-                limit=upstream.limiter.learned,
-            )
-
     def _set_limit(self, upstream: LocalUpstream, now: float) -> None:
         limit = max(0, upstream.limiter.limit - upstream.abandoned.count)
         self._apply(upstream, upstream.admission.set_limit(limit, now))
 
-    def _keep_abandoned(
-        self,
-        upstream: LocalUpstream,
-        ticket: Ticket,
-        relay: ResponseRelay,
-        refusal: Refusal | None,
-    ) -> None:
-        """Keep the slot of a request that the upstream may still work on."""
-        now = time.monotonic()
-        if relay.busy_count is not None:
-            upstream.abandoned.record_load(
-                relay.busy_count, upstream.admission.in_use, now
-            )
-        is_abandoned = refusal is _CANCELLED or (
-            refusal is not None and refusal.kind is ErrorKind.UPSTREAM_TIMEOUT
-        )
-        if not is_abandoned or relay.connection is None or relay.status:
-            return
-        times = upstream.times.estimate(ticket.rank, now)
-        expected = None if times is None else times.current
-        upstream.abandoned.add(now - ticket.admitted_at, expected, now)
-        self._kernel.get("metrics").count("upstream.abandoned")
-        self._expire_abandoned(upstream)
-
     def inherit(self, name: str, busy_count: int) -> None:
         """Keep slots for the requests that an upstream has from an earlier daemon."""
         upstream = self.upstreams.get(name)
@@ -568,31 +449,3 @@
         # A request may take twice its expected time before the stop aborts it.
         service_time = upstream.admission.get_expected_service_time(call.rank)
         return min(latest_start + service_time, self._stop.ends_at - service_time)
-
-
-def _record_service_time(
-    upstream: LocalUpstream,
-    ticket: Ticket,
-    relay: ResponseRelay,
-    refusal: Refusal | None,
-    pace: float,
-) -> float | None:
-    """Record how long the upstream worked on a request, and the pace it reported.
-
-    ``pace`` is that at the start. A failed request may have ended early. Return the
-    service time as a multiple of the usual one, if it is known.
-    """
-    now = time.monotonic()
-    if relay.pace is not None:
-        upstream.times.record_pace(relay.pace, now)
-    if relay.is_discarded:
-        return None
-    is_complete = refusal is None and not is_server_error(relay.status)
-    mean_pace = (pace + upstream.times.estimate_pace(now)) / 2
-    return upstream.times.record(
-        ticket.rank,
-        now - ticket.admitted_at,
-        now,
-        pace=mean_pace,
-        is_complete=is_complete,
-    )
--- a/flamingohead/tests/test_uneven_placement.py
+++ b/flamingohead/tests/test_uneven_placement.py
@@ -12,9 +12,10 @@
 
 import pytest
 
-from flamingohead.core.capacity.service_times import ServiceTimes
-from flamingohead.core.placement import LoadReport
-from flamingohead.testing.uneven_upstreams import RANK, SLOTS, Host, Replay
+from flamingohead.core.candidates import list_candidates
+from flamingohead.core.capacity.service_times import ServiceTime, ServiceTimes
+from flamingohead.core.placement import LoadReport, Placement, PlacementRequest
+from flamingohead.testing.uneven_upstreams import RANK, SERVICE, SLOTS, Host, Replay
 
 WORK = 0.05
 TARGET = 0.15
@@ -261,3 +262,63 @@
         missed = compute_missed([result for _, result in results])
         assert missed <= BEFORE["uneven"] + CHANCE
         assert LoadReport(1, 0, SLOTS, 50.0).times is None
+
+
+class TestCosts:
+    """Choices between two upstreams with reported service times."""
+
+    def build(self, *, remote=False):
+        members = [Host("a").build_member()]
+        members.append(Host("b", "osu" if remote else "makola").build_member())
+        placement = Placement("makola", random=random.Random(1))
+        placement.set_members(members, -100.0)
+        return placement, [list_candidates(member)[0] for member in members]
+
+    def report(self, placement, candidate, seconds, *, running=0, waiting=0, now=0.0):
+        times = ServiceTime(seconds, seconds, 1.5)
+        load = LoadReport(running, waiting, SLOTS, None, times)
+        placement.record_load_report(candidate, RANK, load, now)
+
+    def choose(self, placement, now=0.0, **options):
+        request = PlacementRequest(SERVICE, RANK, **options)
+        return {placement.choose(request, now).candidate.host_id for _ in range(20)}
+
+    def test_waits_are_compared_in_time(self):
+        # Guards against the shorter queue of a host that is three times as slow.
+        placement, (slow, fast) = self.build()
+        for _ in range(20):
+            self.report(placement, slow, 0.3, running=SLOTS, waiting=2)
+            self.report(placement, fast, 0.1, running=SLOTS, waiting=6)
+        assert self.choose(placement) == {"b"}
+
+    def test_one_report_of_the_owner_tells_the_speed(self):
+        placement, (slow, fast) = self.build()
+        for _ in range(20):
+            self.report(placement, slow, 0.1)
+            self.report(placement, fast, 0.1)
+        self.report(placement, slow, 0.4)
+        assert self.choose(placement) == {"b"}
+
+    def test_upstream_that_was_slow_is_tried_again(self):
+        placement, (slow, fast) = self.build()
+        for _ in range(20):
+            self.report(placement, fast, 0.1, now=0.0)
+        usual_again = LoadReport(0, 0, SLOTS, None, ServiceTime(0.4, 0.1, 1.5))
+        placement.record_load_report(slow, RANK, usual_again, 0.0)
+        assert self.choose(placement, 0.1) == {"b"}
+        assert "a" in self.choose(placement, 10.0)
+
+    def test_full_home_is_left_only_if_its_queue_threatens_the_target(self):
+        placement, (home, remote) = self.build(remote=True)
+        for _ in range(20):
+            self.report(placement, home, 0.1, running=SLOTS, waiting=3)
+            self.report(placement, remote, 0.1, running=SLOTS, waiting=1)
+        assert self.choose(placement, target_deadline=1.0) == {"a"}
+        assert self.choose(placement, target_deadline=0.25) == {"b"}
+
+    def test_lower_reported_limit_counts_as_fewer_slots(self):
+        placement, (limited, free) = self.build()
+        for candidate, limit in ((limited, 2), (free, SLOTS)):
+            load = LoadReport(2, 0, limit, None, ServiceTime(0.1, 0.1, 1.5))
+            placement.record_load_report(candidate, RANK, load, 0.0)
+        assert self.choose(placement) == {"b"}
