Compare upstreams by their current service times

Callers saw, in the overload model: less worth from the least urgent requests when all upstreams of a service were slow at once.

Cause: senders divided by the mean of the usual times, so that all upstreams looked slow, and those whose report was older looked faster than they were.

Change: the mean is that of the current times. The overload model reports service times as owners do.

--- a/benchmarks/worst_load_model.py
+++ b/benchmarks/worst_load_model.py
@@ -11,6 +11,7 @@
 from flamingohead.core import attempts
 from flamingohead.core.admission import Admission
 from flamingohead.core.attempts import AttemptTracker, OverloadCache, Step
+from flamingohead.core.capacity.service_times import ServiceTimes
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.core.members import Member, UpstreamState, UpstreamStatus
 from flamingohead.core.placement import LoadReport, Placement, PlacementRequest
@@ -50,6 +51,8 @@
     started_at: float = -100.0
     is_removed: bool = False
     waiting: dict[Ticket, _Request] = field(default_factory=dict)
+    times: ServiceTimes = field(default_factory=lambda: ServiceTimes(-100.0))
+    running: set[Ticket] = field(default_factory=set)
 
 
 @dataclass(eq=False)
@@ -163,6 +166,8 @@
             domain = self._random.choice(self._day.domains)
             host = self._add_host(name, domain, change.service)
             host.started_at = self._queue.now
+            host.times = ServiceTimes(self._queue.now)
+            host.running.clear()
         self._publish()
 
     # Callers
@@ -281,8 +286,13 @@
     def _record_load_report(self, request: _Request, held_ms: float | None) -> None:
         admission = request.owner.admission
         rank = request.kind.rank_name
+        running = ((t.rank, t.admitted_at) for t in request.owner.running)
         load = LoadReport(
-            admission.in_use, admission.count_ahead(rank), admission.limit, held_ms
+            admission.in_use,
+            admission.count_ahead(rank),
+            admission.limit,
+            held_ms,
+            request.owner.times.estimate(rank, self._queue.now, running),
         )
         candidate = request.choice.candidate
         request.entry_host.placement.record_load_report(
@@ -320,6 +330,7 @@
 
     def _start_work(self, request: _Request) -> None:
         host, kind, now = request.owner, request.kind, self._queue.now
+        host.running.add(request.ticket)
         seconds = kind.draw_work(self._random) / host.speed
         seconds *= self._day.get_slowdown(host.service, now)
         if now - host.started_at < COLD_SECONDS:
@@ -353,6 +364,10 @@
     def _complete(self, request: _Request, failure: Refusal | None) -> None:
         host, now = request.owner, self._queue.now
         held_ms = 1000 * (now - request.ticket.admitted_at)
+        host.running.discard(request.ticket)
+        host.times.record(
+            request.ticket.rank, held_ms / 1000, now, is_complete=failure is None
+        )
         self._apply_result(host, host.admission.release(request.ticket, now))
         if now > request.deadline:
             failure = Refusal(ErrorKind.UPSTREAM_TIMEOUT)
--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -307,7 +307,7 @@
         upstream.limit = load.slots
         service = upstream.candidate.service
         if load.times is not None:
-            baseline = self._baselines.update(service, rank, load.times.usual)
+            baseline = self._baselines.update(service, rank, load.times.current)
             upstream.speed.record(rank, load.times, baseline, now)
         elif load.held_ms is not None:
             self._record_time(upstream, rank, load.held_ms / 1000, now)
