--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -191,8 +191,8 @@
         """Return the upstream for a request, or ``None`` if there is none.
 
         Without ``must_wait``, the request may queue only if the upstream is chosen
-        although it is estimated to be full, or if its response or body is large:
-        queueing is then cheaper than another transfer.
+        although it is estimated to be full and no leaving one is free, or if its
+        response or body is large: queueing is then cheaper than another transfer.
         """
         local = self._local_pools.get(request.service, [])
         remote = self._remote_pools.get(request.service, [])
@@ -207,7 +207,14 @@
             must_wait
             or request.bulky
             or request.body_bytes > 0
-            or chosen.is_full(request.rank, now)
+            or (
+                chosen.is_full(request.rank, now)
+                and not any(
+                    upstream.candidate.leaving
+                    and not upstream.is_full(request.rank, now)
+                    for upstream in upstreams
+                )
+            )
         )
         return PlacementChoice(chosen.candidate, may_wait)
 
--- a/flamingohead/tests/test_placement.py
+++ b/flamingohead/tests/test_placement.py
@@ -130,6 +130,17 @@
         placement = build_placement(leaving, now=-100.0)
         assert placement.choose(DEMAND, 0.0).candidate.host_id == "a"
 
+    def test_request_does_not_queue_while_a_leaving_host_has_free_slots(self):
+        # Guards against a queue at the last host that stays, which outlasts deadlines.
+        leaving = build_member("a", status=UpstreamStatus.LEAVING)
+        placement = build_placement(leaving, build_member("b"), now=-100.0)
+        report(placement, "b", 0.0, running=SLOTS, waiting=1)
+        choice = placement.choose(DEMAND, 0.0)
+        assert choice.candidate.host_id == "b" and not choice.may_wait
+        excluded = frozenset({choice.candidate.key})
+        choice = placement.choose(DEMAND, 0.0, excluded=excluded)
+        assert choice.candidate.host_id == "a"
+
     def test_leaving_host_does_not_count_as_another_host(self):
         leaving = build_member("b", status=UpstreamStatus.LEAVING)
         placement = build_placement(build_member("a"), leaving)
