--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -7,7 +7,7 @@
 import math
 import time
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from flamingohead.core.admission import Admission, AdmissionResult
@@ -18,6 +18,13 @@
 from flamingohead.events import Event, log_event
 from flamingohead.services.dialects import PRODUCT_DIALECT
 from flamingohead.services.dispatch import ResponseRelay, dispatch_call
+from flamingohead.services.local_upstream import (
+    CANCELLED,
+    LocalUpstream,
+    ServiceEnd,
+    record_end,
+    report_speeds,
+)
 from flamingohead.services.ticks import PeriodicTimer
 
 if TYPE_CHECKING:
@@ -39,18 +46,6 @@
 DRAIN_TIMEOUT_SECONDS = 2.0
 
 
-@dataclass
-class LocalUpstream:
-    """Represent an upstream of this host with its admission control."""
-
-    state: UpstreamState
-    address: str
-    admission: Admission
-    waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
-    # Time after which waiting requests are refused, so that they are tried elsewhere.
-    drain_deadline: float = math.inf
-
-
 class SlotService:
     """Manage the slots of the upstreams of this host."""
 
@@ -65,6 +60,8 @@
         self._dialect = dialect
         self._drain_timeout = drain_timeout
         self.upstreams: dict[str, LocalUpstream] = {}
+        # Upstreams that stopped announcing while they worked on requests.
+        self._lost: dict[str, LocalUpstream] = {}
         self._routes: RouteTable | None = None
         self._ticks = PeriodicTimer(self._tick)
         self._reports = PeriodicTimer(self._report_queues)
@@ -83,12 +80,15 @@
     async def stop(self) -> None:
         self._ticks.stop()
         self._reports.stop()
+        for upstream in (*self.upstreams.values(), *self._lost.values()):
+            if upstream.expiry is not None:
+                upstream.expiry.cancel()
 
     # Upstreams
 
     def announce(self, state: UpstreamState, address: str) -> None:
         """Add or update the state of an upstream of this host."""
-        known = self.upstreams.get(state.name)
+        known = self.upstreams.get(state.name) or self._restore(state.name, address)
         if known is None or known.address != address:
             if known is not None:
                 self._remove(state.name)
@@ -97,14 +97,27 @@
             self.upstreams[state.name] = LocalUpstream(state, address, admission)
         else:
             known.state = state
-            result = known.admission.set_limit(state.slots, time.monotonic())
-            self._apply(known, result)
+            known.limiter.set_slots(state.slots)
+            self._set_limit(known, time.monotonic())
             if state.status is UpstreamStatus.DRAINING:
                 self._begin_drain(known)
             else:
                 known.drain_deadline = math.inf
         self._publish()
 
+    def _restore(self, name: str, address: str) -> LocalUpstream | None:
+        """Return an upstream that was lost while it worked on requests, if it is known.
+
+        Its slots are still in use; a new record would send it more than it can take.
+        """
+        lost = self._lost.pop(name, None)
+        if lost is None or lost.address != address:
+            return None
+        if self._routes is not None:
+            lost.admission.set_ranks(self._routes.list_ranks(lost.state.service))
+        self.upstreams[name] = lost
+        return lost
+
     def remove(self, name: str) -> None:
         """Remove an upstream that has stopped or is lost."""
         if name in self.upstreams:
@@ -201,6 +214,7 @@
                 running = sum(a.count_in_use(rank.name) for a in admissions)
                 metrics.set_gauge(f"queue.{service}.{rank.name}", waiting)
                 metrics.set_gauge(f"running.{service}.{rank.name}", running)
+            report_speeds(metrics, service, self.upstreams.values())
 
     # Calls
 
@@ -275,8 +289,13 @@
         if upstream is None:
             return None
         admission = upstream.admission
+        times = upstream.estimate_times(rank, time.monotonic())
         return LoadReport(
-            admission.in_use, admission.count_ahead(rank), admission.limit, held_ms
+            admission.in_use,
+            admission.count_ahead(rank),
+            admission.limit,
+            held_ms,
+            times,
         )
 
     def _relay(self, response: ServerResponse) -> ResponseRelay:
@@ -296,8 +315,12 @@
         if refusal is not None:
             return refusal
         relay.record_admission(ticket.admitted_at)
+        upstream.running.add(ticket)
+        pace = upstream.times.estimate_pace(ticket.admitted_at)
+        in_use = upstream.admission.in_use
+        refusal = CANCELLED
         try:
-            return await dispatch_call(
+            refusal = await dispatch_call(
                 self._kernel,
                 upstream.address,
                 call,
@@ -305,9 +328,50 @@
                 upstream=upstream.state.name,
                 dialect=self._dialect,
             )
+            return refusal
         finally:
+            end = ServiceEnd(call.request_id, ticket, relay, refusal, pace, in_use)
+            record_end(upstream, end)
+            if end.is_abandoned:
+                self._kernel.get("metrics").count("upstream.abandoned")
+            self._expire_abandoned(upstream)
             self._release(upstream, ticket)
 
+    def _forget_lost(self, upstream: LocalUpstream) -> None:
+        """Forget a lost upstream that has ended its requests."""
+        name = upstream.state.name
+        is_idle = not upstream.running and not upstream.abandoned.count
+        if is_idle and self._lost.get(name) is upstream:
+            del self._lost[name]
+
+    def _set_limit(self, upstream: LocalUpstream, now: float) -> None:
+        limit = max(0, upstream.limiter.limit - upstream.abandoned.count)
+        self._apply(upstream, upstream.admission.set_limit(limit, now))
+
+    def inherit(self, name: str, busy_count: int) -> None:
+        """Keep slots for the requests that an upstream has from an earlier daemon."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return
+        count = min(busy_count - upstream.admission.in_use, upstream.state.slots)
+        if count > 0:
+            upstream.abandoned.inherit(count, time.monotonic())
+            self._expire_abandoned(upstream)
+
+    def _expire_abandoned(self, upstream: LocalUpstream) -> None:
+        now = time.monotonic()
+        next_at = upstream.abandoned.expire(now)
+        self._set_limit(upstream, now)
+        self._forget_lost(upstream)
+        if upstream.expiry is not None:
+            upstream.expiry.cancel()
+            upstream.expiry = None
+        if next_at is not None and not self._is_closed:
+            loop = asyncio.get_running_loop()
+            upstream.expiry = loop.call_later(
+                max(0.0, next_at - now), self._expire_abandoned, upstream
+            )
+
     async def _admit(
         self, upstream: LocalUpstream, ticket: Ticket, *, may_wait: bool
     ) -> Refusal | None:
@@ -362,7 +426,10 @@
 
     def _remove(self, name: str) -> None:
         """Remove an upstream and refuse its waiting tickets."""
-        self._refuse_waiting(self.upstreams.pop(name))
+        upstream = self.upstreams.pop(name)
+        self._refuse_waiting(upstream)
+        if upstream.running or upstream.abandoned.count:
+            self._lost[name] = upstream
 
     def _refuse_waiting(self, upstream: LocalUpstream) -> None:
         self._refuse_tickets(upstream, list(upstream.waiters), "is gone")
