--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -21,6 +21,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -119,6 +120,38 @@
     may_wait: bool
 
 
+@dataclass(frozen=True)
+class ComparedUpstream:
+    """Hold an upstream with its cost; a large body takes ``transfer_seconds``.
+
+    It is eligible if a large body may arrive there before the deadline.
+    """
+
+    view: UpstreamView
+    cost: float
+    transfer_seconds: float
+    is_eligible: bool
+
+
+@dataclass(frozen=True)
+class Comparison:
+    """Hold the costs of the upstreams for a request, the lowest first.
+
+    ``baseline`` is the usual service time in seconds, 0 if it is not known. ``target``
+    is the remaining time to the target as a multiple of it, 0 if there is none.
+    ``local_count`` and ``remote_count`` include the upstreams that were left out.
+    """
+
+    host_id: str
+    failure_domain: str
+    baseline: float
+    target: float
+    local_count: int
+    remote_count: int
+    upstreams: list[ComparedUpstream]
+    may_wait: bool
+
+
 @dataclass(frozen=True, eq=False)
 class PlacedAttempt:
     """Represent a request sent to an upstream; ``started_at`` in seconds."""
@@ -209,15 +242,52 @@
             or request.body_bytes > 0
             or (
                 chosen.is_full(request.rank, now)
-                and not any(
-                    upstream.candidate.leaving
-                    and not upstream.is_full(request.rank, now)
-                    for upstream in upstreams
-                )
+                and not _has_free_leaving_upstream(upstreams, request.rank, now)
             )
         )
         return PlacementChoice(chosen.candidate, may_wait)
 
+    def compare(
+        self, request: PlacementRequest, now: float, *, max_compared: int
+    ) -> Comparison:
+        """Return the costs by which ``choose`` would compare all upstreams now.
+
+        At most ``max_compared`` upstreams are compared, those of the local failure
+        domain first. Nothing is changed and no random number is drawn.
+        """
+        local = self._local_pools.get(request.service, [])
+        remote = self._remote_pools.get(request.service, [])
+        baseline, target = self._get_baseline_and_target(request, now)
+        upstreams = []
+        for view in itertools.islice(itertools.chain(local, remote), max_compared):
+            cost = self._compute_cost(view, request, now, target, baseline)
+            transfer = 0.0
+            is_eligible = True
+            if request.body_bytes:
+                transfer = self._estimate_transfer(view, request, now)
+                is_eligible = self._may_arrive(view, request, now)
+            upstreams.append(ComparedUpstream(view, cost, transfer, is_eligible))
+        upstreams.sort(key=lambda compared: (not compared.is_eligible, compared.cost))
+        eligible = [compared.view for compared in upstreams if compared.is_eligible]
+        may_wait = bool(eligible) and (
+            request.bulky
+            or request.body_bytes > 0
+            or (
+                eligible[0].is_full(request.rank, now)
+                and not _has_free_leaving_upstream(eligible, request.rank, now)
+            )
+        )
+        return Comparison(
+            self._host_id,
+            self._failure_domain,
+            baseline,
+            target,
+            len(local),
+            len(remote),
+            upstreams,
+            may_wait,
+        )
+
     def check_body(self, request: PlacementRequest, now: float) -> Refusal | None:
         """Return a refusal if a large body is likely to arrive too late everywhere."""
         if not request.body_bytes:
@@ -335,10 +405,7 @@
     def _pick(
         self, upstreams: list[UpstreamView], request: PlacementRequest, now: float
     ) -> UpstreamView:
-        baseline = self._baselines.get(request.service, request.rank) or 0.0
-        target = 0.0
-        if baseline and request.target_deadline < math.inf:
-            target = max(0.0, request.target_deadline - now) / baseline
+        baseline, target = self._get_baseline_and_target(request, now)
         costs = [
             self._compute_cost(upstream, request, now, target, baseline)
             for upstream in upstreams
@@ -347,6 +414,16 @@
         tied = [u for cost, u in zip(costs, upstreams) if cost <= bound]
         return tied[0] if len(tied) == 1 else self._random.choice(tied)
 
+    def _get_baseline_and_target(
+        self, request: PlacementRequest, now: float
+    ) -> tuple[float, float]:
+        """Return the usual service time and the remaining time as a multiple of it."""
+        baseline = self._baselines.get(request.service, request.rank) or 0.0
+        target = 0.0
+        if baseline and request.target_deadline < math.inf:
+            target = max(0.0, request.target_deadline - now) / baseline
+        return baseline, target
+
     def _compute_cost(
         self,
         upstream: UpstreamView,
@@ -379,7 +456,7 @@
         if is_full and not request.bulky:
             cost += FULL_HOST_COST
         if upstream.candidate.failure_domain != self._failure_domain:
-            cost += _compute_remote_cost(request, target, is_full=is_full)
+            cost += compute_remote_cost(request, target, is_full=is_full)
         return cost
 
     def _estimate_transfer(
@@ -391,7 +468,17 @@
         return estimate_transfer(request.body_bytes, self._link, upstream.link, now)
 
 
-def _compute_remote_cost(
+def _has_free_leaving_upstream(
+    upstreams: list[UpstreamView], rank: str, now: float
+) -> bool:
+    """Return whether an upstream that is about to leave has free slots."""
+    return any(
+        upstream.candidate.leaving and not upstream.is_full(rank, now)
+        for upstream in upstreams
+    )
+
+
+def compute_remote_cost(
     request: PlacementRequest, target: float, *, is_full: bool
 ) -> float:
     """Return the cost of leaving the failure domain, for the bytes between domains."""
