Let keys, limits and the overload cache be inspected without a change

The decisions on keys and limits could only be seen by sending a request, which uses a token, counts a use of a cached refusal or drops confirmations.

Quotas.preview and RevocationService.describe make the same decisions on copies of the state, and OverloadCache.peek counts no use. A copy of an account has the uses of the last window only, so that its size is bounded. A test compares 6,000 previews with the decisions that follow them.

--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -201,6 +201,13 @@
         delay = max(0.0, refusal.retry_at - now) * spread_evenly(cached.uses)
         return replace(refusal, retry_at=refusal.retry_at + delay)
 
+    def peek(
+        self, service: str, rank: str, now: float, *, organisation: str = ""
+    ) -> Refusal | None:
+        """Return the cached refusal as it was recorded, without counting its use."""
+        cached = self._refusals.get((service, rank, organisation))
+        return None if cached is None or now >= cached.until else cached.refusal
+
     def _remove_ended(self, now: float) -> None:
         while self._refusals:
             first = next(iter(self._refusals.values()))
--- a/flamingohead/core/organisations/quotas.py
+++ b/flamingohead/core/organisations/quotas.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import copy
 import hashlib
+import itertools
 import math
 from collections import defaultdict, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -125,6 +127,21 @@
         )
 
 
+@dataclass(frozen=True)
+class QuotaPreview:
+    """Describe the decision on a request that would arrive now.
+
+    ``held`` counts the tokens on this daemon, ``waiting`` the requests that wait for a
+    grant. A limit that is new ``is_binding`` later.
+    """
+
+    decision: Decision
+    retry_at: float
+    held: int
+    waiting: int
+    is_binding: bool
+
+
 class Quotas:
     """Decide on requests by the tokens that this daemon holds.
 
@@ -162,6 +179,41 @@
     def has_limit(self, name: str) -> bool:
         return name in self._accounts
 
+    def preview(self, name: str, now: float) -> QuotaPreview | None:
+        """Return what ``decide`` would return, without a change; ``None`` if no limit.
+
+        The decision is made on a copy of the account.
+        """
+        if name not in self._accounts:
+            return None
+        view = copy.copy(self)
+        account = self._copy_account(self._accounts[name], now)
+        view._accounts = {name: account}
+        view._expire(account, now)
+        held, waiting = account.held, account.waiting
+        decision = view.decide(name, now)
+        return QuotaPreview(
+            decision,
+            view.compute_retry_at(name, decision, now),
+            held,
+            waiting,
+            now >= account.free_until,
+        )
+
+    def _copy_account(self, account: _Account, now: float) -> _Account:
+        """Return a copy with the uses of the last window, the only ones that count."""
+        since = now - self._tolerance.window
+        recent = itertools.takewhile(
+            lambda use: use[0] >= since, reversed(account.uses)
+        )
+        reports = {source: replace(r) for source, r in account.reports.items()}
+        return replace(
+            account,
+            reports=defaultdict(_Report, reports),
+            lots=deque(replace(lot) for lot in account.lots),
+            uses=deque([list(use) for use in recent][::-1]),
+        )
+
     # Requests
 
     def decide(self, name: str, now: float) -> Decision:
--- a/flamingohead/core/organisations/revocation.py
+++ b/flamingohead/core/organisations/revocation.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -230,6 +231,15 @@
 
     # Decisions
 
+    def copy(self) -> Revocation:
+        """Return a copy whose decisions leave the confirmations held here as they are.
+
+        It must not be used to record confirmations or to choose what to refresh.
+        """
+        view = copy.copy(self)
+        view._confirmations = copy.copy(self._confirmations)
+        return view
+
     def is_confirmed(self, version: int, now: float) -> bool:
         """Return whether the confirmation of the active version is recent enough."""
         return not self._is_strict or self.get_age(version, now) < self._lifetime
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -26,7 +26,7 @@
     from collections.abc import Iterable
 
     from flamingohead.core.calls import Call
-    from flamingohead.core.placement import Placement, PlacementChoice
+    from flamingohead.core.placement import Comparison, Placement, PlacementChoice
     from flamingohead.core.retries import SharedRetryBudget
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_response import ServerResponse
@@ -63,6 +63,25 @@
         """Return whether another host serves a service and is not about to stop."""
         return self._placement.has_other_host(service, self._host_id)
 
+    def describe(
+        self,
+        request: PlacementRequest,
+        organisation: str,
+        now: float,
+        max_compared: int,
+    ) -> tuple[Refusal | None, Refusal | None, Comparison]:
+        """Return what a request would meet now, without a change.
+
+        These are the refusal in the overload cache, that for a body which arrives too
+        late, and the comparison of the upstreams.
+        """
+        cached = self._overload_cache.peek(
+            request.service, request.rank, now, organisation=organisation
+        )
+        refusal = self._placement.check_body(request, now)
+        comparison = self._placement.compare(request, now, max_compared=max_compared)
+        return cached, refusal, comparison
+
     def has_upstream(self, services: Iterable[str]) -> bool:
         """Return whether one of the services has an upstream, or may still get one."""
         present = self._placement.list_services()
--- a/flamingohead/services/quotas.py
+++ b/flamingohead/services/quotas.py
@@ -38,6 +38,7 @@
     from flamingohead.core.messages import Datagram
     from flamingohead.core.organisations.allocation import QuotaTolerance
     from flamingohead.core.organisations.messages import QuotaDemand
+    from flamingohead.core.organisations.quotas import QuotaPreview
     from flamingohead.kernel import Kernel
     from flamingohead.services.http_response import ServerResponse
 
@@ -130,6 +131,27 @@
             self._wake(call.organisation)
         return refusal
 
+    def describe(self, organisation: str) -> tuple[QuotaPreview, str] | None:
+        """Return the decision on a request now, and the host that allocates the limit.
+
+        Returns ``None`` if the organisation has no limit. Nothing is changed.
+        """
+        now = read_clock()
+        preview = self._quotas.preview(organisation, now)
+        if preview is None:
+            return None
+        replaced = self._replaced.get(organisation)
+        if replaced is not None and now < replaced[1]:
+            return preview, replaced[0]
+        allocator = self._chosen.get(organisation)
+        if allocator is None:
+            allocator = choose_allocator(organisation, self._candidates)
+        return preview, allocator
+
+    def convert_retry_at(self, retry_at: float) -> float:
+        """Return a time of a preview on the monotonic clock."""
+        return time.monotonic() + (retry_at - read_clock())
+
     async def _wait_for_grant(self, organisation: str, timeout: float) -> Decision:
         future = asyncio.get_running_loop().create_future()
         self._waiting[organisation].append(future)
--- a/flamingohead/services/revocation.py
+++ b/flamingohead/services/revocation.py
@@ -24,7 +24,7 @@
 from flamingohead.services.ticks import PeriodicTimer
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from flamingohead.core.eras import StoreVersion
     from flamingohead.core.messages import Datagram
@@ -69,6 +69,20 @@
     document: StoreDocumentRead | None = None
 
 
+@dataclass(frozen=True)
+class KeyStatus:
+    """Describe whether keys are accepted; ``age`` is that of the confirmation.
+
+    ``refusal`` is that of a request with a key of an organisation, ``denial_refusal``
+    the one that a request with an unknown key gets instead of 401.
+    """
+
+    is_strict: bool
+    age: float
+    refusal: Refusal | None
+    denial_refusal: Refusal | None
+
+
 class RevocationService:
     """Track confirmations of the configuration, and decide whether keys are accepted.
 
@@ -128,7 +142,30 @@
             return None
         now = read_boot_time()
         delay = self._revocation.check_key(routes.version, now)
-        return None if delay is None else self._refuse(routes, now, delay)
+        if delay is None:
+            return None
+        return _refuse(routes, self._revocation.get_age(routes.version, now), delay)
+
+    def describe(self, routes: RouteTable, organisation: str) -> KeyStatus:
+        """Return whether keys would be accepted and denied now, without a change.
+
+        An ``organisation`` that was removed a moment ago is not denied yet.
+        """
+        now = read_boot_time()
+        revocation = self._revocation.copy()
+        age = revocation.get_age(routes.version, now)
+        delay = revocation.check_key(routes.version, now)
+        refusal = None if delay is None else _refuse(routes, age, delay)
+        denial_delay = revocation.check_denial(routes.version, now)
+        if denial_delay is not None:
+            denial_refusal = _refuse(routes, age, denial_delay)
+        else:
+            denial_refusal = self._find_earlier(
+                now,
+                lambda table: not table.requires_keys
+                or table.get_organisation(organisation) is not None,
+            )
+        return KeyStatus(self._is_strict, age, refusal, denial_refusal)
 
     def _check_denial(
         self, routes: RouteTable, keys: Sequence[bytes]
@@ -136,20 +173,21 @@
         now = read_boot_time()
         delay = self._revocation.check_denial(routes.version, now)
         if delay is not None:
-            return self._refuse(routes, now, delay)
+            age = self._revocation.get_age(routes.version, now)
+            return _refuse(routes, age, delay)
+        return self._find_earlier(now, lambda table: _accepts(table, keys))
+
+    def _find_earlier(
+        self, now: float, accepts: Callable[[RouteTable], bool]
+    ) -> Refusal | None:
+        """Return a refusal if an earlier configuration that accepts may be in force."""
         for replaced_at, table in self._earlier_tables:
             active_until = replaced_at + IN_FORCE_SECONDS
-            if now < active_until and _accepts(table, keys):
+            if now < active_until and accepts(table):
                 detail = f"version {table.version}, which has the key, may be in force"
                 return _build_refusal(detail, active_until - now)
         return None
 
-    def _refuse(self, routes: RouteTable, now: float, delay: float) -> Refusal:
-        age = self._revocation.get_age(routes.version, now)
-        since = "since the start" if math.isinf(age) else f"for {age:.1f} s"
-        detail = f"version {routes.version} not confirmed as newest {since}"
-        return _build_refusal(detail, delay)
-
     # Confirmations
 
     def record_response(self, response: StoreResponse) -> None:
@@ -328,6 +366,12 @@
     return len(keys) == 1 and table.find_organisation(keys[0]) is not None
 
 
+def _refuse(routes: RouteTable, age: float, delay: float) -> Refusal:
+    since = "since the start" if math.isinf(age) else f"for {age:.1f} s"
+    detail = f"version {routes.version} not confirmed as newest {since}"
+    return _build_refusal(detail, delay)
+
+
 def _build_refusal(detail: str, delay: float) -> Refusal:
     return Refusal(
         ErrorKind.CONFIGURATION_UNCONFIRMED,
--- a/flamingohead/tests/test_quotas.py
+++ b/flamingohead/tests/test_quotas.py
@@ -11,7 +11,9 @@
 
 from flamingohead.core.errors import ErrorKind
 from flamingohead.core.members import Member, MemberStatus
-from flamingohead.core.organisations.allocation import sees_majority
+from flamingohead.core.organisations.allocation import QuotaTolerance, sees_majority
+from flamingohead.core.organisations.messages import QuotaShare
+from flamingohead.core.organisations.quotas import Decision, Quotas
 from flamingohead.core.resources import Organisation
 from flamingohead.services import quotas, ticks
 from flamingohead.testing.quota_fleet import Fleet, VirtualLoop
@@ -408,3 +410,34 @@
         assert sees_majority(lost)
         cut = build_members(("a", alive), *[("b", dead)] * 2, ("c", dead))
         assert not sees_majority(cut)
+
+
+class TestPreview:
+    @pytest.mark.parametrize("seed", range(20))
+    def test_preview_is_the_decision_and_changes_nothing(self, seed):
+        # A preview that used a token or a part of the reserve would refuse a request.
+        generator = random.Random(seed)
+        state = Quotas("h", QuotaTolerance(5.0, 0.1, 20))
+        state.set_limits({"school": SCHOOL}, 0.0)
+        now, seen = 0.0, set()
+        for _ in range(300):
+            now += generator.expovariate(8)
+            if generator.random() < 0.3:
+                state.collect_demands(lambda name: "a", now)
+            if generator.random() < 0.1:
+                tokens = generator.choice((0, 3))
+                share = QuotaShare("school", tokens, 800, 0 if tokens else 300)
+                state.receive(share, "a", now, now)
+            state.change_waiting("school", generator.choice((-1, 1)))
+            before = repr(state._accounts)
+            preview = state.preview("school", now)
+            assert repr(state._accounts) == before
+            assert state.decide("school", now) is preview.decision
+            retry_at = state.compute_retry_at("school", preview.decision, now)
+            assert retry_at == preview.retry_at
+            seen.add(preview.decision)
+        assert {Decision.ADMIT, Decision.WAIT, Decision.OVER_LIMIT} <= seen
+
+    def test_organisation_without_a_limit_has_none(self):
+        state = Quotas("h", QuotaTolerance(5.0, 0.1, 20))
+        assert state.preview("school", 0.0) is None
