Add the command where, which explains where a request would go

Operators could not see where a daemon would send a request, or why it would refuse it, without sending one and reading logs afterwards.

The metrics address of a daemon on the platform's hosts serves GET /placement, and `flamingohead where` prints it: version, route, rank, acceptance of keys, limit and tokens, overload cache, and the costs of the upstreams by part. Refusals have the status that the caller would get.

--- a/flamingohead/commands/__init__.py
+++ b/flamingohead/commands/__init__.py
@@ -15,9 +15,9 @@
 
 def run_main() -> None:
     """Run the command line; entry point of the ``flamingohead`` script."""
-    from flamingohead.commands import changes, daemon, explain, state, versions
+    from flamingohead.commands import changes, daemon, explain, state, versions, where
 
-    for module in (daemon, changes, versions, state, explain):
+    for module in (daemon, changes, versions, state, explain, where):
         for command in module.COMMANDS:
             main.add_command(command)
     main(prog_name="flamingohead")
--- a/flamingohead/services/metrics_page.py
+++ b/flamingohead/services/metrics_page.py
@@ -1,4 +1,4 @@
-"""The Prometheus page of counters, gauges and latency histograms."""
+"""The Prometheus page of metrics, and the page that explains placements."""
 
 from __future__ import annotations
 
@@ -8,6 +8,11 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from flamingohead.services.endpoint import Endpoint
+from flamingohead.services.placement_page import (
+    JSON_CONTENT_TYPE,
+    PLACEMENT_PATH,
+    PlacementExplainer,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -48,10 +53,11 @@
 
 
 class MetricsPage(Endpoint):
-    """Serve ``/metrics``."""
+    """Serve ``/metrics`` and ``/placement``."""
 
     def __init__(self, kernel: Kernel, address: str) -> None:
         super().__init__(kernel, address)
+        self._explainer = PlacementExplainer(kernel)
         self._registry = CollectorRegistry()
         self._requests = Histogram(
             "flamingohead_request_seconds",
@@ -79,6 +85,13 @@
         self._requests.labels(*series).observe(seconds)
 
     def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
+        if request.target.partition(b"?")[0] == PLACEMENT_PATH:
+            if request.method != "GET":
+                response.send(405, [(b"allow", b"GET")], b"")
+                return
+            status, body = self._explainer.respond(request.target)
+            response.send(status, [JSON_CONTENT_TYPE], body)
+            return
         if request.target != METRICS_PATH:
             response.send(404, [], b"")
             return
--- a/flamingohead/tests/test_docs.py
+++ b/flamingohead/tests/test_docs.py
@@ -4,13 +4,13 @@
 
 import re
 
-from flamingohead.commands import changes, daemon, explain, state, versions
+from flamingohead.commands import changes, daemon, explain, state, versions, where
 from flamingohead.exits import ExitCode
 from flamingohead.settings import DaemonSettings, get_environment_name, get_flag
 from flamingohead.testing.processes import ROOT
 
 DOCS = ROOT / "docs"
-MODULES = (changes, daemon, explain, state, versions)
+MODULES = (changes, daemon, explain, state, versions, where)
 
 
 class TestCommandsPage:
