Test the explanation of a placement on a real daemon

The page was tested with services that do not run. A daemon in which one of them is missing or named otherwise would have answered with an error.

--- a/flamingohead/tests/test_platform_processes.py
+++ b/flamingohead/tests/test_platform_processes.py
@@ -194,6 +194,15 @@
         answered = 'outcome="answered",rank="1-500ms",service="archive"'
         assert f"flamingohead_request_seconds_count{{{answered}}}" in text
 
+    def test_placement_is_explained_by_a_real_daemon(self, mesh):
+        # The page needs services that only a complete daemon has.
+        query = f"/placement?host={HOST}&path=/archive/1"
+        status, _, body = send_request(mesh.hosts["h0"].metrics, "GET", query)
+        explanation = json.loads(body)
+        assert status == 200 and explanation["refusal"] is None
+        (service,) = explanation["services"]
+        assert [c["host"] for c in service["candidates"]] == ["h2"]
+
 
 class TestSettings:
     def test_reload_applies_the_service_and_ignores_a_broken_file(self, mesh):
