Let stand-in upstreams queue, differ in speed and fall silent

The upstreams of the deployments never answer a request that they cannot queue, nor any later one of that connection, and differ in speed; the stand-ins could only refuse.

Both stand-ins get a queue, a relative speed and the silence, all off unless asked for. The platform's one also takes twice as long after a start, reports its load in Instance-Load when it has a queue, and falls silent for a request that asks for it.

The stand-in of the other protocol was only run as before, not with the new settings.

--- a/flamingohead/standins/__main__.py
+++ b/flamingohead/standins/__main__.py
@@ -85,6 +85,12 @@
 @click.option(
     "--lost-share", default=0.0, help="share of responses replaced by a cut connection"
 )
+@click.option("--queue", default=0, help="requests that may wait for a slot")
+@click.option(
+    "--silent-when-full", is_flag=True, help="never answer what can't be queued"
+)
+@click.option("--speed", default=1.0, show_default=True)
+@click.option("--cold-seconds", default=0.0, show_default=True)
 def instance(
     listen: str,
     name: str,
@@ -96,6 +102,10 @@
     clock_offset_ms: int,
     drain_seconds: float,
     lost_share: float,
+    queue: int,
+    silent_when_full: bool,
+    speed: float,
+    cold_seconds: float,
 ) -> None:
     """Run an upstream that uses the platform's protocol."""
     from flamingohead.standins.instance import InstanceStandin
@@ -111,6 +121,10 @@
         clock_offset_ms=clock_offset_ms,
         drain_seconds=drain_seconds,
         lost_share=lost_share,
+        queue=queue,
+        silent_when_full=silent_when_full,
+        speed=speed,
+        cold_seconds=cold_seconds,
     )
 
     async def start(stopping: asyncio.Event) -> None:
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -7,7 +7,7 @@
 import logging
 import random
 import time
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, urlsplit
 
@@ -25,21 +25,23 @@
 STATUS_PATH = b"/standin/runs"
 REFUSALS_PATH = b"/standin/refusals"
 MAX_RESPONSE_BYTES = 4096
+COLD_START_FACTOR = 2.0
 
 
 @dataclass(frozen=True)
 class _Behaviour:
     """Hold what the query of a request asks of the stand-in.
 
-    The first ``refusals`` arrivals of its id are refused as not executed. ``status`` is
-    that of the response after execution, in place of which ``is_cut`` closes the
-    connection.
+    The first ``refusals`` arrivals of its id are refused as not executed, and the next
+    ``silences`` are treated as if the queue was full. ``status`` is that of the
+    response after execution, in place of which ``is_cut`` closes the connection.
     """
 
     work_seconds: float = 0.0
     status: int = 200
     is_cut: bool = False
     refusals: int = 0
+    silences: int = 0
     duplicate: Duplicate | None = None
 
 
@@ -52,6 +54,10 @@
     refusals (``refusals=1``) and for a duplicate of each of them: some time later
     (``duplicate=20``, in milliseconds) or when the connection carries its next request
     (``duplicate=next``).
+
+    Up to ``queue`` further requests wait for a slot. Requests beyond these are refused
+    or, with ``silent_when_full``, never answered, nor is any later request of the
+    connection. A request may ask for this too (``silences=1``).
     """
 
     name: str
@@ -59,7 +65,12 @@
     address: str
     control_address: str
     slots: int = 4
+    queue: int = 0
+    silent_when_full: bool = False
     work_seconds: float = 0.02
+    # Relative speed; for ``cold_seconds`` after a start, requests take twice as long.
+    speed: float = 1.0
+    cold_seconds: float = 0.0
     # How long requests are still served after the heartbeat that reports draining.
     drain_seconds: float = 0.0
     # Share of the responses in place of which the connection is cut.
@@ -74,6 +85,9 @@
     _connections: dict[object, int] = field(default_factory=dict)
     _sequence: int = 0
     _in_use: int = 0
+    _waiting: deque[tuple] = field(default_factory=deque)
+    _silent_connections: set[object] = field(default_factory=set)
+    _started_at: float = field(default_factory=time.monotonic)
     _born: int = 0
 
     def __post_init__(self) -> None:
@@ -126,12 +140,12 @@
             logger.debug("request to the daemon failed: %s", refusal.detail)
         return refusal is None and response.status == 200
 
-    def _record_event(self, event: str, request_id: str = "") -> None:
+    def _record_event(self, event: str, request_id: str = "", **details) -> None:
         """Append an event to the journal; the page cache survives a kill."""
         if not self.journal:
             return
         entry = {"event": event, "id": request_id, "upstream": self.name}
-        entry["at"] = time.monotonic()
+        entry |= {"at": time.monotonic(), **details}
         with open(self.journal, "a") as journal:
             journal.write(json.dumps(entry) + "\n")
 
@@ -142,8 +156,12 @@
         if request.target == REFUSALS_PATH:
             response.send(200, [], json.dumps(self.refusals).encode())
             return
+        if response.connection in self._silent_connections:
+            request_id = request.get_header(b"request-id") or b""
+            self._record_event("unread", request_id.decode())
+            return
         if request.target == b"/healthz":
-            load = b"%d,0,%d" % (self._in_use, self.slots)
+            load = b"%d,%d,%d" % (self._in_use, len(self._waiting), self.slots)
             headers = [(b"instance-id", self.name.encode()), (b"instance-load", load)]
             response.send(200, headers, b"")
             return
@@ -160,28 +178,54 @@
             return
         behaviour = _read_behaviour(request.target)
         self._arrivals[request_id] += 1
-        is_refused = self._arrivals[request_id] <= behaviour.refusals
-        if is_refused or self._in_use >= self.slots:
+        arrivals = self._arrivals[request_id]
+        if arrivals <= behaviour.refusals:
             self._refuse(request_id, response, behaviour)
-            return
+        elif arrivals <= behaviour.refusals + behaviour.silences:
+            self._fall_silent("silent", request_id, response)
+        elif self._in_use < self.slots:
+            self._start_request(request, response, behaviour)
+        elif len(self._waiting) < self.queue:
+            self._waiting.append((request, response, behaviour))
+        elif self.silent_when_full:
+            self._fall_silent("overflow", request_id, response)
+        else:
+            self._refuse(request_id, response, behaviour)
+
+    def _start_request(self, request, response, behaviour: _Behaviour) -> None:
         self._in_use += 1
-        self._record_event("run", request_id.decode())
+        request_id = request.get_header(b"request-id") or b""
+        connection = response.connection
+        organisation = (request.get_header(b"tenant") or b"").decode()
+        has_key = request.get_header(b"x-api-key") is not None
+        self._record_event(
+            "run", request_id.decode(), organisation=organisation, has_key=has_key
+        )
         self.runs.append(
             {
                 "id": request_id.decode(),
                 "path": request.target.decode(),
                 "host": (request.get_header(b"host") or b"").decode(),
-                "organisation": (request.get_header(b"tenant") or b"").decode(),
-                "has_key": request.get_header(b"x-api-key") is not None,
+                "organisation": organisation,
+                "has_key": has_key,
                 "caller": (request.get_header(b"caller-service") or b"").decode(),
                 "deadline": (request.get_header(b"request-deadline") or b"").decode(),
                 "connection": self._number_connection(connection),
             }
         )
         loop = asyncio.get_running_loop()
-        seconds = behaviour.work_seconds or self.work_seconds
+        seconds = (behaviour.work_seconds or self.work_seconds) / self.speed
+        if self._is_cold():
+            seconds *= COLD_START_FACTOR
         loop.call_later(seconds, self._finish, request, response, behaviour)
 
+    def _is_cold(self) -> bool:
+        return time.monotonic() < self._started_at + self.cold_seconds
+
+    def _fall_silent(self, event: str, request_id: bytes, response) -> None:
+        self._record_event(event, request_id.decode())
+        self._silent_connections.add(response.connection)
+
     def _refuse(self, request_id: bytes, response, behaviour: _Behaviour) -> None:
         number = self._number_connection(response.connection)
         self.refusals.append({"id": request_id.decode(), "connection": number})
@@ -194,6 +238,8 @@
 
     def _finish(self, request, response, behaviour: _Behaviour) -> None:
         self._in_use -= 1
+        if self._waiting:
+            self._start_request(*self._waiting.popleft())
         if behaviour.is_cut or random.random() < self.lost_share:
             response.abort()
             return
@@ -202,6 +248,10 @@
             (b"request-id", request_id),
             (b"response-stamp", self.name.encode()),
         ]
+        if self.queue:
+            pace = 100 * (COLD_START_FACTOR if self._is_cold() else 1)
+            load = (self._in_use, len(self._waiting), self.slots, pace)
+            headers.append((b"instance-load", b"%d,%d,%d,%d" % load))
         response.send(
             behaviour.status, headers, b"answer to " + request_id + request.body
         )
@@ -214,5 +264,6 @@
         status=int(query.get("status", 200)),
         is_cut="cut" in query,
         refusals=int(query.get("refusals", 0)),
+        silences=int(query.get("silences", 0)),
         duplicate=parse_duplicate(query.get("duplicate")),
     )
--- a/flamingohead/standins/upstream.py
+++ b/flamingohead/standins/upstream.py
@@ -22,7 +22,6 @@
 ANNOUNCEMENT_INTERVAL_SECONDS = 0.5
 COLD_START_FACTOR = 4.0
 DEFAULT_TIMEOUT_MS = 60_000
-MAX_QUEUED = 40
 
 
 class UpstreamSettings(BaseModel):
@@ -31,11 +30,18 @@
     The next ``refusals`` requests are refused as not executed. A ``duplicate`` of each
     follows when the connection carries its next request (``next``), or some time later
     (``20``, in milliseconds). They have the id of the request if ``refuses_with_id``.
+
+    Requests beyond the ``max_queued`` that wait are refused or, with
+    ``silent_when_full``, never answered, nor is any later request of the connection.
     """
 
     model_config = ConfigDict(extra="forbid")
 
     slots: int = Field(20, ge=1)
+    max_queued: int = Field(40, ge=0)
+    silent_when_full: bool = False
+    # Relative speed, which divides ``service_ms``.
+    speed: float = Field(1.0, gt=0)
     service_ms: float = Field(5.0, ge=0)
     cold_seconds: float = Field(0.0, ge=0)
     answer_bytes: int = Field(64, ge=0)
@@ -56,6 +62,7 @@
 
     executed: int = 0
     shed: int = 0
+    unanswered: int = 0
     expired: int = 0
     cancelled: int = 0
 
@@ -103,6 +110,7 @@
     _started_at: float = 0.0
     _loads: deque[_LoadSample] = field(default_factory=deque)
     _refusal_writer: RefusalWriter = field(default_factory=RefusalWriter)
+    _silent_connections: set[object] = field(default_factory=set)
 
     def listen(self) -> None:
         """Listen for requests and control messages."""
@@ -169,12 +177,20 @@
             return
         if self.settings.frozen:
             return
+        if response.connection in self._silent_connections:
+            self.counters.unanswered += 1
+            return
         self._refusal_writer.write_pending(response.connection)
         if self.settings.refusals:
             self.settings.refusals -= 1
             self._refuse(request, response)
             return
-        if len(self._queue) >= MAX_QUEUED:
+        is_full = len(self._queue) >= self.settings.max_queued
+        if is_full and self.settings.silent_when_full:
+            self.counters.unanswered += 1
+            self._silent_connections.add(response.connection)
+            return
+        if is_full:
             self.counters.shed += 1
             response.send(503, [(b"request-executed", b"no")], b"shed\n")
             return
@@ -220,7 +236,7 @@
             self.journal.append(JournalEntry(key.decode("latin-1"), path, time.time()))
 
     def _compute_service_time(self) -> float:
-        seconds = self.settings.service_ms / 1000
+        seconds = self.settings.service_ms / 1000 / self.settings.speed
         age = time.monotonic() - self._started_at
         if age < self.settings.cold_seconds:
             seconds *= COLD_START_FACTOR
--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -18,6 +18,7 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from pathlib import Path
 
 HOST = "ledger.example"
@@ -50,11 +51,13 @@
     *,
     max_attempts: int = 2,
     timeout_ms: int = 1200,
+    public: Collection[str] = (),
     **changes,
 ) -> bytes:
     """Build a configuration document.
 
     ``routes`` maps path prefixes to services, or to the weights of several services.
+    Requests for the prefixes in ``public`` need no key.
     """
     rules = [
         {
@@ -68,6 +71,7 @@
                 "max-attempts": max_attempts,
                 **_build_destination(destination),
             },
+            **({"public": True} if prefix in public else {}),
         }
         for number, (prefix, destination) in enumerate(routes.items())
     ]
@@ -226,15 +230,19 @@
         clock_offset_ms: int = 0,
         drain_seconds: float = 0.0,
         lost_share: float = 0.0,
+        options: Collection[str] = (),
     ) -> None:
-        """Start the upstream of a host; ``journal`` is a file to record its runs in."""
+        """Start the upstream of a host; ``journal`` is a file to record its runs in.
+
+        ``options`` are further ones of the command line of the stand-in.
+        """
         arguments = ["-m", "flamingohead.standins", "instance"]
         arguments += ["--listen", host.listen or host.upstream, "--name", name]
         arguments += ["--announced", host.upstream, "--slots", str(slots)]
         arguments += ["--service", host.service, "--control", host.control]
         arguments += ["--clock-offset-ms", str(clock_offset_ms)]
         arguments += ["--drain-seconds", str(drain_seconds)]
-        arguments += ["--lost-share", str(lost_share)]
+        arguments += ["--lost-share", str(lost_share), *options]
         if journal is not None:
             arguments += ["--journal", str(journal)]
         host.instance = self.start_process(f"instance-{host.name}", arguments)
