--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -109,6 +109,17 @@
     CONFIRMATION_READ = EventKind(
         584, logging.INFO, "store read for a confirmation of the configuration"
     )
+    LIMIT_REACHED = EventKind(585, logging.INFO, "organisations refused at their limit")
+    ALLOCATOR_SILENT = EventKind(
+        586, logging.WARNING, "allocator of a limit does not grant"
+    )
+    ALLOCATIONS_CHANGED = EventKind(587, logging.INFO, "limits allocated here changed")
+    MAJORITY_CHANGED = EventKind(
+        588, logging.WARNING, "majority for granting limits lost or found"
+    )
+    ALLOCATOR_PAUSED = EventKind(
+        589, logging.WARNING, "allocator was paused, its limits start again"
+    )
     REQUEST_ABORTED_BY_STOP = EventKind(510, logging.WARNING, "request cut by the stop")
     REQUEST_RETRIED = EventKind(520, logging.INFO, "request retried")
     REQUEST_REFUSED = EventKind(521, logging.INFO, "request refused")
