Check that calm hosts accept keys in the soak

A daemon that suspends keys for longer than its path to the store was lost would have passed: only 401 was checked. A 503 for want of a confirmation now breaks a promise if all versions contain the key and no fault affected the host for 3 s.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from soak.records import Records
+    from soak.records import Outcome, Records
 
 # Statuses that state that a request has not been executed and never will be.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -21,6 +21,8 @@
 ANSWER_MARGIN_SECONDS = 0.5
 MIN_SERVED_SHARE = 0.9
 MAX_REVOCATION_SECONDS = 5.0
+# Begins the response of a daemon that does not know whether a key was withdrawn.
+UNCONFIRMED = b"configuration_unconfirmed"
 # Runs of an organisation in each window: (rate * window + burst) * overage + slack.
 QUOTA_WINDOW_SECONDS = 5.0
 QUOTA_OVERAGE = 1.1
@@ -233,16 +235,37 @@
     ]
 
 
+def _is_always_valid(records: Records, outcome: Outcome) -> bool:
+    """Return whether all configurations until the response contained the key."""
+    history = records.keys.get(outcome.key)
+    return (
+        history is not None
+        and history.is_initial
+        and (history.removed_at is None or history.removed_at > outcome.ended_at)
+    )
+
+
 @register_promise("a key of all configurations is not denied")
 def _check_denials(records: Records) -> list[str]:
-    violations = []
-    for outcome in records.outcomes:
-        history = records.keys.get(outcome.key)
-        if outcome.status != 401 or history is None or not history.is_initial:
-            continue
-        if history.removed_at is None or history.removed_at > outcome.ended_at:
-            violations.append(f"{outcome.request_id} at {outcome.host}: {outcome.key}")
-    return violations
+    return [
+        f"{outcome.request_id} at {outcome.host}: {outcome.key}"
+        for outcome in records.outcomes
+        if outcome.status == 401 and _is_always_valid(records, outcome)
+    ]
+
+
+@register_promise("a calm host accepts keys")
+def _check_acceptance(records: Records) -> list[str]:
+    return [
+        f"{outcome.request_id} at {outcome.host}: {outcome.body[:60]!r}"
+        for outcome in records.outcomes
+        if outcome.status == 503
+        and outcome.body.startswith(UNCONFIRMED)
+        and _is_always_valid(records, outcome)
+        and records.is_fault_free(
+            outcome.host, outcome.sent_at - FAULT_FREE_SECONDS, outcome.ended_at
+        )
+    ]
 
 
 @register_promise("the runs of an organisation stay within its limit")
--- a/soak/test_promises.py
+++ b/soak/test_promises.py
@@ -142,6 +142,17 @@
                 "a key of all configurations is not denied",
                 lambda r: r.outcomes.append(build_outcome("c", key="kept", status=401)),
             ),
+            (
+                "a calm host accepts keys",
+                lambda r: r.outcomes.append(
+                    build_outcome(
+                        "c",
+                        key="kept",
+                        status=503,
+                        body=b"configuration_unconfirmed: version 1",
+                    )
+                ),
+            ),
             (
                 # The bound is (20 * 5 + 10) * 1.1 + 20 runs.
                 "the runs of an organisation stay within its limit",
