Aim withdrawn keys of the soak at hosts out of touch

A key is now withdrawn when a daemon is cut off, rejected or suspended for long, these faults last 4 to 8.5 s, and four more callers of that host use the key withdrawn last. Versions are written one at a time, since faults write them too.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -40,6 +40,8 @@
 # Shares of the requests with a key that was withdrawn, with one that no configuration
 # contained, and without a key.
 WITHDRAWN_SHARE = 0.1
+# A key that was withdrawn this long ago is about to be refused everywhere.
+LATE_SECONDS = 4.5
 UNKNOWN_SHARE = 0.03
 MISSING_SHARE = 0.03
 PROBE_PERIOD_SECONDS = 0.1
@@ -104,15 +106,20 @@
             return None
         draw = self._random.random() if self.asks_for_refusals else 1.0
         if draw < WITHDRAWN_SHARE:
-            known = list(self._records.keys.items())
-            withdrawn = [key for key, entry in known if entry.withdrawn_at is not None]
-            return self._random.choice(withdrawn or keys)
+            return self._random.choice(self._list_withdrawn(time.monotonic()) or keys)
         if draw < WITHDRAWN_SHARE + UNKNOWN_SHARE:
             return f"unknown-{self._random.randrange(1000)}"
         if draw < WITHDRAWN_SHARE + UNKNOWN_SHARE + MISSING_SHARE:
             return ""
         return self._random.choice(keys)
 
+    def _list_withdrawn(self, until: float) -> list[str]:
+        return [
+            key
+            for key, history in list(self._records.keys.items())
+            if history.withdrawn_at is not None and history.withdrawn_at <= until
+        ]
+
     def _choose_query(self) -> str:
         fields: dict[str, object] = {"work-ms": self._work_ms}
         if self.asks_for_refusals and self._random.random() < REFUSAL_SHARE:
@@ -192,6 +199,22 @@
         return FLOODING_KEY
 
 
+class LateCaller(Caller):
+    """Use the key that was withdrawn last of those withdrawn some seconds ago.
+
+    It is meant for a host that a fault keeps from the versions without the key.
+    """
+
+    def _choose_query(self) -> str:
+        return urlencode({"work-ms": self._work_ms})
+
+    def _choose_key(self) -> str | None:
+        withdrawn = self._list_withdrawn(time.monotonic() - LATE_SECONDS)
+        if not withdrawn:
+            return super()._choose_key()
+        return max(withdrawn, key=lambda key: self._records.keys[key].withdrawn_at)
+
+
 class VersionProbe(Caller):
     """Observe which versions are in force on one host by requesting their routes."""
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,8 +22,8 @@
 MAX_PAUSE_SECONDS = 2.5
 MAX_LINK_FAULT_SECONDS = 2.5
 MAX_STORE_FAULT_SECONDS = 3.0
-# Longer than the time after which a withdrawn key must not be used.
-MAX_CUT_SECONDS = 8.0
+# Often longer than the 5 s after which a withdrawn key must not be used.
+CUT_SECONDS = (4.0, 8.5)
 LONG_PAUSE_SECONDS = (4.5, 7.0)
 RESTART_DELAY_SECONDS = 0.3
 STOP_TIMEOUT_SECONDS = 8.0
@@ -70,6 +70,7 @@
 async def _pause_daemon_long(mesh: SoakMesh, host: Host, random: Random) -> None:
     process = host.daemon.popen
     process.send_signal(signal.SIGSTOP)
+    await asyncio.to_thread(mesh.change_configuration, withdraws_key=True)
     await asyncio.sleep(random.uniform(*LONG_PAUSE_SECONDS))
     process.send_signal(signal.SIGCONT)
 
@@ -78,7 +79,8 @@
 async def _cut_off_daemon(mesh: SoakMesh, host: Host, random: Random) -> None:
     """Cut the links of a daemon to the store and to all other daemons."""
     mesh.set_links_down(host, "all")
-    await asyncio.sleep(random.uniform(0.5, MAX_CUT_SECONDS))
+    await asyncio.to_thread(mesh.change_configuration, withdraws_key=True)
+    await asyncio.sleep(random.uniform(*CUT_SECONDS))
     mesh.set_links_down(host)
 
 
@@ -89,7 +91,8 @@
     rejected = random.sample(hosts, random.randint(1, len(hosts) - 1))
     for rejected_host in rejected:
         mesh.set_links_down(rejected_host, "store")
-    await asyncio.sleep(random.uniform(0.5, MAX_CUT_SECONDS))
+    await asyncio.to_thread(mesh.change_configuration, withdraws_key=True)
+    await asyncio.sleep(random.uniform(*CUT_SECONDS))
     for rejected_host in rejected:
         mesh.set_links_down(rejected_host)
 
--- a/soak/mesh.py
+++ b/soak/mesh.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -61,6 +62,7 @@
         if parts & {KEYS, LIMITS}:
             self._organisations = Organisations(records, parts, seed)
         self._backed_up_keys: tuple[str, ...] = ()
+        self._change_lock = threading.Lock()
         if LIMITS in parts:
             records.limits = {
                 entry["name"]: (entry["rate-per-s"], entry["burst"])
@@ -130,13 +132,20 @@
         """Return the file in which the upstreams of a host log executed requests."""
         return self.directory / f"journal-{host.name}.jsonl"
 
-    def change_configuration(self) -> None:
-        """Write the next version, with one more route that shows it is in force."""
+    def change_configuration(self, *, withdraws_key: bool = False) -> None:
+        """Write the next version, with one more route that shows it is in force.
+
+        Each may withdraw a key, and does so if ``withdraws_key`` is set.
+        """
+        with self._change_lock:
+            self._write_next_version(withdraws_key)
+
+    def _write_next_version(self, withdraws_key: bool) -> None:
         version = len(self._records.versions) + 1
         routes = {f"/v{n}/": "ledger" for n in range(1, version + 1)}
         changes = {}
         if self._organisations is not None:
-            tenants = self._organisations.change(time.monotonic())
+            tenants = self._organisations.change(time.monotonic(), withdraws_key)
             changes = {"tenants": tenants, "public": routes}
         document = build_document(
             version, {**ROUTES, **routes}, max_attempts=MAX_ATTEMPTS, **changes
--- a/soak/organisations.py
+++ b/soak/organisations.py
@@ -20,6 +20,8 @@
 # Earlier seeds were first run without these parts, and keep their faults.
 FIRST_SEED_WITH_PARTS = 43001
 
+# Share of the versions that withdraw a key.
+WITHDRAWAL_SHARE = 0.7
 INITIAL_ROTATING_KEYS = 3
 MAX_ROTATING_KEYS = 5
 FLOODING = "flooding"
@@ -71,7 +73,7 @@
         # Keys that callers use, all of them contained in the newest configuration.
         self.usable: tuple[str, ...] = ()
 
-    def change(self, now: float) -> list[dict[str, object]]:
+    def change(self, now: float, withdraws_key: bool) -> list[dict[str, object]]:
         """Return the organisations of the next configuration, which is sent ``now``."""
         keys = self._records.keys
         is_first = not keys
@@ -83,7 +85,7 @@
                     (key,) = organisation["api-keys"]
                     self._add(key, organisation["name"], is_initial=True)
         if KEYS in self._parts:
-            self._rotate(now, is_first=is_first)
+            self._rotate(now, withdraws_key, is_first=is_first)
         # Callers stop to use a key before the store is told, and begin afterwards.
         self.usable = tuple(key for key in self.usable if keys[key].removed_at is None)
         names = {keys[key].organisation for key in self._rotating}
@@ -114,9 +116,10 @@
     def _add(self, key: str, organisation: str, *, is_initial: bool) -> None:
         self._records.keys[key] = KeyHistory(organisation, is_initial)
 
-    def _rotate(self, now: float, *, is_first: bool) -> None:
+    def _rotate(self, now: float, withdraws_key: bool, *, is_first: bool) -> None:
         """Withdraw at most one key; without keys an organisation is left out."""
-        if not is_first and self._random.random() < 0.7:
+        withdraws_key = withdraws_key or self._random.random() < WITHDRAWAL_SHARE
+        if withdraws_key and not is_first:
             key = self._rotating.pop(self._random.randrange(len(self._rotating)))
             self._records.keys[key].removed_at = now
         minimum = INITIAL_ROTATING_KEYS if is_first else 1
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,19 +6,21 @@
 import itertools
 import time
 from collections import Counter
+from contextlib import contextmanager
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
 from flamingohead.testing.hosts import send_request
-from soak.callers import WORK_MS, Caller, Flood, VersionProbe
+from soak.callers import WORK_MS, Caller, Flood, LateCaller, VersionProbe
 from soak.faults import FAULTS, Fault
 from soak.mesh import SoakMesh
-from soak.organisations import LIMITS, UNEVEN, choose_parts
+from soak.organisations import KEYS, LIMITS, UNEVEN, choose_parts
 from soak.promises import check_promises, is_long_withdrawn
 from soak.records import FaultInterval, Records, Stall
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from pathlib import Path
 
     from flamingohead.testing.hosts import Host
@@ -31,6 +33,8 @@
 RECOVERY_SECONDS = 15.0
 SETTLING_SECONDS = 3.0
 MAX_CROWD_SECONDS = 2.0
+# Requests that a cut-off host relays wait for their deadline, which keeps callers busy.
+LATE_CALLERS = 4
 MIN_CROWD_WORK_MS = 50
 MAX_CROWD_WORK_MS = 400
 STALL_POLL_SECONDS = 0.02
@@ -257,13 +261,33 @@
         hosts = self._mesh.hosts if fault.affects_all_hosts else (host,)
         return {(fault.used_resource, name) for name in hosts}
 
+    @contextmanager
+    def _send_late_requests(self, fault: Fault, host: str) -> Iterator[None]:
+        """Use withdrawn keys for the upstream of a host that may not know of it."""
+        target = self._mesh.hosts[host]
+        callers = [
+            self._start_caller(
+                target,
+                f"{host}-late{len(self._callers)}",
+                LateCaller,
+                services=(target.service,),
+            )
+            for _ in range(LATE_CALLERS if fault.part == KEYS else 0)
+        ]
+        try:
+            yield
+        finally:
+            for caller in callers:
+                caller.stopping.set()
+
     async def _run_fault(
         self, fault: Fault, host: str, resources: set[tuple[str, str]], random: Random
     ) -> None:
         began_at = time.monotonic()
         self._resources_in_use |= resources
         try:
-            await fault.run(self._mesh, self._mesh.hosts[host], random)
+            with self._send_late_requests(fault, host):
+                await fault.run(self._mesh, self._mesh.hosts[host], random)
             for _, name in resources:
                 await self._wait_until_ready(self._mesh.hosts[name], RECOVERY_SECONDS)
         finally:
