--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,7 +23,7 @@
 MAX_LINK_FAULT_SECONDS = 2.5
 MAX_STORE_FAULT_SECONDS = 3.0
 # Often longer than the 5 s after which a withdrawn key must not be used.
-CUT_SECONDS = (4.0, 8.5)
+CUT_SECONDS = (5.5, 8.5)
 LONG_PAUSE_SECONDS = (4.5, 7.0)
 RESTART_DELAY_SECONDS = 0.3
 STOP_TIMEOUT_SECONDS = 8.0
@@ -75,13 +75,14 @@
     process.send_signal(signal.SIGCONT)
 
 
-@register_fault("cut_off", used_resource="links", part=KEYS)
+# A daemon that restarts while it is cut off has no keys, so both exclude each other.
+@register_fault("cut_off", used_resource="daemon", part=KEYS)
 async def _cut_off_daemon(mesh: SoakMesh, host: Host, random: Random) -> None:
     """Cut the links of a daemon to the store and to all other daemons."""
-    mesh.set_links_down(host, "all")
+    mesh.set_link(host, "all", is_down=True)
     await asyncio.to_thread(mesh.change_configuration, withdraws_key=True)
     await asyncio.sleep(random.uniform(*CUT_SECONDS))
-    mesh.set_links_down(host)
+    mesh.set_link(host, "all", is_down=False)
 
 
 @register_fault("reject", used_resource="links", affects_all_hosts=True, part=KEYS)
@@ -90,11 +91,11 @@
     hosts = sorted(mesh.hosts.values(), key=lambda host: host.name)
     rejected = random.sample(hosts, random.randint(1, len(hosts) - 1))
     for rejected_host in rejected:
-        mesh.set_links_down(rejected_host, "store")
+        mesh.set_link(rejected_host, "store", is_down=True)
     await asyncio.to_thread(mesh.change_configuration, withdraws_key=True)
     await asyncio.sleep(random.uniform(*CUT_SECONDS))
     for rejected_host in rejected:
-        mesh.set_links_down(rejected_host)
+        mesh.set_link(rejected_host, "store", is_down=False)
 
 
 @register_fault("kill", used_resource="daemon")
--- a/soak/mesh.py
+++ b/soak/mesh.py
@@ -4,7 +4,7 @@
 
 import threading
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from flamingohead.testing.hosts import HostMesh, build_document
@@ -63,6 +63,7 @@
             self._organisations = Organisations(records, parts, seed)
         self._backed_up_keys: tuple[str, ...] = ()
         self._change_lock = threading.Lock()
+        self._links_down: defaultdict[str, set[str]] = defaultdict(set)
         if LIMITS in parts:
             records.limits = {
                 entry["name"]: (entry["rate-per-s"], entry["burst"])
@@ -124,6 +125,12 @@
             options=options,
         )
 
+    def set_link(self, host: Host, name: str, *, is_down: bool) -> None:
+        """Cut or restore a link of a daemon; the others stay as they are."""
+        names = self._links_down[host.name]
+        names.add(name) if is_down else names.discard(name)
+        self.set_links_down(host, *sorted(names))
+
     def list_usable_keys(self) -> tuple[str, ...]:
         """Return the keys of the newest configuration that callers may use."""
         return () if self._organisations is None else self._organisations.usable
