Let organisations use the burst of their limit in each window

Three quarters of it are now added again in each window, and the depth of the bucket is smaller by as much, so that the bound is the same.

--- a/flamingohead/core/organisations/allocation.py
+++ b/flamingohead/core/organisations/allocation.py
@@ -45,7 +45,7 @@
 # allocators, fewer reports share a datagram with other demands.
 MEMBERS_PER_ALLOCATOR = 16
 # Daemons that are refused ask again at most this often.
-MIN_RETRY_SECONDS = 0.1
+MIN_RETRY_SECONDS = 0.15
 # Daemons that were refused tokens of the same limit share this many requests a second.
 RETRIES_PER_SECOND = 50.0
 # Seconds for which a daemon that asked, or was refused, counts among those that share a
@@ -57,6 +57,9 @@
 # of a new allocator, and requests that daemons admit while the allocator is silent. The
 # rest covers calls that return tokens late.
 DEPTH_PART = 0.45
+# Part of the burst that is added again in each window instead of once: callers with a
+# steady demand above the rate get more of the limit, those with short peaks less.
+BURST_REFILL_PART = 0.75
 INITIAL_PART = 0.05
 RESERVE_PART = 0.4
 # Parts of the depth that daemons may hold together: normally, and while tokens of an
@@ -91,7 +94,16 @@
 
     def compute_depth(self, limit: Organisation) -> float:
         """Return the depth of the bucket, which includes the tokens held by daemons."""
-        return max(1.0, limit.burst + DEPTH_PART * self.compute_extra(limit))
+        kept = (1 - BURST_REFILL_PART) * limit.burst
+        return max(1.0, kept + DEPTH_PART * self.compute_extra(limit))
+
+    def compute_refill(self, limit: Organisation) -> float:
+        """Return the tokens per second that are added to the bucket.
+
+        The bound of a window includes the burst, so that a part of it may be used again
+        in each window.
+        """
+        return limit.rate_per_second + BURST_REFILL_PART * limit.burst / self.window
 
     @property
     def reserve_fraction(self) -> float:
@@ -222,7 +234,7 @@
                 del self._holders[sender]
         elapsed = max(0.0, now - self._refilled_at)
         self._refilled_at = now
-        self.tokens += elapsed * self.limit.rate_per_second
+        self.tokens += elapsed * self._tolerance.compute_refill(self.limit)
         self.tokens = max(0.0, min(self.tokens, self._get_depth(now) - self.held))
 
     def _is_young(self, now: float) -> bool:
@@ -291,7 +303,8 @@
         return min(wanted, available, waiting + idle)
 
     def _compute_retry_ms(self, now: float) -> int:
-        missing = max(0.0, 1.0 - self.tokens) / self.limit.rate_per_second
+        refill = self._tolerance.compute_refill(self.limit)
+        missing = max(0.0, 1.0 - self.tokens) / refill
         refused = sum(
             now - holder.refused_at < SHARING_SECONDS
             for holder in self._holders.values()
--- a/flamingohead/core/organisations/quotas.py
+++ b/flamingohead/core/organisations/quotas.py
@@ -290,6 +290,7 @@
             account.lots.popleft()
         if not account.uses or now - account.uses[-1][0] >= USE_STEP_SECONDS:
             account.uses.append([now, 0])
+            self._drop_old_uses(account, now)
         account.uses[-1][1] += 1
         return True
 
@@ -304,6 +305,11 @@
                 account.reports[lot.source].returned += lot.tokens
         account.lots = kept
 
+    def _drop_old_uses(self, account: _Account, now: float) -> None:
+        since = now - self._tolerance.window
+        while account.uses and account.uses[0][0] < since:
+            account.uses.popleft()
+
     def _decide_alone(self, account: _Account, now: float) -> Decision:
         """Admit a small part of the usual requests while the allocator is silent.
 
@@ -312,8 +318,7 @@
         """
         window = self._tolerance.window
         if now - account.reserve_used_at >= window:
-            while account.uses and account.uses[0][0] < now - window:
-                account.uses.popleft()
+            self._drop_old_uses(account, now)
             used = sum(count for _, count in account.uses)
             exact = self._tolerance.reserve_fraction * max(0, used)
             account.reserve_left = math.floor(exact + self._get_rounding(account))
@@ -379,7 +384,8 @@
             ):
                 due.add(allocator)
         messages = {}
-        for allocator in due:
+        # In a fixed order, so that a replay with a seed sends the same messages.
+        for allocator in sorted(due):
             messages[allocator] = [
                 self._build_demand(name, account, allocator, now)
                 for name, account in ready[allocator]
