--- a/flamingohead/tests/test_endless_messages.py
+++ b/flamingohead/tests/test_endless_messages.py
@@ -28,6 +28,7 @@
 WINDOW_BYTES = 4 * 2**20
 MAX_SENT_BYTES = 8 * (MAX_MESSAGE_BYTES + WINDOW_BYTES)
 CALL_TIMEOUT_SECONDS = 2.0
+TEST_TIMEOUT_SECONDS = 30.0
 
 
 class EndlessSender:
@@ -48,6 +49,11 @@
         await self.send(stream._stream)
 
 
+def run_bounded(coroutine):
+    """Run a test, and fail instead of waiting without end."""
+    asyncio.run(asyncio.wait_for(coroutine, TEST_TIMEOUT_SECONDS))
+
+
 def build_peers():
     kernel = Kernel()
     kernel.add("metrics", MetricsService())
@@ -57,7 +63,7 @@
 
 class TestEndlessMessages:
     def test_endless_reply_is_refused_early(self):
-        asyncio.run(self.check_reply())
+        run_bounded(self.check_reply())
 
     async def check_reply(self):
         sender = EndlessSender()
@@ -76,7 +82,7 @@
         await server.wait_closed()
 
     def test_endless_request_is_refused_early(self):
-        asyncio.run(self.check_request())
+        run_bounded(self.check_request())
 
     async def check_request(self):
         peers, address = build_peers()
@@ -95,7 +101,7 @@
         await peers.stop()
 
     def test_message_of_the_size_limit_is_received(self):
-        asyncio.run(self.check_large_reply())
+        run_bounded(self.check_large_reply())
 
     async def check_large_reply(self):
         packed = b"x" * (MAX_MESSAGE_BYTES - 100)
