Learn concurrency limits and keep slots only where a deployment asks for it

Cause: the slots of requests whose caller had left or whose deadline had passed were kept for up to four service times, while most upstreams drop such requests at once; on hosts with five slots under overload much of the capacity stood idle. Change: both are switched by FLAMINGOHEAD_ADAPTIVE_LIMITS, off by default.

--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -129,7 +129,12 @@
         )
     )
     drain_timeout = settings.drain_timeout - DRAIN_MARGIN_SECONDS
-    slots = SlotService(kernel, PLATFORM_DIALECT, drain_timeout=drain_timeout)
+    slots = SlotService(
+        kernel,
+        PLATFORM_DIALECT,
+        drain_timeout=drain_timeout,
+        adapts_limits=settings.adapts_limits,
+    )
     kernel.add("slots", slots)
     kernel.add("configuration", ConfigurationService(kernel, dissemination))
     kernel.add("attempts", GroupAttemptService(kernel, placement, budget))
--- a/flamingohead/platform/boot.py
+++ b/flamingohead/platform/boot.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Annotated
 
@@ -17,6 +17,7 @@
 from flamingohead.platform.messages import Message
 
 METRICS_PORT_VARIABLE = "FLAMINGOHEAD_METRICS_PORT"
+ADAPTIVE_LIMITS_VARIABLE = "FLAMINGOHEAD_ADAPTIVE_LIMITS"
 MAX_PORT = 65535
 BYTES_PER_MB = 1024 * 1024
 SETTINGS_VARIABLE = "FLAMINGOHEAD_SETTINGS"
@@ -125,6 +126,8 @@
     quota_slack: float = 0.0
     memory_bytes: int = 0
     max_descriptors: int = 0
+    # Whether the concurrency limit of the upstream is learned.
+    adapts_limits: bool = False
 
 
 def parse_settings(text: str, *, metrics_port: int = 0) -> HostSettings:
@@ -152,7 +155,13 @@
     port = os.environ.get(METRICS_PORT_VARIABLE, "0")
     if not port.isdigit() or int(port) > MAX_PORT:
         raise SettingsError(f"{METRICS_PORT_VARIABLE}: found {port!r}, expected a port")
-    return parse_settings(Path(path).read_text(), metrics_port=int(port))
+    adaptive = os.environ.get(ADAPTIVE_LIMITS_VARIABLE, "0")
+    if adaptive not in ("0", "1"):
+        raise SettingsError(
+            f"{ADAPTIVE_LIMITS_VARIABLE}: found {adaptive!r}, expected 0 or 1"
+        )
+    settings = parse_settings(Path(path).read_text(), metrics_port=int(port))
+    return replace(settings, adapts_limits=adaptive == "1")
 
 
 def _parse_seconds(text: str) -> float:
--- a/flamingohead/services/local_upstream.py
+++ b/flamingohead/services/local_upstream.py
@@ -40,11 +40,16 @@
 
 @dataclass
 class LocalUpstream:
-    """Represent an upstream of this host with its admission control."""
+    """Represent an upstream of this host with its admission control.
+
+    With ``adapts_limit``, its concurrency limit is learned, and the slots of requests
+    that it may still work on are kept.
+    """
 
     state: UpstreamState
     address: str
     admission: Admission
+    adapts_limit: bool = False
     times: ServiceTimes = field(default_factory=lambda: ServiceTimes(time.monotonic()))
     running: set[Ticket] = field(default_factory=set)
     waiters: dict[Ticket, asyncio.Future] = field(default_factory=dict)
@@ -58,6 +63,12 @@
     def __post_init__(self) -> None:
         self.limiter = ConcurrencyLimit(self.state.slots, random=Random())
 
+    def compute_limit(self) -> int:
+        """Return how many requests the upstream may be sent at once."""
+        if not self.adapts_limit:
+            return self.state.slots
+        return max(0, self.limiter.limit - self.abandoned.count)
+
     def estimate_times(self, rank: str, now: float) -> ServiceTime | None:
         """Return the service times of a rank; ``None`` if they are not known."""
         running = ((ticket.rank, ticket.admitted_at) for ticket in self.running)
@@ -94,12 +105,13 @@
     if end.relay.busy_count is not None:
         in_use = upstream.admission.in_use
         upstream.abandoned.record_load(end.relay.busy_count, in_use, now)
-    if end.is_abandoned:
+    if end.is_abandoned and upstream.adapts_limit:
         times = upstream.times.estimate(end.ticket.rank, now)
         expected = None if times is None else times.current
         upstream.abandoned.add(now - end.ticket.admitted_at, expected, now)
     relative_time = _record_service_time(upstream, end, now)
-    _learn_limit(upstream, end, relative_time, now)
+    if upstream.adapts_limit:
+        _learn_limit(upstream, end, relative_time, now)
     if upstream.slowness.should_log_request(relative_time, now):
         log_event(
             logger,
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -55,10 +55,12 @@
         dialect: Dialect = PRODUCT_DIALECT,
         *,
         drain_timeout: float = DRAIN_TIMEOUT_SECONDS,
+        adapts_limits: bool = False,
     ) -> None:
         self._kernel = kernel
         self._dialect = dialect
         self._drain_timeout = drain_timeout
+        self._adapts_limits = adapts_limits
         self.upstreams: dict[str, LocalUpstream] = {}
         # Upstreams that stopped announcing while they worked on requests.
         self._lost: dict[str, LocalUpstream] = {}
@@ -94,7 +96,9 @@
                 self._remove(state.name)
             ranks = self._routes.list_ranks(state.service) if self._routes else ()
             admission = Admission(slots=state.slots, ranks=ranks)
-            self.upstreams[state.name] = LocalUpstream(state, address, admission)
+            self.upstreams[state.name] = LocalUpstream(
+                state, address, admission, self._adapts_limits
+            )
         else:
             known.state = state
             known.limiter.set_slots(state.slots)
@@ -345,13 +349,13 @@
             del self._lost[name]
 
     def _set_limit(self, upstream: LocalUpstream, now: float) -> None:
-        limit = max(0, upstream.limiter.limit - upstream.abandoned.count)
+        limit = upstream.compute_limit()
         self._apply(upstream, upstream.admission.set_limit(limit, now))
 
     def inherit(self, name: str, busy_count: int) -> None:
         """Keep slots for the requests that an upstream has from an earlier daemon."""
         upstream = self.upstreams.get(name)
-        if upstream is None:
+        if upstream is None or not upstream.adapts_limit:
             return
         count = min(busy_count - upstream.admission.in_use, upstream.state.slots)
         if count > 0:
--- a/flamingohead/tests/test_slots.py
+++ b/flamingohead/tests/test_slots.py
@@ -64,7 +64,7 @@
     kernel.add("metrics", MetricsService())
     kernel.add("gossip", FakeGossip())
     kernel.add("http_client", FakeClient())
-    service = SlotService(kernel, drain_timeout=DRAIN_TIMEOUT)
+    service = SlotService(kernel, drain_timeout=DRAIN_TIMEOUT, adapts_limits=True)
     state = UpstreamState("u", "s", UpstreamStatus.READY, slots)
     service.announce(state, "127.0.0.1:9")
     return kernel, service
