Compute every decay of a measurement with the same function

service_times.py, speeds.py and upstream_views.py had their own copies of 0.5 to the power of age over half-life, beside compute_decay, which knew one half-life only. It takes the half-life now, three seconds by default.

--- a/flamingohead/core/capacity/service_times.py
+++ b/flamingohead/core/capacity/service_times.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from flamingohead.core.decay import compute_decay
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -92,7 +94,7 @@
 
     def estimate_pace(self, now: float) -> float:
         """Return the expected pace, which tends to its mean as the report ages."""
-        weight = _decay(now - self._pace_at, PACE_HALF_LIFE_SECONDS)
+        weight = compute_decay(now - self._pace_at, PACE_HALF_LIFE_SECONDS)
         return self._mean_pace + weight * (self._pace - self._mean_pace)
 
     def record(
@@ -153,7 +155,7 @@
     ) -> float:
         """Return the service time over all ranks as a multiple of the usual one."""
         pace = self.estimate_pace(now)
-        weight = _decay(now - self._updated_at, WINDOW_HALF_LIFE_SECONDS)
+        weight = compute_decay(now - self._updated_at, WINDOW_HALF_LIFE_SECONDS)
         count = self._count * weight + PRIOR_COUNT
         overdue = sum(
             self._count_overdue(name, started_at, now, pace)
@@ -187,7 +189,7 @@
         return min(max(0.0, ratio - 1), MAX_SAMPLE_RATIO)
 
     def _add_sample(self, ratio: float, now: float) -> None:
-        weight = _decay(now - self._updated_at, WINDOW_HALF_LIFE_SECONDS)
+        weight = compute_decay(now - self._updated_at, WINDOW_HALF_LIFE_SECONDS)
         self._time_sum = self._time_sum * weight + ratio
         self._count = self._count * weight + 1
         self._updated_at = now
@@ -197,7 +199,3 @@
             self._is_cold = False
             for usual in self._usual.values():
                 usual.count = min(usual.count, COLD_COUNT)
-
-
-def _decay(age: float, half_life: float) -> float:
-    return math.pow(0.5, max(0.0, age) / half_life)
--- a/flamingohead/core/capacity/speeds.py
+++ b/flamingohead/core/capacity/speeds.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from flamingohead.core.decay import compute_decay
+
 if TYPE_CHECKING:
     from flamingohead.core.capacity.service_times import ServiceTime
 
@@ -40,9 +41,9 @@
         age = now - self.reported_at
         if age < FRESH_SECONDS:
             return self.current
-        usual = 1 + (self.usual - 1) * math.pow(0.5, age / USUAL_HALF_LIFE_SECONDS)
+        usual = 1 + (self.usual - 1) * compute_decay(age, USUAL_HALF_LIFE_SECONDS)
         difference = self.current - self.usual
-        return usual + difference * math.pow(0.5, age / self.lifetime)
+        return usual + difference * compute_decay(age, self.lifetime)
 
 
 class Baselines:
--- a/flamingohead/core/decay.py
+++ b/flamingohead/core/decay.py
@@ -8,6 +8,6 @@
 HALF_LIFE_SECONDS = 3.0
 
 
-def compute_decay(age: float) -> float:
-    """Return the weight, 0 to 1, of a measurement with an age in seconds."""
-    return math.pow(0.5, max(0.0, age) / HALF_LIFE_SECONDS)
+def compute_decay(age: float, half_life: float = HALF_LIFE_SECONDS) -> float:
+    """Return the weight, 0 to 1, of a measurement; both times are in seconds."""
+    return math.pow(0.5, max(0.0, age) / half_life)
--- a/flamingohead/core/upstream_views.py
+++ b/flamingohead/core/upstream_views.py
@@ -76,11 +76,13 @@
         The requests of this daemon are counted exactly; the reported ones of others
         decay with the age of the report.
         """
-        age = max(0.0, now - self.reported_at)
+        age = now - self.reported_at
         others_ahead = self.other_in_flight + self.waiting.get(rank, 0)
         if not others_ahead:
             return self.in_flight
-        return self.in_flight + others_ahead * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+        return self.in_flight + others_ahead * compute_decay(
+            age, REPORT_HALF_LIFE_SECONDS
+        )
 
     def estimate_relative_latency(self, rank: str, now: float) -> float:
         """Return the service time as a multiple of that of the service."""
