Split the load header of upstreams in one place

The health page, the pace and the number of requests were each read by a split of their own. What counts as valid stays with each reader.

--- a/flamingohead/platform/dialect.py
+++ b/flamingohead/platform/dialect.py
@@ -38,18 +38,21 @@
     return parent if separator else ""
 
 
+def split_load(headers: Headers) -> list[bytes]:
+    """Return the figures of the load header, which are not validated."""
+    value = find_header(headers, LOAD_HEADER)
+    return [] if value is None else [figure.strip() for figure in value.split(b",")]
+
+
 def read_pace(headers: Headers) -> float | None:
     """Return how long work takes on the upstream, as a multiple of the usual.
 
     The load header contains it in percent as its fourth figure, on some services only.
     """
-    value = find_header(headers, LOAD_HEADER)
-    if value is None:
-        return None
-    figures = value.split(b",")
+    figures = split_load(headers)
     if len(figures) != LOAD_FIGURES:
         return None
-    percent = figures[-1].strip()
+    percent = figures[-1]
     if not percent.isdigit() or len(percent) > MAX_PACE_DIGITS or not int(percent):
         return None
     return int(percent) / 100
@@ -57,8 +60,7 @@
 
 def read_busy_count(headers: Headers) -> int | None:
     """Return the number of running and waiting requests of the upstream."""
-    figures = (find_header(headers, LOAD_HEADER) or b"").split(b",")[:2]
-    counts = [figure.strip() for figure in figures]
+    counts = split_load(headers)[:2]
     if len(counts) < 2 or not all(c.isdigit() and len(c) <= 6 for c in counts):
         return None
     return sum(map(int, counts))
--- a/flamingohead/platform/probe.py
+++ b/flamingohead/platform/probe.py
@@ -16,8 +16,8 @@
 from flamingohead.core.upstreams import Announcement
 from flamingohead.platform.dialect import (
     INSTANCE_HEADER,
-    LOAD_HEADER,
     read_busy_count,
+    split_load,
 )
 from flamingohead.services.http_client import CollectedResponse
 from flamingohead.services.http_messages import OutgoingRequest, find_header
@@ -96,8 +96,8 @@
     name = find_header(headers, INSTANCE_HEADER)
     # The load header contains the running requests, the waiting requests and the slots,
     # and on some services how long work takes at the moment.
-    load = (find_header(headers, LOAD_HEADER) or b"").split(b",")
-    if not name or len(load) not in (3, 4) or not load[2].strip().isdigit():
+    load = split_load(headers)
+    if not name or len(load) not in (3, 4) or not load[2].isdigit():
         return None
     return Announcement(
         name.decode("latin-1"),
