--- a/review/lib2/mesh.py
+++ b/review/lib2/mesh.py
@@ -139,6 +139,8 @@
     async def _serve(self, reader, writer):
         try:
             while (request := await read_message(reader)) is not None:
+                if self.is_silent:
+                    await asyncio.sleep(3600)
                 status, body = await self._answer(request)
                 if self.is_silent:
                     await asyncio.sleep(3600)
