--- a/review/lib2/mesh.py
+++ b/review/lib2/mesh.py
@@ -43,8 +43,8 @@
 
 
 def find_ports(host, count):
-    """Return consecutive free ports of a loopback address."""
-    for first in itertools.count(20000 + secrets.randbelow(20000), count):
+    """Return consecutive free ports of a loopback address, below the ephemeral ones."""
+    for first in itertools.count(20000 + secrets.randbelow(10000), count):
         try:
             for port in range(first, first + count):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
