Confirm an upstream older than its daemon before it is used

Cause: two copies in the memory of other daemons count as a safe place, and a read of the table with one join counts as full knowledge of earlier leaves. Neither survives a kill of all daemons, after which the first message was believed.

Change: the first heartbeat of an upstream that is older than its daemon needs the upstream's own confirmation: its health response, which says that it is leaving, or heartbeats for longer than one may be late. It holds after each start, since a surviving daemon need not hold the copy. The decision is in core/lifecycle/arrivals.py; platform/ only sends the health request. E313 and beat.unconfirmed tell of it. The stand-in for upstreams now answers health requests with 503 while it leaves, as the platform's upstreams do.

--- a/flamingohead/core/departures.py
+++ b/flamingohead/core/departures.py
@@ -4,7 +4,8 @@
 any state. So a departure is acknowledged only once the table or other daemons hold it.
 A daemon that has just started uses no upstream before it has asked both for earlier
 departures: a late message of an upstream that has left would put it back into use. This
-is for planned stops and kills of daemons while the table does not respond.
+is for planned stops and kills of daemons while the table does not respond. Copies don't
+survive a kill of all daemons; ``lifecycle/arrivals.py`` is for that.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/flamingohead/core/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the life cycle of upstreams."""
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -73,6 +73,9 @@
     HEARTBEAT_POSTPONED = EventKind(
         311, logging.INFO, "heartbeat postponed: earlier departures are not known"
     )
+    HEARTBEAT_UNCONFIRMED = EventKind(
+        313, logging.INFO, "heartbeat postponed: the upstream does not confirm it"
+    )
     PEER_MESSAGE_TOO_LARGE = EventKind(
         312, logging.WARNING, "message of a peer refused for its size"
     )
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -24,6 +24,7 @@
 from flamingohead.platform.store import StoreClient
 from flamingohead.platform.tables import StoreObjects, StoreTable
 from flamingohead.platform.watch import SettingsWatcher
+from flamingohead.services.arrivals import ArrivalService
 from flamingohead.services.calls import CallService
 from flamingohead.services.configuration import ConfigurationService
 from flamingohead.services.departures import DepartureService
@@ -105,7 +106,6 @@
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
     if settings.metrics_address:
         kernel.add("metrics_page", MetricsPage(kernel, settings.metrics_address))
-    kernel.add("probe", UpstreamProbe(kernel, settings))
     kernel.add("watch", SettingsWatcher(kernel, settings, path))
 
 
@@ -163,4 +163,6 @@
     upstreams = UpstreamService(kernel, UpstreamSettings(lifetime=lifetime))
     kernel.add("upstreams", upstreams)
     kernel.add("departures", DepartureService(kernel, settings.host_id))
+    probe = UpstreamProbe(kernel, settings)
+    kernel.add("arrivals", ArrivalService(kernel, probe, delay=lifetime))
     kernel.add("announcements", InstanceEndpoint(kernel, settings.announce_address))
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -39,7 +39,7 @@
 READY_PATH = b"/v1/ready"
 INSTANCES_PATH = b"/v1/instances/"
 # Below the 1 s that the upstream waits for the acknowledgement.
-POSTPONE_TIMEOUT_SECONDS = 0.6
+CONFIRM_TIMEOUT_SECONDS = 0.6
 MAX_SLOTS = 1_000_000
 # By how much the wall clock of an upstream may be ahead of that of its daemon; a clock
 # in the wrong time zone is hours off.
@@ -137,8 +137,8 @@
             response.send(400, JSON_HEADERS, b'{"error":"not a heartbeat"}')
             return
         is_ready = announcement.status is UpstreamStatus.READY
-        if is_ready and not self._kernel.get("departures").knows_earlier:
-            self._spawn(self._postpone_heartbeat(announcement, response))
+        if is_ready and not self._kernel.get("arrivals").may_apply(announcement):
+            self._spawn(self._confirm_heartbeat(announcement, response))
             return
         self._apply_heartbeat(announcement, response)
 
@@ -149,18 +149,20 @@
         if not is_named and service != self._kernel.get("calls").own_service:
             raise ValueError(f"service: found {service!r}, which is not configured")
 
-    async def _postpone_heartbeat(
+    async def _confirm_heartbeat(
         self, announcement: Announcement, response: ServerResponse
     ) -> None:
         """Use no upstream that may have left before this daemon was started."""
-        deadline = time.monotonic() + POSTPONE_TIMEOUT_SECONDS
-        if await self._kernel.get("departures").wait_for_earlier(deadline):
-            if not response.is_disconnected:
-                self._apply_heartbeat(announcement, response)
+        deadline = time.monotonic() + CONFIRM_TIMEOUT_SECONDS
+        is_confirmed = await self._kernel.get("arrivals").confirm(
+            announcement, deadline
+        )
+        if response.is_disconnected:
             return
-        log_event(logger, Event.HEARTBEAT_POSTPONED, upstream=announcement.name)
-        if not response.is_disconnected:
-            body = b'{"error":"earlier departures are not known yet"}'
+        if is_confirmed:
+            self._apply_heartbeat(announcement, response)
+        else:
+            body = b'{"error":"the upstream may have left; send it again"}'
             response.send(503, JSON_HEADERS, body)
 
     def _apply_heartbeat(
--- a/flamingohead/platform/probe.py
+++ b/flamingohead/platform/probe.py
@@ -1,17 +1,12 @@
-"""Health request to the upstream of this host at the start of its daemon.
-
-Heartbeats are 1 to 2 s apart. Without the request, a restarted daemon could not use the
-slots of its upstream until the next heartbeat.
-"""
+"""Health request to the upstream of this host."""
 
 from __future__ import annotations
 
-import asyncio
-import logging
 import time
 from typing import TYPE_CHECKING
 
-from flamingohead.core.errors import Refusal
+from flamingohead.core.errors import ErrorKind
+from flamingohead.core.lifecycle.arrivals import Health, HealthResponse
 from flamingohead.core.members import UpstreamStatus
 from flamingohead.core.upstreams import Announcement
 from flamingohead.platform.dialect import (
@@ -27,53 +22,26 @@
     from flamingohead.platform.boot import HostSettings
     from flamingohead.services.http_messages import Headers
 
-logger = logging.getLogger(__name__)
-
 # Long enough for a probe that waits for a slot of the upstream, as any request does.
 PROBE_TIMEOUT_SECONDS = 1.0
-POLL_INTERVAL_SECONDS = 0.02
 # Only the headers of the health page are used; its body is discarded.
 MAX_HEALTH_BYTES = 64 * 1024
 OK = 200
 
 
 class UpstreamProbe:
-    """Detect a ready upstream before its first heartbeat."""
+    """Send health requests to the upstream."""
 
     def __init__(self, kernel: Kernel, settings: HostSettings) -> None:
         self._kernel = kernel
         self._settings = settings
-        self._task: asyncio.Task | None = None
-        self._busy_count: int | None = None
-
-    async def start(self) -> None:
-        self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def stop(self) -> None:
-        self._task.cancel()
-
-    async def _run(self) -> None:
-        while not self._kernel.get("configuration").is_ready:
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        while not self._kernel.get("departures").knows_earlier:
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        if self._kernel.get("upstreams").is_empty:
-            announcement = await self._send_probe()
-            if announcement is not None and self._kernel.get("upstreams").is_empty:
-                self._kernel.get("upstreams").announce(announcement)
-            if announcement is not None:
-                self._keep_slots(announcement.name)
-
-    def _keep_slots(self, name: str) -> None:
-        """Keep the slots of requests that an earlier daemon of this host has sent."""
-        if self._busy_count:
-            self._kernel.get("slots").inherit(name, self._busy_count)
 
-    async def _send_probe(self) -> Announcement | None:
+    async def send(self) -> HealthResponse:
+        """Return what the upstream responds to a health request."""
         settings = self._settings
         pool = self._kernel.get("configuration").routes.get_pool(settings.service)
         if pool is None or not pool.health_path:
-            return None
+            return HealthResponse(Health.UNCONFIRMED)
         deadline = time.monotonic() + PROBE_TIMEOUT_SECONDS
         path = pool.health_path.encode()
         request = OutgoingRequest("GET", path, (), b"", deadline)
@@ -81,11 +49,15 @@
         refusal = await self._kernel.get("http_client").send(
             settings.upstream_address, request, response, fresh=True
         )
-        self._kernel.get("metrics").count("upstream.probed")
-        if isinstance(refusal, Refusal) or response.status != OK:
-            return None
-        self._busy_count = read_busy_count(response.headers)
-        return decode_health(response.headers, settings)
+        if refusal is not None and refusal.kind is ErrorKind.UPSTREAM_UNREACHABLE:
+            return HealthResponse(Health.ABSENT)
+        if refusal is not None or response.status != OK:
+            return HealthResponse(Health.UNCONFIRMED)
+        announcement = decode_health(response.headers, settings)
+        if announcement is None:
+            return HealthResponse(Health.UNCONFIRMED)
+        busy_count = read_busy_count(response.headers)
+        return HealthResponse(Health.READY, announcement, busy_count)
 
 
 def decode_health(headers: Headers, settings: HostSettings) -> Announcement | None:
--- a/flamingohead/standins/instance.py
+++ b/flamingohead/standins/instance.py
@@ -84,6 +84,7 @@
     _refusal_writer: RefusalWriter = field(default_factory=RefusalWriter)
     _connections: dict[object, int] = field(default_factory=dict)
     _sequence: int = 0
+    _is_leaving: bool = False
     _in_use: int = 0
     _waiting: deque[tuple] = field(default_factory=deque)
     _silent_connections: set[object] = field(default_factory=set)
@@ -108,6 +109,7 @@
                 await asyncio.wait_for(stopping.wait(), HEARTBEAT_INTERVAL_SECONDS)
             except TimeoutError:
                 pass
+        self._is_leaving = True
         if await self._send_heartbeat(client, "draining"):
             self._record_event("left")
         await asyncio.sleep(self.drain_seconds)
@@ -163,7 +165,7 @@
         if request.target == b"/healthz":
             load = b"%d,%d,%d" % (self._in_use, len(self._waiting), self.slots)
             headers = [(b"instance-id", self.name.encode()), (b"instance-load", load)]
-            response.send(200, headers, b"")
+            response.send(503 if self._is_leaving else 200, headers, b"")
             return
         connection = response.connection
         self._refusal_writer.write_pending(connection)
