Keep a late leave from ending the next upstream at its address

Cause: a leave has no incarnation, so the time of its arrival was stored as that of the upstream that left, which then counted as the later one of the two at the address. The time up to which announcements are ignored is kept apart from the incarnation now, and addresses are compared by starts only.

Measured: test_late_leave_does_not_end_a_later_upstream_at_its_address failed before (the later upstream expired) and passes; the properties of the life cycle and the tests of departures pass unchanged.

--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -85,10 +85,15 @@
 
 @dataclass
 class UpstreamRecord:
-    """Track an upstream with its stage, its published load and its deadlines."""
+    """Track an upstream with its stage, its published load and its deadlines.
+
+    Announcements of incarnations up to ``ended_incarnation`` are ignored. It is the
+    time of a leave, while the incarnation of the announcement is that of a start.
+    """
 
     announcement: Announcement
     expires_at: float
+    ended_incarnation: int = -1
     stage: UpstreamStage = UpstreamStage.ARRIVING
     load: float = 0.0
     next_load_change_at: float = 0.0
@@ -168,9 +173,14 @@
         return record.stage if record else None
 
     def get_incarnation(self, name: str) -> int | None:
-        """Return the incarnation of an upstream, or ``None`` if it is unknown."""
+        """Return the latest incarnation that is known to have started or ended.
+
+        It is ``None`` if the upstream is unknown.
+        """
         record = self._records.get(name)
-        return record.announcement.incarnation if record else None
+        if record is None:
+            return None
+        return max(record.announcement.incarnation, record.ended_incarnation)
 
     def get_address(self, name: str) -> str:
         """Return the address of a known upstream."""
@@ -215,7 +225,10 @@
                 detail = f"{name!r} would be upstream {MAX_UPSTREAMS + 1} of this host"
                 return Refusal(ErrorKind.QUEUE_FULL, detail)
             record = self._add_record(announcement)
-        elif announcement.number <= record.announcement.number:
+        elif (
+            announcement.number <= record.announcement.number
+            or announcement.incarnation <= record.ended_incarnation
+        ):
             return []
         elif refusal := self._check_successor(announcement, record.announcement):
             return refusal
@@ -240,17 +253,11 @@
         self._extend_after_pause(now)
         record = self._records.get(name)
         if record is None:
-            placeholder = Announcement(
-                name, "", "", 1, UpstreamStatus.GONE, incarnation, 0
-            )
+            placeholder = Announcement(name, "", "", 1, UpstreamStatus.GONE, 0, 0)
             self._evict_ended()
             record = self._add_record(placeholder)
-        known = record.announcement
-        record.announcement = replace(
-            known,
-            incarnation=max(known.incarnation, incarnation),
-            sequence=FINAL_SEQUENCE,
-        )
+        record.announcement = replace(record.announcement, sequence=FINAL_SEQUENCE)
+        record.ended_incarnation = max(record.ended_incarnation, incarnation)
         record.expires_at = now + self._settings.lifetime
         return self._apply_event(record, "leave")
 
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -639,6 +639,23 @@
         assert registry.announce(self.BEAT, 0.2) == []
         assert registry.get_stage("i-1") is UpstreamStage.GONE
 
+    def test_late_leave_does_not_end_a_later_upstream_at_its_address(self):
+        # Guards against a server that stays unused because its predecessor's leave
+        # arrives late, with the time of its arrival.
+        registry = UpstreamRegistry()
+        later = replace(self.BEAT, name="i-2", incarnation=2000)
+        registry.announce(self.BEAT, 0.0)
+        registry.announce(later, 0.1)
+        registry.end_upstream("i-1", 0.2, incarnation=3000)
+        # Heartbeats over two lifetimes, in steps that are no pause of the process.
+        for step in range(1, 21):
+            beat = replace(later, sequence=later.sequence + step)
+            registry.announce(beat, 0.2 + 0.2 * step)
+            registry.tick(0.2 + 0.2 * step)
+        assert registry.get_stage("i-2") is UpstreamStage.READY
+        assert registry.announce(replace(self.BEAT, sequence=9), 4.3) == []
+        assert registry.get_stage("i-1") is UpstreamStage.GONE
+
 
 class TestSuccessiveDocuments:
     """Replay frequent changes of a configuration with many routes."""
