End the attempts of a request when nothing can be sent

Cause: Placement.choose returned None both when no upstream is known yet and when none can serve a large body in time. The loop over attempts took both for the first, and waited for an upstream that was there already, which returns without suspending. A clock that advances at each reading shows it without a change of the configuration and without a connection.

Change: choose returns the reason as a refusal. Discovery is waited for once, before the first attempt. AttemptTracker.start allows an attempt only after the record of the one before, so that a turn that sends nothing ends the loop. A large body is matched against all upstreams before a few are sampled; before, the loop drew again until it met one. Two assertions on None now demand the kind of the refusal.

--- a/benchmarks/worst_load_model.py
+++ b/benchmarks/worst_load_model.py
@@ -283,10 +283,8 @@
         entry_host, kind, now = request.entry_host, request.kind, self._queue.now
         placement_request = PlacementRequest(kind.service, kind.rank_name, kind.bulky)
         choice = self._choose(request, placement_request)
-        if choice is None:
-            refusal = request.tracker.build_final_refusal() or Refusal(
-                ErrorKind.NO_UPSTREAM
-            )
+        if isinstance(choice, Refusal):
+            refusal = request.tracker.build_final_refusal() or choice
             self._record_overload(request, refusal)
             self._end_attempt(request, refusal)
             return
@@ -299,7 +297,7 @@
 
     def _choose(
         self, request: _Request, placement_request: PlacementRequest
-    ) -> PlacementChoice | None:
+    ) -> PlacementChoice | Refusal:
         excluded = frozenset(request.tracker.excluded)
         must_wait = request.tracker.must_wait or self._policy == "always_wait"
         return request.entry_host.placement.choose(
--- a/flamingohead/assembly.py
+++ b/flamingohead/assembly.py
@@ -23,6 +23,7 @@
 from flamingohead.services.history import HistoryService
 from flamingohead.services.http_client import HttpClientService
 from flamingohead.services.keys import KeyService
+from flamingohead.services.loop_lag import LoopLagService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.observation import ObservationService
 from flamingohead.services.operators import OperatorService
@@ -45,6 +46,7 @@
     """Add every service of a daemon to the kernel."""
     generator = random.Random()
     kernel.add("metrics", MetricsService(settings.statsd_address))
+    kernel.add("loop_lag", LoopLagService(kernel))
     kernel.add("eras", EraService(kernel))
     _add_platform(kernel, settings)
     kernel.add("http_client", HttpClientService())
--- a/flamingohead/core/attempts.py
+++ b/flamingohead/core/attempts.py
@@ -69,6 +69,7 @@
     _queue_refusals: int = 0
     _moves: int = 0
     _last_refusal: Refusal | None = None
+    _step: Step | None = Step.MOVE
 
     @property
     def must_wait(self) -> bool:
@@ -80,6 +81,16 @@
         """Return the refusal of the last attempt."""
         return self._last_refusal
 
+    def start(self) -> bool:
+        """Return whether another attempt may be started.
+
+        Each start needs the record of the attempt before, so that a loop over attempts
+        ends if one of its turns sends nothing.
+        """
+        may_start = self._step in (Step.MOVE, Step.REPEAT)
+        self._step = None
+        return may_start
+
     def record(
         self, key: UpstreamKey, refusal: Refusal, now: float, *, waited: bool
     ) -> Step:
@@ -88,6 +99,16 @@
         ``REPEAT`` means that an upstream worked on the attempt, so that the next one is
         charged to the retry budget.
         """
+        self._step = self._decide(key, refusal, now, waited=waited)
+        return self._step
+
+    def give_up(self) -> None:
+        """Start no further attempt, whatever the last record decided."""
+        self._step = Step.GIVE_UP
+
+    def _decide(
+        self, key: UpstreamKey, refusal: Refusal, now: float, *, waited: bool
+    ) -> Step:
         self._last_refusal = refusal
         self.ran = self.ran.merge(refusal.ran)
         self.excluded.add(key)
--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -220,21 +220,26 @@
         *,
         excluded: frozenset[UpstreamKey] = frozenset(),
         must_wait: bool = False,
-    ) -> PlacementChoice | None:
-        """Return the upstream for a request, or ``None`` if there is none.
+    ) -> PlacementChoice | Refusal:
+        """Return the upstream for a request, or why it can't be sent to any.
 
         Without ``must_wait``, the request may queue only if the upstream is chosen
         although it is estimated to be full and no leaving one is free, or if its
         response or body is large: queueing is then cheaper than another transfer.
         """
-        local = self._local_pools.get(request.service, [])
-        remote = self._remote_pools.get(request.service, [])
-        upstreams = self._sample(local, LOCAL_SAMPLE_SIZE, excluded)
-        upstreams += self._sample(remote, REMOTE_SAMPLE_SIZE, excluded)
+        local = self._list_others(self._local_pools, request.service, excluded)
+        remote = self._list_others(self._remote_pools, request.service, excluded)
+        if not local and not remote:
+            detail = f"no upstream of {request.service!r}"
+            return Refusal(ErrorKind.NO_UPSTREAM, detail)
         if request.body_bytes:
-            upstreams = [u for u in upstreams if self._may_arrive(u, request, now)]
-        if not upstreams:
-            return None
+            known = local + remote
+            local = [u for u in local if self._may_arrive(u, request, now)]
+            remote = [u for u in remote if self._may_arrive(u, request, now)]
+            if not local and not remote:
+                return self._refuse_body(known, request, now)
+        upstreams = self._sample(local, LOCAL_SAMPLE_SIZE)
+        upstreams += self._sample(remote, REMOTE_SAMPLE_SIZE)
         chosen = self._pick(upstreams, request, now)
         may_wait = (
             must_wait
@@ -296,6 +301,11 @@
         upstreams = [u for pool in pools for u in pool.get(request.service, ())]
         if not upstreams or any(self._may_arrive(u, request, now) for u in upstreams):
             return None
+        return self._refuse_body(upstreams, request, now)
+
+    def _refuse_body(
+        self, upstreams: list[UpstreamView], request: PlacementRequest, now: float
+    ) -> Refusal:
         seconds = min(self._estimate_body_time(u, request, now) for u in upstreams)
         detail = f"the body takes {seconds:.2f} s to arrive and be served"
         # The bodies on their way will have arrived by then.
@@ -321,12 +331,20 @@
         transfer = self._estimate_transfer(upstream, request, now)
         return max(transfer, wait) + baseline * relative
 
-    def _sample(
-        self, pool: list[UpstreamView], count: int, excluded: frozenset[UpstreamKey]
+    @staticmethod
+    def _list_others(
+        pools: dict[str, list[UpstreamView]],
+        service: str,
+        excluded: frozenset[UpstreamKey],
     ) -> list[UpstreamView]:
+        """Return the upstreams of a service without the excluded ones."""
+        pool = pools.get(service, [])
+        if not excluded:
+            return pool
+        return [upstream for upstream in pool if upstream.key not in excluded]
+
+    def _sample(self, pool: list[UpstreamView], count: int) -> list[UpstreamView]:
         """Return up to ``count`` random upstreams of a pool."""
-        if excluded:
-            pool = [upstream for upstream in pool if upstream.key not in excluded]
         if len(pool) > count:
             return self._random.sample(pool, count)
         return list(pool)
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -25,6 +25,7 @@
     DAEMON_NOT_STARTED = EventKind(103, logging.ERROR, "daemon can't start")
     SETTINGS_RELOADED = EventKind(104, logging.INFO, "settings reloaded")
     SETTINGS_REJECTED = EventKind(105, logging.ERROR, "settings file rejected")
+    LOOP_BLOCKED = EventKind(106, logging.WARNING, "event loop blocked or paused")
     VERSION_ACTIVATED = EventKind(200, logging.INFO, "configuration in force")
     VERSION_REJECTED = EventKind(201, logging.ERROR, "configuration rejected")
     VERSION_ACCEPTED = EventKind(202, logging.INFO, "change accepted")
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -31,6 +31,7 @@
 from flamingohead.services.eras import EraService
 from flamingohead.services.group_attempts import GroupAttemptService
 from flamingohead.services.http_client import HttpClientService
+from flamingohead.services.loop_lag import LoopLagService
 from flamingohead.services.metrics import MetricsService
 from flamingohead.services.metrics_page import MetricsPage
 from flamingohead.services.quotas import QuotaService
@@ -81,6 +82,7 @@
     """Add every service of a daemon; ``path`` is the path of its settings file."""
     generator = random.Random()
     kernel.add("metrics", MetricsService())
+    kernel.add("loop_lag", LoopLagService(kernel))
     kernel.add("http_client", HttpClientService())
     kernel.add("eras", EraService(kernel))
     store = StoreClient(kernel, settings.store_address)
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -96,14 +96,13 @@
         self._is_ready = self._readiness.check(routed, present, time.monotonic())
         return self._is_ready
 
-    async def _wait_for_upstream(self, call: Call) -> bool:
+    async def _wait_for_upstream(self, call: Call) -> None:
         """Wait for a first upstream while this daemon still discovers its peers."""
         wait_until = min(time.monotonic() + MAX_DISCOVERY_WAIT_SECONDS, call.deadline)
-        while not self.can_serve() and time.monotonic() < wait_until:
+        while time.monotonic() < wait_until and not self.can_serve():
             if call.service in self._placement.list_services():
-                return True
+                return
             await asyncio.sleep(DISCOVERY_POLL_SECONDS)
-        return call.service in self._placement.list_services()
 
     def set_members(self, members) -> None:
         """Set the members of the group as candidates."""
@@ -125,21 +124,19 @@
             self._kernel.get("metrics").count("refusal.known")
             return cached_refusal
         placement_request = _build_placement_request(call)
-        refusal = self._placement.check_body(placement_request, time.monotonic())
-        if refusal is not None:
-            return refusal
         tracker = AttemptTracker(call.idempotent, call.max_attempts, call.deadline)
         failed_response: BufferedResponse | None = None
-        while True:
+        await self._wait_for_upstream(call)
+        while tracker.start():
             choice = self._placement.choose(
                 placement_request,
                 time.monotonic(),
                 excluded=frozenset(tracker.excluded),
                 must_wait=tracker.must_wait,
             )
-            if choice is None:
-                if tracker.last_refusal is None and await self._wait_for_upstream(call):
-                    continue
+            if isinstance(choice, Refusal):
+                if tracker.last_refusal is None:
+                    return choice
                 break
             buffered = BufferedResponse(response)
             refusal = await self._attempt(choice, call, buffered)
@@ -152,14 +149,11 @@
                 failed_response = buffered
                 detail = f"the upstream answered {buffered.status}"
                 refusal = Refusal(ErrorKind.UPSTREAM_FAILED, detail)
-            if not self._should_retry(call, tracker, choice, refusal):
-                break
+            self._record_attempt(call, tracker, choice, refusal)
         if failed_response is not None:
             failed_response.deliver()
             return None
-        refusal = tracker.build_final_refusal() or Refusal(
-            ErrorKind.NO_UPSTREAM, f"no upstream of {call.service!r}"
-        )
+        refusal = tracker.build_final_refusal()
         self._overload_cache.record(
             call.service,
             call.rank,
@@ -176,21 +170,23 @@
             return False
         return call.idempotent
 
-    def _should_retry(
+    def _record_attempt(
         self,
         call: Call,
         tracker: AttemptTracker,
         choice: PlacementChoice,
         refusal: Refusal,
-    ) -> bool:
+    ) -> None:
+        """Record a failed attempt; the tracker allows another one, or none."""
         now = time.monotonic()
         key = choice.candidate.key
         step = tracker.record(key, refusal, now, waited=choice.may_wait)
         if step is Step.REPEAT and not self._budget.spend(call.service, now):
             self._kernel.get("metrics").count("retry.over_budget")
-            step = Step.GIVE_UP
+            tracker.give_up()
+            return
         if step is Step.GIVE_UP:
-            return False
+            return
         self._kernel.get("metrics").count_retry(refusal)
         if step is Step.REPEAT:
             log_event(
@@ -202,7 +198,6 @@
                 detail=refusal.detail,
                 attempts=tracker.upstreams,
             )
-        return True
 
     async def _attempt(
         self, choice: PlacementChoice, call: Call, buffered: BufferedResponse
--- a/flamingohead/testing/uneven_upstreams.py
+++ b/flamingohead/testing/uneven_upstreams.py
@@ -124,7 +124,7 @@
         )
         must_wait = attempts >= 2
         choice = view.choose(request, now, excluded=excluded, must_wait=must_wait)
-        if choice is None or attempts >= 4:
+        if isinstance(choice, Refusal) or attempts >= 4:
             self.result.refused += sent_at >= self._warmup
             return
         host = self._hosts[choice.candidate.host_id]
--- a/flamingohead/tests/test_attempt_plan.py
+++ b/flamingohead/tests/test_attempt_plan.py
@@ -38,6 +38,21 @@
         assert plan.record(("h1", "u"), FULL, 0.0, waited=True) is Step.GIVE_UP
         assert plan.upstreams == 0
 
+    def test_turn_that_records_no_attempt_ends_the_loop(self):
+        # Guards against a loop over attempts that sends nothing and never ends.
+        plan = build_plan()
+        assert plan.start()
+        assert not plan.start()
+
+    def test_recorded_attempts_allow_others_until_one_gives_up(self):
+        plan = build_plan()
+        assert plan.start()
+        plan.record(("a", "u"), FULL, 0.0, waited=False)
+        assert plan.start()
+        plan.record(("b", "u"), CUT, 0.0, waited=False)
+        plan.give_up()
+        assert not plan.start()
+
     def test_final_refusal_has_the_earliest_retry_time(self):
         plan = build_plan()
         plan.record(("a", "u"), FULL, 0.0, waited=True)
--- a/flamingohead/tests/test_large_bodies.py
+++ b/flamingohead/tests/test_large_bodies.py
@@ -88,9 +88,16 @@
         refusal = placement.check_body(late, 0.0)
         assert refusal.kind is ErrorKind.DEADLINE_UNREACHABLE
         assert refusal.retry_at > 0.0
-        assert placement.choose(late, 0.0) is None
+        assert placement.choose(late, 0.0) == refusal
         assert placement.check_body(replace(late, body_bytes=60_000), 0.0) is None
 
+    def test_only_host_that_it_reaches_in_time_is_found_among_many(self):
+        # Guards against a refusal because none of a few sampled hosts is eligible.
+        slow = [build_member(f"slow{n}", link_mbps=1) for n in range(60)]
+        own = build_member("own", serves=False)
+        placement = build_placement(own, *slow, build_member("fast"))
+        assert {choose_host(placement) for _ in range(20)} == {"fast"}
+
     def test_link_that_is_busy_with_bodies_refuses_more(self):
         placement = build_placement(
             build_member("own", serves=False, link_mbps=10), build_member("a")
--- a/flamingohead/tests/test_placement.py
+++ b/flamingohead/tests/test_placement.py
@@ -38,7 +38,7 @@
 class TestPlacement:
     def test_no_choice_without_a_ready_upstream(self):
         placement = build_placement(build_member("a", status=UpstreamStatus.DRAINING))
-        assert placement.choose(DEMAND, 0.0) is None
+        assert placement.choose(DEMAND, 0.0).kind is ErrorKind.NO_UPSTREAM
 
     def test_full_host_is_skipped_while_another_has_free_slots(self):
         placement = build_placement(build_member("a"), build_member("b"), now=-100.0)
