Let callers read the last response before a connection is closed

Cause: the socket was closed as soon as the last response had been handed to it. A caller that pipelines had not read "Connection: close" yet and sent a further request; the kernel answers data for a closed socket with a reset and drops what it has not sent. With one request at a time nothing was cut.

Change: each close is for writing first, and what arrives is discarded until the caller closes, at most 2 s after the last byte was sent and 10 s in all. A connection on which nothing was written for 2 s is still closed at once. This also covers the idle timeout, "Connection: close" of a caller, and the idle connections that a stop closes. A connection with unsent data no longer gives way to a new one.

--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -34,6 +34,7 @@
 READ_TIMEOUT = 15.0
 IDLE_TIMEOUT_SECONDS = 120.0
 CLOSE_TIMEOUT_SECONDS = 10.0
+# Time after the last byte was sent in which a caller may still read and send.
 LINGER_TIMEOUT = 2.0
 SWEEP_PERIOD_SECONDS = 0.5
 MAX_PIPELINED_REQUESTS = 32
@@ -98,6 +99,8 @@
         self._read_deadline = math.inf
         self._idle_deadline = math.inf
         self._close_deadline = math.inf
+        # Until then, the caller may still read what was written last.
+        self._linger_deadline = -math.inf
         self.call_soon = factory.call_soon
 
     @property
@@ -217,9 +220,7 @@
 
     def _measure_unsent(self) -> None:
         """Count what the caller has not read yet."""
-        # A transport of Twisted, which stand-ins use, does not tell.
-        measure = getattr(self.transport, "get_unsent_bytes", None)
-        unsent_bytes = 0 if measure is None else measure()
+        unsent_bytes = self._count_unsent()
         if unsent_bytes == self._unsent_bytes:
             return
         if unsent_bytes < self._unsent_bytes or not self._unsent_bytes:
@@ -394,12 +395,13 @@
 
     def write(self, data: bytes) -> None:
         if not self.is_closing:
+            self._linger_deadline = self._factory.clock() + LINGER_TIMEOUT
             self.transport.write(data)
 
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
         self.is_closing = True
-        self._close_deadline = self._factory.clock()
+        self._close_deadline = self._linger_deadline = self._factory.clock()
         self._unsent_bytes = 0
         self._update_reservation()
         self.transport.abortConnection()
@@ -410,10 +412,7 @@
             self._update_reservation()
             return
         self._active.popleft()
-        if self._is_rejected:
-            self.close_after_reading()
-            return
-        if response.closes_connection:
+        if self._is_rejected or response.closes_connection:
             self.close()
             return
         self._set_idle_deadline()
@@ -432,30 +431,42 @@
             factory.connections[self] = factory.connections.pop(self)
 
     def close(self) -> None:
-        """Close the connection after all written data has been sent."""
-        self.is_closing = True
-        self._close_deadline = self._factory.clock() + CLOSE_TIMEOUT_SECONDS
-        self._update_reservation()
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
-
-    def close_after_reading(self) -> None:
-        """Close for writing, and discard received data for ``LINGER_TIMEOUT``.
+        """Close the connection once the caller has had time to read what was written.
 
-        An immediate close would reset the connection while the caller is still
-        sending, and the caller would lose the response.
+        The connection is closed for writing first, and received data is discarded. A
+        caller that has not read the last response yet may still send: closing the
+        socket at once would reset the connection, and the caller would lose the
+        remainder of the response.
         """
+        if self.is_closing:
+            return
+        now = self._factory.clock()
         self.is_closing = True
-        self._close_deadline = self._factory.clock() + LINGER_TIMEOUT
+        self._close_deadline = now + CLOSE_TIMEOUT_SECONDS
         self._update_reservation()
         self.transport.unregisterProducer()
+        if self._has_been_read(now):
+            self.transport.loseConnection()
+            return
+        self._linger_deadline = now + LINGER_TIMEOUT
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
 
+    def _has_been_read(self, now: float) -> bool:
+        """Return whether the caller had time to read what was written."""
+        return now >= self._linger_deadline and not self._count_unsent()
+
+    def _count_unsent(self) -> int:
+        # A transport of Twisted, which stand-ins use, does not tell.
+        measure = getattr(self.transport, "get_unsent_bytes", None)
+        return 0 if measure is None else measure()
+
     def check_deadlines(self, now: float) -> None:
         """Close the connection if its read, idle or close deadline has passed."""
         if self.is_closing:
-            if now >= self._close_deadline:
+            if self._count_unsent():
+                self._linger_deadline = now + LINGER_TIMEOUT
+            if now >= min(self._close_deadline, self._linger_deadline):
                 self.abort()
             return
         self._measure_unsent()
@@ -471,7 +482,7 @@
     @property
     def is_replaceable(self) -> bool:
         """Return whether the connection may be closed for a new one."""
-        return self.is_closing or (not self._active and not self._pending)
+        return not self._active and not self._pending and not self._count_unsent()
 
 
 def _accept_head(request: IncomingRequest, length: int | None) -> None:
@@ -571,7 +582,8 @@
     def admit_connection(self) -> bool:
         """Return whether a connection may be opened; close another if necessary.
 
-        The one that has been without a request for longest is closed.
+        The one that has been without a request for longest is closed, so that its
+        caller has most likely read the last response.
         """
         if not self.max_connections or len(self.connections) < self.max_connections:
             return True
