Require keys also when no organisation has one left

Cause: whether keys are required was derived from the index of keys, which is empty both without organisations and when none of them has a key.

Change: organisations require keys, whatever keys they have.

--- a/flamingohead/core/resources.py
+++ b/flamingohead/core/resources.py
@@ -28,6 +28,7 @@
 
 
 CLIENT_LIMITS_KEY = ResourceKey("client_limits", "", "")
+KEY_REQUIREMENT_KEY = ResourceKey("key_requirement", "", "")
 ORGANISATION_KIND = "organisation"
 # Bytes of a key digest; a longer one would only lengthen messages between daemons.
 KEY_DIGEST_BYTES = 16
@@ -179,12 +180,24 @@
         return ResourceKey(ORGANISATION_KIND, "", self.name)
 
 
+@dataclass(frozen=True)
+class KeyRequirement:
+    """Require keys although the configuration has no organisation.
+
+    Organisations require keys too, so only a configuration without any needs it.
+    """
+
+    @property
+    def key(self) -> ResourceKey:
+        return KEY_REQUIREMENT_KEY
+
+
 def digest_key(key: bytes) -> str:
     """Return the digest that identifies a key of an organisation."""
     return hashlib.sha256(key).hexdigest()[: 2 * KEY_DIGEST_BYTES]
 
 
-Resource = Service | Pool | Rank | Route | ClientLimits | Organisation
+Resource = Service | Pool | Rank | Route | ClientLimits | Organisation | KeyRequirement
 
 
 def _hash_resources(resources: Iterable[Resource]) -> bytes:
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -11,7 +11,9 @@
 from flamingohead.core.resources import (
     ANY_METHOD,
     CLIENT_LIMITS_KEY,
+    KEY_REQUIREMENT_KEY,
     ORGANISATION_KIND,
+    KeyRequirement,
     Organisation,
     Pool,
     Rank,
@@ -52,7 +54,7 @@
         self._routes: dict[RouteMatch, ResolvedRoute] = {}
         self._ranks: dict[str, tuple[Rank, ...]] = {}
         self._pools: dict[str, Pool] = {}
-        self._organisations = _index_organisations(snapshot)
+        self._index_organisations()
         self._add_resources(list(snapshot.resources.values()))
 
     @property
@@ -73,8 +75,8 @@
         table.snapshot = snapshot
         table._routes = dict(self._routes)
         table._ranks = dict(self._ranks)
-        if any(isinstance(resource, Organisation) for resource in resources):
-            table._organisations = _index_organisations(snapshot)
+        if any(isinstance(r, Organisation | KeyRequirement) for r in resources):
+            table._index_organisations()
         replaced_services = {
             resource.key.service
             for resource in difference.before
@@ -95,6 +97,21 @@
                 table._ranks.pop(service, None)
         return table
 
+    def _index_organisations(self) -> None:
+        """Index the organisations by the digests of their keys.
+
+        Requests to routes that are not public need a key if there are organisations,
+        even if none of them has a key left.
+        """
+        organisations = self.snapshot.list_kind(ORGANISATION_KIND)
+        is_required = KEY_REQUIREMENT_KEY in self.snapshot.resources
+        self.requires_keys = bool(organisations) or is_required
+        self._organisations: dict[str, Organisation] = {
+            digest: organisation
+            for organisation in organisations
+            for digest in organisation.key_digests
+        }
+
     def _add_resources(self, resources: Iterable[Resource]) -> None:
         ranks: dict[str, dict[str, Rank]] = defaultdict(dict)
         for resource in resources:
@@ -130,11 +147,6 @@
         """Return the client limits, if the configuration sets any."""
         return self.snapshot.resources.get(CLIENT_LIMITS_KEY)
 
-    @property
-    def requires_keys(self) -> bool:
-        """Return whether requests to routes that are not public need a key."""
-        return bool(self._organisations)
-
     def find_organisation(self, key: bytes) -> Organisation | None:
         """Return the organisation that a key belongs to."""
         return self._organisations.get(digest_key(key))
@@ -211,14 +223,6 @@
         return self._ranks.get(service, ())
 
 
-def _index_organisations(snapshot: Snapshot) -> dict[str, Organisation]:
-    return {
-        digest: organisation
-        for organisation in snapshot.list_kind(ORGANISATION_KIND)
-        for digest in organisation.key_digests
-    }
-
-
 def get_prefix(path: str) -> str:
     """Return the path prefix that a route matches."""
     return path.rstrip("/")
--- a/flamingohead/core/validation.py
+++ b/flamingohead/core/validation.py
@@ -10,6 +10,7 @@
 from flamingohead.core.resources import (
     CLIENT_LIMITS_KEY,
     ORGANISATION_KIND,
+    KeyRequirement,
     Organisation,
     Pool,
     Rank,
@@ -90,7 +91,7 @@
         if key == CLIENT_LIMITS_KEY:
             problems += _check_limits(resource)
             continue
-        if isinstance(resource, Organisation):
+        if isinstance(resource, Organisation | KeyRequirement):
             continue
         if snapshot.get_service(key.service) is None:
             problems.append(
--- a/flamingohead/platform/documents.py
+++ b/flamingohead/platform/documents.py
@@ -12,7 +12,9 @@
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.resources import (
     ANY_METHOD,
+    KEY_REQUIREMENT_KEY,
     ClientLimits,
+    KeyRequirement,
     Organisation,
     Pool,
     Rank,
@@ -112,7 +114,8 @@
     limits: _Limits
     listeners: tuple[_Listener, ...]
     clusters: tuple[_Cluster, ...]
-    tenants: tuple[_Tenant, ...] = ()
+    # Without the field, requests need no key; with an empty list, none is valid.
+    tenants: tuple[_Tenant, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 _DOCUMENT_DECODER = msgspec.json.Decoder(_Document)
@@ -158,7 +161,8 @@
         except DECODING_ERRORS as error:
             detail = describe_decoding_error(error, data, _decode_without_keys)
             return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
-        repeated = _find_repeated(tenant.name for tenant in document.tenants)
+        tenants = document.tenants or ()
+        repeated = _find_repeated(tenant.name for tenant in tenants)
         if repeated is not None:
             detail = f"tenants: found the name {repeated!r} twice, expected it once"
             return Refusal(ErrorKind.INVALID_CONFIGURATION, detail)
@@ -167,6 +171,8 @@
             for section in _list_sections(document)
         }
         resources = dict(itertools.chain.from_iterable(sections.values()))
+        if document.tenants == ():
+            resources[KEY_REQUIREMENT_KEY] = KeyRequirement()
         self._sections = sections
         return Snapshot.build(document.version, resources)
 
@@ -218,9 +224,10 @@
     for cluster in document.clusters:
         yield "", cluster, ()
     yield "", document.limits, ()
-    for tenant in document.tenants:
+    tenants = document.tenants or ()
+    for tenant in tenants:
         yield "", tenant, ()
-    priorities = {tenant.priority for tenant in document.tenants} - {None}
+    priorities = {tenant.priority for tenant in tenants} - {None}
     orders = tuple(sorted(priorities))
     for listener in document.listeners:
         host = listener.host.lower()
--- a/flamingohead/protocol/codec.py
+++ b/flamingohead/protocol/codec.py
@@ -35,6 +35,7 @@
 from flamingohead.core.resources import (
     DEFAULT_MAX_ATTEMPTS,
     ClientLimits,
+    KeyRequirement,
     Organisation,
     Pool,
     Rank,
@@ -60,6 +61,7 @@
     "route",
     "client_limits",
     "organisation",
+    "key_requirement",
 )
 
 
@@ -80,6 +82,8 @@
         return pb.Resource(rank=_encode_rank(resource))
     if isinstance(resource, ClientLimits):
         return pb.Resource(client_limits=pb.ClientLimits(**vars(resource)))
+    if isinstance(resource, KeyRequirement):
+        return pb.Resource(key_requirement=pb.KeyRequirement())
     if isinstance(resource, Organisation):
         return pb.Resource(organisation=pb.Organisation(**vars(resource)))
     return pb.Resource(route=_encode_route(resource))
@@ -134,6 +138,8 @@
             limits.head_timeout_ms,
             limits.idle_timeout_ms,
         )
+    if kind == "key_requirement":
+        return KeyRequirement()
     if kind == "organisation":
         return _decode_organisation(message.organisation)
     raise CodecError("resource of no known kind")
--- a/flamingohead/tests/test_organisations.py
+++ b/flamingohead/tests/test_organisations.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from flamingohead.core.changes import apply_change, compare_resources
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.organisations.identity import identify_organisation
 from flamingohead.core.resources import Organisation, digest_key
@@ -26,7 +27,9 @@
 
 
 def build_table(*tenants, edit=None):
-    document = json.loads(build_document(7, {"/a/": "ledger"}, tenants=list(tenants)))
+    """Return a table; without organisations, the document has no field for them."""
+    changes = {"tenants": list(tenants)} if tenants else {}
+    document = json.loads(build_document(7, {"/a/": "ledger"}, **changes))
     if edit is not None:
         edit(document["listeners"][0]["route-rules"][0])
     snapshot = decode_document(json.dumps(document).encode())
@@ -131,6 +134,59 @@
         assert table.choose_rank(resolved, table.get_organisation("school")).order == 1
 
 
+WITHOUT_KEYS = {**SCHOOL, "api-keys": []}
+# Values of the field with the organisations, and whether requests need a key.
+FIELDS = {
+    "left_out": ({}, False),
+    "empty": ({"tenants": []}, True),
+    "without_keys": ({"tenants": [WITHOUT_KEYS]}, True),
+    "with_keys": ({"tenants": [SHRINE, SCHOOL]}, True),
+}
+
+
+def decode_field(name, version=7):
+    changes, _ = FIELDS[name]
+    document = build_document(version, {"/a/": "ledger"}, public=(), **changes)
+    snapshot = decode_document(document)
+    assert validate_snapshot(snapshot) == []
+    return snapshot
+
+
+class TestKeysRequired:
+    """Guard against requests that run without a valid key once no key is left."""
+
+    @pytest.mark.parametrize("field", FIELDS)
+    def test_keys_are_required_if_the_document_has_organisations(self, field):
+        table = RouteTable(decode_field(field))
+        assert table.requires_keys is FIELDS[field][1]
+        if table.requires_keys:
+            for keys in [(), (b"key-9",)]:
+                assert identify(table, *keys).kind is ErrorKind.API_KEY_UNKNOWN
+
+    @pytest.mark.parametrize("before", FIELDS)
+    @pytest.mark.parametrize("after", FIELDS)
+    def test_next_version_requires_what_its_document_says(self, before, after):
+        replaced = RouteTable(decode_field(before))
+        snapshot = decode_field(after, version=8)
+        assert replaced.build_next(snapshot).requires_keys is FIELDS[after][1]
+        change = compare_resources(replaced.snapshot, snapshot.resources)
+        change = codec.decode_change(codec.encode_change(change))
+        applied = apply_change(replaced.snapshot, change, version=8)
+        assert replaced.build_next(applied).requires_keys is FIELDS[after][1]
+        assert applied.digest == snapshot.digest
+
+    @pytest.mark.parametrize("field", FIELDS)
+    def test_snapshot_of_another_daemon_requires_the_same(self, field):
+        snapshot = decode_field(field)
+        decoded = codec.decode_snapshot(codec.encode_snapshot(snapshot))
+        assert decoded.digest == snapshot.digest
+        assert RouteTable(decoded).requires_keys is FIELDS[field][1]
+
+    def test_public_route_is_open_without_any_key(self):
+        table = build_table(WITHOUT_KEYS, edit=lambda rule: rule.update(public=True))
+        assert identify(table) is None
+
+
 class TestIdentity:
     def test_without_organisations_no_key_is_needed(self):
         assert identify(build_table(), b"key-1") is None
--- a/flamingohead/tests/test_revocation_service.py
+++ b/flamingohead/tests/test_revocation_service.py
@@ -40,7 +40,9 @@
 
 def decode(version, *tenants, **changes):
     routes = changes.pop("routes", {"/a/": "ledger"})
-    document = build_document(version, routes, tenants=list(tenants), **changes)
+    if tenants:
+        changes["tenants"] = list(tenants)
+    document = build_document(version, routes, **changes)
     snapshot = decode_document(document)
     assert not isinstance(snapshot, Refusal), snapshot
     return snapshot
