Follow the source until the calls of a stopping daemon have ended

Cause: services stop in reverse order of their start, so that a stopping daemon ended its feed first, and stayed in the mesh for 2 to 4 s while its calls ended. All that time it vouched for the source in its acknowledgements, and was first in line to notify others.

Change: the feed, the subscription and the confirmations are added before the calls, and so stop after them. The first configuration may now arrive before the listeners are open, and its limits are applied when they are.

--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -100,11 +100,6 @@
     )
     _add_request_services(kernel, settings, generator)
     add_bootstrap(kernel, settings, generator, settings=BOOTSTRAP_SETTINGS)
-    kernel.add("subscription", SubscriptionService(kernel))
-    kernel.add("revocation", RevocationService(kernel, settings.revocation_timeout))
-    kernel.add(
-        "feed", ConfigurationFeed(kernel, derive_timeouts(settings.settle_seconds))
-    )
     kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
     if settings.metrics_address:
         kernel.add("metrics_page", MetricsPage(kernel, settings.metrics_address))
@@ -139,6 +134,13 @@
     )
     kernel.add("slots", slots)
     kernel.add("configuration", ConfigurationService(kernel, dissemination))
+    # Stopped after the calls: until then, other daemons rely on what a subscriber
+    # follows, and callers of this host on its configuration.
+    kernel.add("subscription", SubscriptionService(kernel))
+    kernel.add("revocation", RevocationService(kernel, settings.revocation_timeout))
+    kernel.add(
+        "feed", ConfigurationFeed(kernel, derive_timeouts(settings.settle_seconds))
+    )
     kernel.add("attempts", GroupAttemptService(kernel, placement, budget))
     tolerance = QuotaTolerance(
         settings.quota_window, settings.quota_overage, settings.quota_slack
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -87,6 +87,7 @@
         self._stop_timeout = stop_timeout
         self._splits = WeightedRoundRobin()
         self.is_stopping = False
+        self._client_limits: ClientLimits | None = None
         self._factories: list[HttpServerFactory] = []
         self._ports = []
         self._tasks: dict[asyncio.Task, IncomingRequest] = {}
@@ -118,6 +119,8 @@
             self._factories.append(factory)
             self._ports.append(await listen(factory, host, port))
         self._factories[0].check_head = self._check_head
+        if self._client_limits is not None:
+            self._apply_client_limits(self._client_limits)
         log_event(
             logger,
             Event.CALLER_LIMITS_SET,
@@ -149,7 +152,15 @@
             factory.doStop()
 
     def set_client_limits(self, limits: ClientLimits) -> None:
-        """Apply the request limits of a new configuration to the ingress address."""
+        """Apply the request limits of a new configuration to the ingress address.
+
+        The first configuration may arrive before the listeners are open.
+        """
+        self._client_limits = limits
+        if self._factories:
+            self._apply_client_limits(limits)
+
+    def _apply_client_limits(self, limits: ClientLimits) -> None:
         read = ReadLimits(limits.head_bytes, limits.body_bytes)
         head_timeout = limits.head_timeout_ms / 1000
         self._factories[0].limits = ServerLimits(
--- a/flamingohead/tests/test_subscription_processes.py
+++ b/flamingohead/tests/test_subscription_processes.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import signal
 import time
 
 import pytest
@@ -109,6 +110,40 @@
         assert wait_for_path(remaining, "/killed/x", seconds=IN_FORCE_SECONDS)
 
 
+class TestPlannedStops:
+    """Guard against subscribers that vouch for a source which they no longer ask."""
+
+    SMALL = {"cpu-cores": 1, "cpu-share": 0.43, "link-mbps": 7.0}
+    # The subscribers of a failure domain. They stop at once, and stay in the mesh for
+    # some seconds, since no other host serves their service.
+    SUBSCRIBERS = ("large0", "large1")
+    ROUTES = {"/a/": "ledger", "/b/": "archive"}
+
+    def test_change_is_in_force_while_all_subscribers_stop(self, tmp_path):
+        with HostMesh(tmp_path) as mesh:
+            for name in self.SUBSCRIBERS:
+                mesh.add_host(name, "archive")
+            for number in range(3):
+                mesh.add_host(f"small{number}", "ledger", limits=self.SMALL)
+            hosts = mesh.hosts.values()
+            mesh.write_row("op", "config", build_document(2, self.ROUTES))
+            assert wait_for_path(hosts, "/a/x", seconds=30.0)
+            # Until the daemons have joined, each of them may ask the source itself.
+            time.sleep(2.0)
+            subscribers = [mesh.hosts[name] for name in self.SUBSCRIBERS]
+            deadline = time.monotonic() + 20.0
+            while list_subscribers(mesh) != subscribers:
+                assert time.monotonic() < deadline
+                time.sleep(0.1)
+            for host in subscribers:
+                host.daemon.popen.send_signal(signal.SIGTERM)
+            time.sleep(0.1)
+            routes = {**self.ROUTES, "/stopping/": "ledger"}
+            mesh.write_row("op", "config", build_document(3, routes))
+            remaining = [host for host in hosts if host not in subscribers]
+            assert wait_for_path(remaining, "/stopping/x", seconds=IN_FORCE_SECONDS)
+
+
 class TestSmallLinks:
     # A burst of requests leaves a quarter of a link of 3.5 Mbit/s.
     LINK_BYTES_PER_SECOND = 3.5e6 / 8 / 4
