Let the document arrive over a slow link, one copy at a time

Cause: a read was bounded in total, although what had arrived was lost with it, and requests for it were bounded in rate only.

Change: a read has to start in time and must not stall, as the feed's responses already do, and a read for a missed version joins the one under way.

--- a/flamingohead/platform/feed.py
+++ b/flamingohead/platform/feed.py
@@ -41,6 +41,7 @@
         self._timeouts = timeouts
         self._task: asyncio.Task | None = None
         self._request: asyncio.Task | None = None
+        self._reading: asyncio.Task[StoreVersion | None] | None = None
         self._lacked_history = False
         self._backoff = RetryBackoff(
             random=random.Random(), max_seconds=timeouts.max_backoff_seconds
@@ -62,6 +63,8 @@
     async def stop(self) -> None:
         self._task.cancel()
         self._cancel_request()
+        if self._reading is not None:
+            self._reading.cancel()
 
     async def _run(self) -> None:
         while True:
@@ -73,8 +76,13 @@
             await self._back_off(requested_at)
 
     async def read(self) -> None:
-        """Read the newest configuration once."""
-        await self._read()
+        """Read the newest configuration once, or join a read that is under way.
+
+        Copies of a large document would take each other's share of a slow link.
+        """
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.get_running_loop().create_task(self._read())
+        await asyncio.shield(self._reading)
 
     async def _follow_if_needed(self, version: StoreVersion) -> StoreVersion | None:
         """Follow the row if this daemon needs the source, else wait until it does.
@@ -97,7 +105,7 @@
             "",
             first_key=CONFIGURATION_KEY,
             limit=1,
-            start_timeout=self._timeouts.response_seconds,
+            timeouts=self._timeouts,
         )
         if isinstance(page, Refusal):
             self._record_failure()
--- a/flamingohead/platform/store.py
+++ b/flamingohead/platform/store.py
@@ -30,7 +30,7 @@
 # A response usually takes some milliseconds; a slow store takes 50 times as long.
 REQUEST_TIMEOUT_SECONDS = 2.0
 # A page that arrives over a slow link may take this long, as long as it doesn't stall.
-FEED_TRANSFER_SECONDS = 8.0
+TRANSFER_SECONDS = 8.0
 # A page contains up to 1 MB of rows, a third more in base64, and their keys.
 MAX_PAGE_BYTES = 2 * 1024 * 1024
 # The platform limits objects to 8 MiB.
@@ -104,6 +104,15 @@
 _COMMIT_DECODER = msgspec.json.Decoder(_WireCommit)
 
 
+def _bound_transfer(timeouts: SourceTimeouts) -> dict[str, float]:
+    """Return the limits, in seconds, of a response that may be large."""
+    return {
+        "timeout": timeouts.response_seconds + TRANSFER_SECONDS,
+        "start_timeout": timeouts.response_seconds,
+        "max_stall": timeouts.stall_seconds,
+    }
+
+
 class StoreClient:
     """Send requests to the store; each returns its result or a refusal.
 
@@ -130,17 +139,19 @@
         *,
         first_key: str = "",
         limit: int = MAX_PAGE_ROWS,
-        start_timeout: float = math.inf,
+        timeouts: SourceTimeouts | None = None,
     ) -> RowPage | Refusal:
         """Read a consistent page of rows with keys from ``first_key`` on.
 
-        The response must start within ``start_timeout`` seconds.
+        With ``timeouts``, the response may take long over a slow link if it starts in
+        time and does not stall.
         """
         query = {"table": table, "part": part, "limit": limit}
         if first_key:
             query["from"] = first_key
         path = f"/v1/rows-get?{urlencode(query)}"
-        response = await self._call("GET", path, start_timeout=start_timeout)
+        bounds = {} if timeouts is None else _bound_transfer(timeouts)
+        response = await self._call("GET", path, **bounds)
         if isinstance(response, Refusal):
             return response
         return self._read_page(response)
@@ -159,9 +170,7 @@
         response = await self._call(
             "GET",
             f"/v1/rows-feed?{urlencode(query)}",
-            timeout=timeouts.response_seconds + FEED_TRANSFER_SECONDS,
-            start_timeout=timeouts.response_seconds,
-            max_stall=timeouts.stall_seconds,
+            **_bound_transfer(timeouts),
         )
         if isinstance(response, Refusal):
             return response
