Use an upstream whose predecessor left with a clock that was ahead

Cause: addresses are compared by the times of starts, also with upstreams that are known to have left. Those are passed over now; late messages of the one that left are still ignored, since its own record says so.

--- a/flamingohead/core/upstreams.py
+++ b/flamingohead/core/upstreams.py
@@ -287,7 +287,8 @@
     def _is_superseded(self, announcement: Announcement) -> bool:
         """Return whether an upstream of a later incarnation uses the same address.
 
-        The address is empty for an upstream that left while only its name was known.
+        One that has left uses it no more, and its clock may have been ahead. The
+        address is empty for an upstream that left while only its name was known.
         """
         if not announcement.address:
             return False
@@ -295,6 +296,7 @@
             other.announcement.address == announcement.address
             and other.announcement.name != announcement.name
             and other.announcement.incarnation > announcement.incarnation
+            and other.stage is not UpstreamStage.GONE
             for other in self._records.values()
         )
 
--- a/flamingohead/tests/test_platform_adapter.py
+++ b/flamingohead/tests/test_platform_adapter.py
@@ -639,6 +639,18 @@
         assert registry.announce(self.BEAT, 0.2) == []
         assert registry.get_stage("i-1") is UpstreamStage.GONE
 
+    def test_upstream_after_one_with_a_wrong_clock_is_used(self):
+        # Guards against a server that stays unused because its predecessor, which has
+        # left, had a clock that was an hour ahead.
+        registry = UpstreamRegistry()
+        ahead = replace(self.BEAT, incarnation=3_600_000)
+        registry.announce(ahead, 0.0)
+        registry.end_upstream("i-1", 0.1, incarnation=2000)
+        registry.announce(replace(self.BEAT, name="i-2", incarnation=3000), 0.2)
+        assert registry.get_stage("i-2") is UpstreamStage.READY
+        assert registry.announce(replace(ahead, sequence=8), 0.3) == []
+        assert registry.get_stage("i-1") is UpstreamStage.GONE
+
     def test_late_leave_does_not_end_a_later_upstream_at_its_address(self):
         # Guards against a server that stays unused because its predecessor's leave
         # arrives late, with the time of its arrival.
