Wait for pulls over a full link while other peers are asked

Cause: a pull was bounded by 1 s in total and then begun anew, though what had arrived was lost with it, and often from another small host whose link was full.

Change: a pull may take 5 s. After a second without a reply another one may begin, at a peer of which no reply is awaited: the one that has the version, then the subscribers, on a new connection, as open ones may have gone silent together. Three are under way at most.

--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -29,6 +29,8 @@
 class DisseminationSettings:
     """Configure rates in 1/s, periods in seconds and the number of peers to push to.
 
+    Another pull may begin ``pull_interval`` after one whose reply is still awaited.
+
     Without ``polls_table``, the configuration comes from a source that announces each
     change itself. While that source responds, newer versions are pulled from peers only
     after ``pull_delay``, or after ``subscriber_pull_delay`` by a daemon that relies on
@@ -40,7 +42,8 @@
     minimum_poll_period: float = 0.25
     first_poll_spread: float = 2.0
     unready_poll_period: float = 5.0
-    pull_timeout: float = 2.0
+    pull_interval: float = 2.0
+    sample_period: float = 2.0
     push_fanout: int = 3
     polls_table: bool = True
     pull_delay: float = 0.0
@@ -198,7 +201,7 @@
             return self._read_source(now)
         if now < self._next_pull_at or not candidate.address:
             return []
-        self._next_pull_at = now + self._settings.pull_timeout
+        self._next_pull_at = now + self._settings.pull_interval
         self._pulled_from_version = self.replica.version
         return [PullFromPeer(candidate.address, self.replica.version)]
 
@@ -327,7 +330,7 @@
     def _query_peers(self, now: float) -> list[DisseminationEffect]:
         if now < self._next_sample_at or self._members < 2:
             return []
-        self._next_sample_at = now + self._settings.pull_timeout
+        self._next_sample_at = now + self._settings.sample_period
         return [QueryPeers(SAMPLE_SIZE)]
 
     def _update_readiness(self, now: float) -> list[DisseminationEffect]:
--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -121,6 +121,10 @@
             return []
         return self._domain_members[1:]
 
+    def list_other_subscribers(self) -> list[Member]:
+        """Return the subscribers of the failure domain except this daemon."""
+        return [m for m in self._subscribers if m.host_id != self._host_id]
+
     def choose_check_target(self, now: float) -> str | None:
         """Return the host to check now, or ``None`` if no check is due."""
         targets = self._list_check_targets()
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -74,7 +74,7 @@
 # changes. One daemon sends each change to all others of its failure domain, so that
 # receivers do not forward it.
 DISSEMINATION_SETTINGS = DisseminationSettings(
-    polls_table=False, pull_delay=1.0, push_fanout=0
+    polls_table=False, pull_delay=1.0, pull_interval=1.0, push_fanout=0
 )
 
 
--- a/flamingohead/services/channels.py
+++ b/flamingohead/services/channels.py
@@ -63,10 +63,18 @@
     def __len__(self) -> int:
         return len(self._pooled)
 
-    def acquire(self, address: str) -> PooledChannel:
-        """Return a channel to an address for one call."""
+    def acquire(self, address: str, *, fresh: bool = False) -> PooledChannel:
+        """Return a channel to an address for one call.
+
+        A ``fresh`` one replaces the channel in the pool, whose calls may still end.
+        """
         self.close_idle()
         pooled = self._pooled.pop(address, None)
+        if fresh and pooled is not None:
+            self._retire(pooled)
+            if not pooled.calls:
+                self._close(pooled)
+            pooled = None
         if pooled is None:
             channel = self._open_channel(address)
             pooled = PooledChannel(address, channel, self._clock())
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -40,9 +40,10 @@
 
 TICK_PERIOD_SECONDS = 0.1
 MAX_PUSHED_RECORD_BYTES = 1200
-# A change has to be active within 2 s, which leaves time to try another peer or the
-# source after a pull that timed out.
-PULL_TIMEOUT_SECONDS = 1.0
+# Over a full link, even a small reply takes seconds. What has arrived of it is lost
+# when the call ends, so the call may go on while other peers are asked.
+PULL_TIMEOUT_SECONDS = 5.0
+MAX_PULLS = 3
 # Base versions for which a packed reply is cached, since peers may be at different
 # versions while they pull during a burst of changes.
 MAX_PACKED_REPLIES = 32
@@ -58,6 +59,10 @@
         self._tasks: set[asyncio.Task] = set()
         self._random = random.Random()
         self._pulls = PullAdmission(random=self._random)
+        # Addresses of the peers from which pulls are under way.
+        self._pulled_addresses: set[str] = set()
+        # Returns the peers to pull from besides the one that has the newer version.
+        self.list_pull_sources: Callable[[], list[str]] = list
         self._encoded_snapshot = pb.Snapshot()
         # Packed replies to pulls of the active version, by base version of the peer.
         self._packed_replies: dict[int, pb.PullReply] = {}
@@ -145,8 +150,7 @@
         if isinstance(effect, ReadSource):
             self.read_source()
         elif isinstance(effect, PullFromPeer):
-            self._log_request(effect.address)
-            self._spawn(self._pull(effect))
+            self._start_pull(effect)
         elif isinstance(effect, QueryPeers):
             self._query_peers(effect)
         elif isinstance(effect, PushRecord):
@@ -232,15 +236,26 @@
         if not isinstance(reply, Refusal):
             self.receive_peer_version(address, reply.version)
 
-    async def _pull(self, effect: PullFromPeer) -> None:
+    def _start_pull(self, effect: PullFromPeer) -> None:
+        """Pull from a peer of which no reply is awaited yet, if there is one."""
+        candidates = [effect.address, *self.list_pull_sources()]
+        others = [a for a in candidates if a not in self._pulled_addresses]
+        if not others or len(self._pulled_addresses) >= MAX_PULLS:
+            return
+        # Open connections may have gone silent together with the one in use.
+        is_first = not self._pulled_addresses
+        self._pulled_addresses.add(others[0])
+        self._log_request(others[0])
+        self._spawn(self._pull(others[0], effect.version, fresh=not is_first))
+
+    async def _pull(self, address: str, version: int, *, fresh: bool) -> None:
         retry_at: float | None = None
         requested_at = time.monotonic()
         outcome = "cancelled"
         try:
-            request = pb.PullRequest(version=effect.version, takes_packed=True)
-            peers = self._kernel.get("peers")
-            reply = await peers.call(
-                effect.address, "Pull", request, timeout=PULL_TIMEOUT_SECONDS
+            request = pb.PullRequest(version=version, takes_packed=True)
+            reply = await self._kernel.get("peers").call(
+                address, "Pull", request, timeout=PULL_TIMEOUT_SECONDS, fresh=fresh
             )
             if isinstance(reply, Refusal):
                 outcome = "failed"
@@ -255,19 +270,20 @@
             self._apply_pull_reply(reply)
         except codec.CodecError as error:
             outcome = "malformed"
-            log_event(logger, Event.PULL_MALFORMED, peer=effect.address, error=error)
+            log_event(logger, Event.PULL_MALFORMED, peer=address, error=error)
             self._kernel.get("metrics").count("pull.malformed")
             retry_at = time.monotonic() + 1.0
         finally:
+            self._pulled_addresses.discard(address)
             effects = self._dissemination.record_pull_end(time.monotonic(), retry_at)
             if outcome != "cancelled":
                 self._run(effects)
             log_event(
                 logger,
                 Event.CHANGES_PULLED,
-                peer=effect.address,
+                peer=address,
                 outcome=outcome,
-                base=effect.version,
+                base=version,
                 held=self.replica.version,
                 seconds=round(time.monotonic() - requested_at, 3),
             )
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -56,18 +56,25 @@
     # Outgoing calls
 
     async def call(
-        self, address: str, method: str, request, *, timeout=CALL_TIMEOUT_SECONDS
+        self,
+        address: str,
+        method: str,
+        request,
+        *,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+        fresh: bool = False,
     ):
         """Call a method of a peer; return its reply or a refusal.
 
-        ``timeout`` is in seconds. A reused connection may be dead, so a failure on it
-        does not show that the peer is unreachable: the call is retried once on a new
-        connection. Every method of the service can safely be called twice.
+        ``timeout`` is in seconds, and ``fresh`` forces a new connection. A reused one
+        may be dead, so a failure on it does not show that the peer is unreachable: the
+        call is retried once on a new one. Every method of the service can safely be
+        called twice.
         """
-        pooled = self._channels.acquire(address)
-        fresh = pooled.fresh
+        pooled = self._channels.acquire(address, fresh=fresh)
+        is_fresh = pooled.fresh
         reply = await self._call_once(pooled, method, request, timeout)
-        if isinstance(reply, Refusal) and not fresh:
+        if isinstance(reply, Refusal) and not is_fresh:
             self._kernel.get("metrics").count("peer.reconnected")
             log_event(logger, Event.PEER_RECONNECTED, peer=address, method=method)
             pooled = self._channels.acquire(address)
--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -55,6 +55,7 @@
         configuration = self._kernel.get("configuration")
         configuration.set_source_follower(False)
         configuration.listeners.append(self._push_newest_record)
+        configuration.list_pull_sources = self._list_pull_sources
         self._ticks.start(TICK_PERIOD_SECONDS, now=False)
 
     async def stop(self) -> None:
@@ -74,6 +75,10 @@
         self._is_source_reachable = reached
         self._publish_source_state()
 
+    def _list_pull_sources(self) -> list[str]:
+        members = self._subscription.list_other_subscribers()
+        return [member.peer_address for member in members]
+
     def _push_newest_record(self) -> None:
         """Send the newest change to the members that rely on this daemon."""
         record = self._kernel.get("configuration").replica.source_records.newest
