Call a subscriber before the document is read over a full link

Hosts with full links stayed behind while versions followed each other: datagrams to and from them were dropped, so that they heard of no subscriber for 1.4 s and read the whole document, which filled the link further.

Cause: silence of datagrams alone decided that no subscriber reaches the source, and the fall-back costs more than what it stands in for.

Change: after 0.7 s without an answer a daemon that relies on others calls a subscriber. FetchStatus says whether it reaches the source, and its reply counts like a datagram; an older build does not say so, and the source is read as before. Where no subscriber responds, the source is read after 1.4 s as before.

--- a/flamingohead/core/membership.py
+++ b/flamingohead/core/membership.py
@@ -136,6 +136,11 @@
         """Set the configuration version that datagrams advertise."""
         self._datagrams.version = version
 
+    @property
+    def follows_source(self) -> bool:
+        """Return whether this daemon reaches the configuration source."""
+        return self._datagrams.follows_source
+
     def set_follows_source(self, follows: bool) -> None:
         """Set whether datagrams state that this member follows the source."""
         self._datagrams.follows_source = follows
--- a/flamingohead/core/subscription.py
+++ b/flamingohead/core/subscription.py
@@ -37,6 +37,10 @@
 CHECK_INTERVAL_SECONDS = 0.5
 # Three checks without a response; a change has to take effect within 2 s.
 COVERAGE_TIMEOUT_SECONDS = 1.4
+# Datagrams are dropped where a link is full. A daemon without a response to its checks
+# calls a subscriber this long before it asks the source, whose document would take a
+# larger part of the link than a call.
+CALL_MARGIN_SECONDS = 0.7
 # The same for subscribers, whose long polls may have been lost: after they poll again,
 # the daemons that rely on them still have to be notified in time.
 SUBSCRIBER_CHECK_INTERVAL_SECONDS = 0.25
@@ -69,6 +73,7 @@
         self._domain_members: list[Member] = []
         self._subscribers: list[Member] = []
         self._check_index = 0
+        self._call_index = -1
         self._checked_host_id = ""
         self._has_check_response = True
         self._next_check_at = now
@@ -141,6 +146,15 @@
         self._checked_host_id = targets[self._check_index % len(targets)]
         return self._checked_host_id
 
+    def choose_called_subscriber(self, now: float) -> Member | None:
+        """Return the subscriber to call now, since checks have had no response."""
+        others = self.list_other_subscribers()
+        is_due = now >= self._covered_until - CALL_MARGIN_SECONDS
+        if self.is_subscriber or not others or not is_due:
+            return None
+        self._call_index += 1
+        return others[self._call_index % len(others)]
+
     def _list_check_targets(self) -> list[str]:
         """Return the subscribers before this daemon, or all if it is none."""
         host_ids = [member.host_id for member in self._subscribers]
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -208,9 +208,12 @@
     def build_status_reply(self) -> pb.StatusReply:
         """Return the status of this daemon with its active version."""
         snapshot = self._kernel.get("configuration").replica.snapshot
-        host_id = self._kernel.get("gossip").membership.local_member.host_id
+        membership = self._kernel.get("gossip").membership
         return pb.StatusReply(
-            host_id=host_id, version=snapshot.version, digest=snapshot.digest
+            host_id=membership.local_member.host_id,
+            version=snapshot.version,
+            digest=snapshot.digest,
+            follows_source=membership.follows_source,
         )
 
     async def collect_domain_status(self) -> pb.DomainStatusReply:
--- a/flamingohead/services/subscription.py
+++ b/flamingohead/services/subscription.py
@@ -8,15 +8,17 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from flamingohead.core.errors import Refusal
 from flamingohead.core.messages import Ping
-from flamingohead.core.subscription import Subscription
+from flamingohead.core.subscription import COVERAGE_TIMEOUT_SECONDS, Subscription
 from flamingohead.events import Event, log_event
-from flamingohead.protocol import codec
+from flamingohead.protocol import codec, peers_pb2 as pb
 from flamingohead.services.ticks import PeriodicTimer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingohead.core.members import Member
     from flamingohead.core.messages import Datagram
     from flamingohead.core.versions import VersionRecord
     from flamingohead.kernel import Kernel
@@ -38,6 +40,7 @@
         self._kernel = kernel
         self._subscription: Subscription | None = None
         self._ticks = PeriodicTimer(self._tick)
+        self._call: asyncio.Task | None = None
         self._source_needed = asyncio.Event()
         self._is_source_reachable = False
         self.polls_often = True
@@ -60,6 +63,8 @@
 
     async def stop(self) -> None:
         self._ticks.stop()
+        if self._call is not None:
+            self._call.cancel()
 
     @property
     def needs_source(self) -> bool:
@@ -122,9 +127,35 @@
         host_id = self._subscription.choose_check_target(now)
         if host_id is not None:
             gossip.ping(host_id)
+        self._call_if_unanswered(now)
         self._set_source_needed(self._subscription.needs_source(now))
         self._set_polls_often(self._subscription.polls_often(now))
 
+    def _call_if_unanswered(self, now: float) -> None:
+        """Call a subscriber if the datagrams between it and this daemon may be lost."""
+        if self._call is not None and not self._call.done():
+            return
+        member = self._subscription.choose_called_subscriber(now)
+        if member is not None:
+            loop = asyncio.get_running_loop()
+            self._call = loop.create_task(self._call_subscriber(member))
+
+    async def _call_subscriber(self, member: Member) -> None:
+        self._kernel.get("metrics").count("subscription.called")
+        reply = await self._kernel.get("peers").call(
+            member.peer_address,
+            "FetchStatus",
+            pb.StatusRequest(),
+            timeout=COVERAGE_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, Refusal):
+            return
+        self._subscription.record_heartbeat(
+            member.host_id, is_current=reply.follows_source, now=time.monotonic()
+        )
+        configuration = self._kernel.get("configuration")
+        configuration.receive_peer_version(member.peer_address, reply.version)
+
     def _set_polls_often(self, often: bool) -> None:
         if often == self.polls_often:
             return
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -25,6 +25,7 @@
 from flamingohead.core.messages import Datagram, Ping
 from flamingohead.core.resources import Pool, Rank, Route, Service, Snapshot
 from flamingohead.core.subscription import (
+    CALL_MARGIN_SECONDS,
     CHECK_INTERVAL_SECONDS,
     COVERAGE_TIMEOUT_SECONDS,
     SUBSCRIBER_COVERAGE_TIMEOUT_SECONDS,
@@ -205,6 +206,61 @@
         assert subscription.needs_source(COVERAGE_TIMEOUT_SECONDS)
 
 
+class TestCalls:
+    """Guard against reads of the document over full links, where datagrams are lost."""
+
+    def build(self):
+        subscriptions = build_subscriptions(build_members(39))
+        chosen = list_chosen(subscriptions)
+        name = next(name for name in subscriptions if name not in chosen)
+        return subscriptions[name], [subscriptions[host] for host in chosen]
+
+    def test_call_is_due_before_the_source_is_needed(self):
+        subscription, _ = self.build()
+        due_at = COVERAGE_TIMEOUT_SECONDS - CALL_MARGIN_SECONDS
+        assert subscription.choose_called_subscriber(due_at - 0.01) is None
+        called = {subscription.choose_called_subscriber(due_at) for _ in range(6)}
+        assert called == set(subscription.list_other_subscribers())
+        assert not subscription.needs_source(due_at)
+
+    def test_subscribers_call_nobody(self):
+        _, subscribers = self.build()
+        for subscriber in subscribers:
+            assert subscriber.choose_called_subscriber(60.0) is None
+
+    def test_calls_stand_in_for_datagrams(self):
+        subscription, _ = self.build()
+        for step in range(100):
+            now = step / 10
+            member = subscription.choose_called_subscriber(now)
+            if member is not None:
+                subscription.record_heartbeat(member.host_id, is_current=True, now=now)
+            assert not subscription.needs_source(now)
+
+    @pytest.mark.parametrize("follows_source", [True, False])
+    def test_reply_confirms_the_source_as_a_datagram_does(self, follows_source):
+        subscription, subscribers = self.build()
+        kernel, found = Kernel(), []
+        reply = pb.StatusReply(version=9, follows_source=follows_source)
+
+        async def call(address, method, request, *, timeout):
+            return reply
+
+        kernel.add("peers", SimpleNamespace(call=call))
+        kernel.add("metrics", SimpleNamespace(count=lambda name: None))
+        configuration = SimpleNamespace(
+            receive_peer_version=lambda *arguments: found.append(arguments)
+        )
+        kernel.add("configuration", configuration)
+        service = SubscriptionService(kernel)
+        service._subscription = subscription
+        member = subscription.list_other_subscribers()[0]
+        asyncio.run(service._call_subscriber(member))
+        now = time.monotonic()
+        assert subscription.needs_source(now) is not follows_source
+        assert found == [(member.peer_address, 9)]
+
+
 class TestStandby:
     """Replay the followers behind the first, whose long polls may be lost unnoticed."""
 
