Show the state of a daemon first on its metrics page

The histograms of requests fill them, so that the version in force, the lag of the event loop and the counters of the subscription were missing for all 85 daemons, and the hypotheses about a late configuration could not be told apart.

Gauges come first now, then counters, then histograms. The new gauge version.longest_behind tells how long a daemon knew of a newer version before it used one, which the last lines of a log no longer show.

Tests: test_subscription, test_metrics, test_docs and test_platform_processes pass.

--- a/flamingohead/core/dissemination.py
+++ b/flamingohead/core/dissemination.py
@@ -149,6 +149,10 @@
         self._members = 1
         self._is_source_current = False
         self._behind_since: float | None = None
+        # When a newer version was first heard of, and the longest time from then until
+        # the replica was updated.
+        self._heard_at: float | None = None
+        self.longest_behind = 0.0
         # The newest version that was announced but could not be built yet.
         self._announced: _PeerVersion | None = None
         self._pulled_from_version: int | None = None
@@ -173,10 +177,16 @@
             effects += self._update_readiness(now)
         if version <= self.replica.version:
             return effects
+        self._record_newer(now)
         if self._should_await_source(now):
             return effects
         return [*effects, *self._request_version(_PeerVersion(address, version), now)]
 
+    def _record_newer(self, now: float) -> None:
+        """Record that a version newer than the replica is heard of."""
+        if self._heard_at is None:
+            self._heard_at = now
+
     @property
     def _relies_on_subscribers(self) -> bool:
         """Return whether the source responds and others follow it for this daemon."""
@@ -239,6 +249,7 @@
                 # The change is too large for a notification, or an earlier change was
                 # missed.
                 self._announced = _PeerVersion(sender, record.version)
+                self._record_newer(now)
                 effects += self._request_version(self._announced, now)
         if newest is not None:
             effects += self._activate(now)
@@ -344,6 +355,9 @@
         return [BecomeReady()]
 
     def _activate(self, now: float) -> list[DisseminationEffect]:
+        if self._heard_at is not None:
+            self.longest_behind = max(self.longest_behind, now - self._heard_at)
+        self._heard_at = None
         self._behind_since = None
         self._last_pull_failed = False
         self.rejections.remove_up_to(self.replica.version)
--- a/flamingohead/services/configuration.py
+++ b/flamingohead/services/configuration.py
@@ -178,7 +178,11 @@
         self._packed_replies.clear()
         membership = self._kernel.get("gossip").membership
         membership.set_version(snapshot.version)
-        self._kernel.get("metrics").set_gauge("version", snapshot.version)
+        metrics = self._kernel.get("metrics")
+        metrics.set_gauge("version", snapshot.version)
+        metrics.set_gauge(
+            "version.longest_behind", round(self._dissemination.longest_behind, 3)
+        )
         if self.is_ready:
             self._publish_routes()
         log_event(logger, Event.VERSION_ACTIVATED, version=snapshot.version)
--- a/flamingohead/services/metrics_page.py
+++ b/flamingohead/services/metrics_page.py
@@ -38,18 +38,18 @@
         self._metrics = metrics
 
     def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily]:
-        counters = CounterMetricFamily(
-            "flamingohead_events", "What happened, by name", labels=["name"]
-        )
-        for name, value in self._metrics.counters.items():
-            counters.add_metric([name], value)
-        yield counters
         gauges = GaugeMetricFamily(
             "flamingohead_state", "What is held now, by name", labels=["name"]
         )
         for name, value in self._metrics.gauges.items():
             gauges.add_metric([name], value)
         yield gauges
+        counters = CounterMetricFamily(
+            "flamingohead_events", "What happened, by name", labels=["name"]
+        )
+        for name, value in self._metrics.counters.items():
+            counters.add_metric([name], value)
+        yield counters
 
 
 class MetricsPage(Endpoint):
@@ -59,12 +59,15 @@
         super().__init__(kernel, address)
         self._explainer = PlacementExplainer(kernel)
         self._registry = CollectorRegistry()
+        # Of their own, because the histograms come last: collectors may keep no more
+        # than the beginning of the page.
+        self._histograms = CollectorRegistry()
         self._requests = Histogram(
             "flamingohead_request_seconds",
             "Time of requests of callers until their end",
             ["service", "rank", "outcome"],
             buckets=BUCKETS,
-            registry=self._registry,
+            registry=self._histograms,
         )
         self._series: set[tuple[str, str, str]] = set()
 
@@ -95,4 +98,5 @@
         if request.target != METRICS_PATH:
             response.send(404, [], b"")
             return
-        response.send(200, [CONTENT_TYPE], generate_latest(self._registry))
+        page = generate_latest(self._registry) + generate_latest(self._histograms)
+        response.send(200, [CONTENT_TYPE], page)
--- a/flamingohead/tests/test_platform_processes.py
+++ b/flamingohead/tests/test_platform_processes.py
@@ -194,6 +194,13 @@
         answered = 'outcome="answered",rank="1-500ms",service="archive"'
         assert f"flamingohead_request_seconds_count{{{answered}}}" in text
 
+    def test_state_precedes_the_histograms_that_fill_a_page(self, mesh):
+        # Collectors may keep no more than the beginning of a page.
+        host = mesh.hosts["h0"]
+        call(host, "/archive/", "r-21")
+        text = send_request(host.metrics, "GET", "/metrics")[2].decode()
+        assert text.index('{name="version"}') < text.index("request_seconds")
+
     def test_placement_is_explained_by_a_real_daemon(self, mesh):
         # The page needs services that only a complete daemon has.
         query = f"/placement?host={HOST}&path=/archive/1"
--- a/flamingohead/tests/test_subscription.py
+++ b/flamingohead/tests/test_subscription.py
@@ -649,3 +649,16 @@
         clock[0] += 30.0
         service._tick()
         assert repeated == [130.0]
+
+
+class TestTimeBehind:
+    def test_longest_time_behind_a_newer_version_is_kept(self):
+        dissemination = Dissemination(
+            Replica(build_snapshot(3, "/a/")), random=random.Random(1)
+        )
+        for version, heard_at, held_at in ((4, 10.0, 12.5), (5, 20.0, 20.5)):
+            dissemination.receive_peer_version("peer", version, heard_at)
+            dissemination.receive_peer_version("peer", version, heard_at + 0.1)
+            snapshot = build_snapshot(version, "/a/", f"/{version}/")
+            dissemination.receive_snapshot(snapshot, None, held_at)
+        assert dissemination.longest_behind == 2.5
