Let the receiver decide when large bodies are sent to it

Cause: each of 58 senders judged a link by the bodies that it sends itself, so that together they accepted several times what fits.

The sender of a large body now sends the head and waits. Load reports tell the wait for the link, by which senders choose a host and the daemon that an upload enters refuses it before its body. A lost or paused receiver has not run the request; older builds ask at once, or are counted. The refusal of an incomplete relayed request names its exchange, without which the sender took it for that of another request.

--- a/flamingohead/core/placement.py
+++ b/flamingohead/core/placement.py
@@ -28,9 +28,14 @@
 
 from flamingohead.core.candidates import Candidate, UpstreamKey, list_candidates
 from flamingohead.core.capacity.speeds import Baselines
-from flamingohead.core.capacity.transfers import Link, estimate_transfer, may_arrive
 from flamingohead.core.ejection import OVERLOAD_KINDS, is_server_error
-from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
+from flamingohead.core.transfers.links import (
+    Link,
+    compute_latest_begin,
+    estimate_transfer,
+    may_arrive,
+)
 from flamingohead.core.upstream_views import LoadReport, UpstreamView
 
 if TYPE_CHECKING:
@@ -154,11 +159,15 @@
 
 @dataclass(frozen=True, eq=False)
 class PlacedAttempt:
-    """Represent a request sent to an upstream; ``started_at`` in seconds."""
+    """Represent a request sent to an upstream; ``started_at`` in seconds.
+
+    ``body_bytes`` is the size of a large body that is sent over the links.
+    """
 
     upstream_state: UpstreamView
     rank: str
     started_at: float
+    body_bytes: int = 0
 
 
 class Placement:
@@ -308,15 +317,38 @@
     ) -> Refusal:
         seconds = min(self._estimate_body_time(u, request, now) for u in upstreams)
         detail = f"the body takes {seconds:.2f} s to arrive and be served"
-        # The bodies on their way will have arrived by then.
-        retry_at = now + seconds - (request.deadline - now)
+        # Enough of the bodies on their way will have arrived by then.
+        retry_at = now + min(self._estimate_excess(u, request, now) for u in upstreams)
         return Refusal(ErrorKind.DEADLINE_UNREACHABLE, detail, retry_at)
 
     def _may_arrive(
         self, upstream: UpstreamView, request: PlacementRequest, now: float
     ) -> bool:
+        return self._estimate_excess(upstream, request, now) <= 0
+
+    def _estimate_excess(
+        self, upstream: UpstreamView, request: PlacementRequest, now: float
+    ) -> float:
+        """Return the seconds by which the wait for an upstream is too long."""
         seconds = self._estimate_body_time(upstream, request, now)
-        return may_arrive(seconds, request.deadline, now)
+        excess = -math.inf
+        if not may_arrive(seconds, request.deadline, now):
+            excess = now + seconds - request.deadline
+        if upstream.candidate.host_id == self._host_id:
+            return excess
+        # The receiving host decides by the same bound.
+        needed = request.body_bytes / upstream.link.bytes_per_second
+        needed += self._estimate_service(upstream, request, now)
+        latest_begin = compute_latest_begin(
+            needed, request.deadline, request.target_deadline, now
+        )
+        return max(excess, max(upstream.link.busy_until, now) - latest_begin)
+
+    def _estimate_service(
+        self, upstream: UpstreamView, request: PlacementRequest, now: float
+    ) -> float:
+        baseline = self._baselines.get(request.service, request.rank) or 0.0
+        return baseline * upstream.estimate_relative_latency(request.rank, now)
 
     def _estimate_body_time(
         self, upstream: UpstreamView, request: PlacementRequest, now: float
@@ -356,10 +388,12 @@
         key = candidate.key
         upstream = self._upstream_states.get(key) or UpstreamView(key, candidate, now)
         upstream.in_flight += 1
-        if body_bytes and candidate.host_id != self._host_id:
+        if candidate.host_id == self._host_id:
+            body_bytes = 0
+        if body_bytes:
             upstream.link.add(body_bytes, now)
             self._link.add(body_bytes, now)
-        return PlacedAttempt(upstream, rank, now)
+        return PlacedAttempt(upstream, rank, now, body_bytes)
 
     def finish(
         self,
@@ -372,6 +406,8 @@
         """Record the outcome; without a refusal it is a response with ``status``."""
         upstream = attempt.upstream_state
         upstream.in_flight -= 1
+        if attempt.body_bytes and _is_refused_body(refusal):
+            self._link.remove(attempt.body_bytes)
         if refusal is None:
             failed = is_server_error(status)
         elif refusal.kind in NEUTRAL_KINDS:
@@ -400,6 +436,9 @@
         )
         upstream.reported_at = now
         upstream.limit = load.slots
+        if load.link_wait is not None:
+            # The bodies of all senders, this one included.
+            upstream.link.busy_until = now + load.link_wait
         service = upstream.candidate.service
         if load.times is not None:
             baseline = self._baselines.update(service, rank, load.times.current)
@@ -507,3 +546,8 @@
     if not target:
         return REMOTE_COST
     return min(max(REMOTE_TARGET_FRACTION * target, REMOTE_COST), MAX_REMOTE_COST)
+
+
+def _is_refused_body(refusal: Refusal | None) -> bool:
+    """Return whether a request was refused, most likely before its body was sent."""
+    return refusal is not None and refusal.ran is ExecutionStatus.NO
--- a/flamingohead/core/routing.py
+++ b/flamingohead/core/routing.py
@@ -222,6 +222,10 @@
         """Return the ranks of a service, most urgent first."""
         return self._ranks.get(service, ())
 
+    def find_rank(self, service: str, name: str) -> Rank | None:
+        """Return a rank of a service by its name, or ``None``."""
+        return next((r for r in self.list_ranks(service) if r.name == name), None)
+
 
 def get_prefix(path: str) -> str:
     """Return the path prefix that a route matches."""
--- /dev/null
+++ b/flamingohead/core/transfers/__init__.py
@@ -0,0 +1,1 @@
+"""Transfer of large request bodies between hosts."""
--- a/flamingohead/core/upstream_views.py
+++ b/flamingohead/core/upstream_views.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from flamingohead.core.capacity.speeds import ReportedSpeed
-from flamingohead.core.capacity.transfers import Link
 from flamingohead.core.decay import compute_decay
+from flamingohead.core.transfers.links import Link
 
 if TYPE_CHECKING:
     from flamingohead.core.candidates import Candidate, UpstreamKey
@@ -30,7 +30,8 @@
     served before a new one of the same rank. ``slots`` is the concurrency limit.
     ``held_ms`` is the time for which the request occupied its slot, or ``None`` if it
     had none. ``times`` are the service times that the host expects for the rank; hosts
-    of earlier builds report none.
+    of earlier builds report none. ``link_wait`` is the time in seconds until a large
+    body would begin on the link of the host, or ``None`` if none waits there.
     """
 
     running: int
@@ -38,6 +39,7 @@
     slots: int
     held_ms: float | None = None
     times: ServiceTime | None = None
+    link_wait: float | None = None
 
 
 @dataclass(eq=False)
--- a/flamingohead/events.py
+++ b/flamingohead/events.py
@@ -162,6 +162,9 @@
     BODY_REFUSED = EventKind(
         599, logging.INFO, "request refused before its body was read"
     )
+    BODY_NOT_GRANTED = EventKind(
+        594, logging.INFO, "relayed request refused before its body was sent"
+    )
     UPSTREAM_EJECTED = EventKind(540, logging.WARNING, "upstream ejected")
     UPSTREAM_READMITTED = EventKind(541, logging.INFO, "upstream readmitted")
     WAITING_REFUSED = EventKind(590, logging.INFO, "waiting request refused")
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -83,7 +83,8 @@
     generator = random.Random()
     kernel.add("metrics", MetricsService())
     kernel.add("loop_lag", LoopLagService(kernel))
-    kernel.add("http_client", HttpClientService())
+    link_mbps = round(settings.link_mbps)
+    kernel.add("http_client", HttpClientService(link_mbps=link_mbps))
     kernel.add("eras", EraService(kernel))
     store = StoreClient(kernel, settings.store_address)
     kernel.add("store", store)
@@ -95,7 +96,7 @@
         generator,
         group=MEMBERSHIP_GROUP,
         capacity=settings.capacity,
-        link_mbps=round(settings.link_mbps),
+        link_mbps=link_mbps,
         settings=MEMBERSHIP_SETTINGS,
     )
     _add_request_services(kernel, settings, generator)
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -18,6 +18,7 @@
 from flamingohead.core.splits import WeightedRoundRobin
 from flamingohead.core.stopping import SETTLE_SECONDS, GracefulStop, StopEffect
 from flamingohead.events import Event, log_event
+from flamingohead.services.body_gate import BodyGate
 from flamingohead.services.call_requests import (
     NO_IDENTITY,
     Identity,
@@ -32,6 +33,7 @@
 from flamingohead.services.relay import (
     RELAY_HOME,
     RELAY_LACKS_NESTED,
+    RELAY_RANK,
     RELAY_UPSTREAM,
     build_load_headers,
     read_relayed_call,
@@ -87,6 +89,7 @@
         self._stop_timeout = stop_timeout
         self._splits = WeightedRoundRobin()
         self.is_stopping = False
+        self._body_gate = BodyGate(kernel)
         self._client_limits: ClientLimits | None = None
         self._factories: list[HttpServerFactory] = []
         self._ports = []
@@ -119,6 +122,8 @@
             self._factories.append(factory)
             self._ports.append(await listen(factory, host, port))
         self._factories[0].check_head = self._check_head
+        self._factories[1].body_gate = self._body_gate
+        self._factories[1].build_rejection_headers = self._build_rejection_headers
         if self._client_limits is not None:
             self._apply_client_limits(self._client_limits)
         log_event(
@@ -148,6 +153,7 @@
             )
             await self._run_effects(effects)
             await asyncio.sleep(STOP_POLL_SECONDS)
+        self._body_gate.stop()
         for factory in self._factories:
             factory.doStop()
 
@@ -331,7 +337,11 @@
         if self._steps_back and not attempts.has_upstream(services):
             detail = f"no upstream of {call.service!r}"
             return Refusal(ErrorKind.NO_UPSTREAM, detail)
-        return self._kernel.get("slots").check_stop(call)
+        refusal = self._kernel.get("slots").check_stop(call)
+        if refusal is None and self._steps_back and length and len(services) == 1:
+            # A split route may choose another service for its request.
+            refusal = attempts.check_body(call, length)
+        return refusal
 
     def _identify(
         self, request: IncomingRequest, resolved: ResolvedRoute
@@ -430,11 +440,23 @@
         headers: Headers = []
         load = slots.report_load(upstream, call.rank, held_ms)
         if load is not None:
+            load = replace(load, link_wait=self._body_gate.estimate_wait())
             headers += build_load_headers(load)
         if slots.has_refused_nested_call(call.request_id):
             headers.append((RELAY_LACKS_NESTED, b"yes"))
         return headers
 
+    def _build_rejection_headers(self, request: IncomingRequest) -> Headers:
+        """Return the load of the upstream to which a refused request was relayed."""
+        upstream = (request.get_header(RELAY_UPSTREAM) or b"").decode("latin-1")
+        rank = (request.get_header(RELAY_RANK) or b"").decode("latin-1")
+        load = self._kernel.get("slots").report_load(upstream, rank, None)
+        if load is None:
+            return []
+        return build_load_headers(
+            replace(load, link_wait=self._body_gate.estimate_wait())
+        )
+
     # Calls
 
     async def _serve(self, call: Call, response: ServerResponse) -> None:
--- a/flamingohead/services/group_attempts.py
+++ b/flamingohead/services/group_attempts.py
@@ -14,6 +14,7 @@
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.placement import LoadReport, PlacementRequest
 from flamingohead.core.readiness import ServingReadiness
+from flamingohead.core.transfers.links import MAX_UNSCHEDULED_BYTES
 from flamingohead.events import Event, log_event
 from flamingohead.services.buffered_response import BufferedResponse
 from flamingohead.services.relay import (
@@ -82,6 +83,15 @@
         comparison = self._placement.compare(request, now, max_compared=max_compared)
         return cached, refusal, comparison
 
+    def check_body(self, call: Call, body_bytes: int) -> Refusal | None:
+        """Return a refusal if the body of a new call would arrive too late."""
+        now = time.monotonic()
+        if body_bytes <= MAX_UNSCHEDULED_BYTES:
+            return None
+        return self._placement.check_body(
+            replace(_build_placement_request(call), body_bytes=body_bytes), now
+        )
+
     def has_upstream(self, services: Iterable[str]) -> bool:
         """Return whether one of the services has an upstream, or may still get one."""
         present = self._placement.list_services()
--- a/flamingohead/services/http_client.py
+++ b/flamingohead/services/http_client.py
@@ -12,6 +12,8 @@
 from flamingohead.addresses import split_address
 from flamingohead.core.calls import REQUEST_ID_HEADER
 from flamingohead.core.errors import ErrorKind, Refusal
+from flamingohead.core.transfers.links import Link
+from flamingohead.core.transfers.pacing import Pacer
 from flamingohead.events import Event, log_event
 from flamingohead.services.byte_bounds import ByteBound
 from flamingohead.services.http_connection import ClientConnection
@@ -131,7 +133,7 @@
         self._handle: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        delay = self._connection.progress.expires_at - time.monotonic()
+        delay = self._connection.expires_at - time.monotonic()
         loop = asyncio.get_running_loop()
         self._handle = loop.call_later(max(0.0, delay), self._check)
 
@@ -140,7 +142,7 @@
             self._handle.cancel()
 
     def _check(self) -> None:
-        if time.monotonic() >= self._connection.progress.expires_at:
+        if time.monotonic() >= self._connection.expires_at:
             self._connection.expire()
         else:
             self.start()
@@ -149,9 +151,11 @@
 class HttpClientService:
     """Run exchanges on new and on pooled connections."""
 
-    def __init__(self, connect: Connect = connect) -> None:
+    def __init__(self, connect: Connect = connect, *, link_mbps: int = 0) -> None:
         self._connect_protocol = connect
         self._pool = ConnectionPool()
+        # Shared by all connections of the daemon, and so is the link of its host.
+        self._pacer = Pacer(Link(link_mbps))
 
     async def start(self) -> None:
         pass
@@ -213,7 +217,7 @@
         timeout = min(CONNECT_TIMEOUT_SECONDS, deadline - time.monotonic())
         if timeout <= 0:
             return Refusal(ErrorKind.DEADLINE_PASSED, "no time left to connect")
-        connection = ClientConnection(address)
+        connection = ClientConnection(address, self._pacer)
         try:
             async with asyncio.timeout(timeout):
                 await self._connect_protocol(connection, host, port)
--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -15,10 +15,14 @@
 from flamingohead.core.calls import REQUEST_ID_HEADER
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.response_progress import ResponseProgress
+from flamingohead.core.transfers.pacing import Pacer
 from flamingohead.events import Event, log_event
+from flamingohead.services.body_writer import BodyWriter
 from flamingohead.services.byte_bounds import FramingMeter
 from flamingohead.services.http_messages import (
+    CONTINUE,
     EXCHANGE_HEADER,
+    PACE_HEADER,
     drop_hop_by_hop_headers,
     find_header,
     find_response_fault,
@@ -59,8 +63,13 @@
     ``number`` and ``exchange_count`` identify an exchange in the logs of the process.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, pacer: Pacer | None = None) -> None:
         self.address = address
+        self._pacer = pacer or Pacer()
+        # Set while the receiver has not asked for the body of the request.
+        self._withheld_body = b""
+        self._grant_deadline = math.inf
+        self._writer: BodyWriter | None = None
         self.number = next(_connection_numbers)
         self.exchange_count = 0
         self.idle_until = 0.0
@@ -134,10 +143,34 @@
         self.progress = ResponseProgress(
             request.deadline, request.start_deadline, request.max_stall_seconds
         )
-        self.transport.write(request.encode(self.address))
+        self._writer = None
+        if request.grant_deadline is None:
+            self.transport.write(request.encode(self.address))
+            return
+        self._withheld_body = request.body
+        self._grant_deadline = request.grant_deadline
+        self.transport.write(request.encode_head(self.address))
+
+    @property
+    def expires_at(self) -> float:
+        """Return when the exchange fails unless more of it arrives."""
+        if self._withheld_body:
+            return min(self.progress.expires_at, self._grant_deadline)
+        return self.progress.expires_at
+
+    @property
+    def _is_body_incomplete(self) -> bool:
+        """Return whether the receiver can't have the whole body yet."""
+        if self._withheld_body:
+            return True
+        return self._writer is not None and not self._writer.is_complete
 
     def expire(self) -> None:
         """Fail the exchange because its response is overdue."""
+        if self._is_body_incomplete:
+            detail = "the body was not asked for in time, or not sent completely"
+            self._fail(Refusal(ErrorKind.UPSTREAM_UNREACHABLE, detail))
+            return
         if self.progress.expires_at >= self.progress.deadline:
             detail = "deadline passed"
         elif self.progress.received_at is None:
@@ -151,6 +184,7 @@
         self.is_open = False
         self._sink = None
         self._on_done = None
+        self._stop_body()
         self.transport.abortConnection()
 
     def pause(self) -> None:
@@ -198,6 +232,11 @@
         if self._is_close_delimited and self._sink is not None and closed_cleanly:
             self._finish(reusable=False)
             return
+        if self._is_body_incomplete:
+            # A request is not executed before its body is complete.
+            detail = "connection lost before the body was sent"
+            self._fail(Refusal(ErrorKind.UPSTREAM_UNREACHABLE, detail))
+            return
         detail = "connection lost before the answer ended"
         self._fail(Refusal(ErrorKind.UPSTREAM_CUT, detail))
 
@@ -222,6 +261,8 @@
         if fault is not None:
             self._reject(fault)
         if is_informational_status(self._status):
+            if self._status == CONTINUE and self._withheld_body:
+                self._send_body()
             self._headers = []
             return
         self._in_head = False
@@ -306,9 +347,29 @@
         self._refusal = Refusal(ErrorKind.UPSTREAM_MALFORMED, detail)
         raise ValueError(detail)
 
+    # Body of the request
+
+    def _send_body(self) -> None:
+        """Send the body at the pace that the receiver allows, if it names one."""
+        body, self._withheld_body = self._withheld_body, b""
+        pace = find_header(self._headers, PACE_HEADER) or b""
+        if pace.isdigit() and int(pace) > 0:
+            self._writer = BodyWriter(self._pacer, self.transport, body, int(pace))
+            self._writer.start()
+        else:
+            self.transport.write(body)
+
+    def _stop_body(self) -> None:
+        self._withheld_body = b""
+        if self._writer is not None:
+            self._writer.stop()
+
     # Completion
 
     def _finish(self, *, reusable: bool) -> None:
+        if self._is_body_incomplete:
+            reusable = False
+        self._stop_body()
         sink, self._sink = self._sink, None
         self._has_responded = True
         if self._is_refused and not self._is_id_echoed:
@@ -327,6 +388,7 @@
 
     def _fail(self, refusal: Refusal) -> None:
         self.is_open = False
+        self._stop_body()
         self._sink = None
         self._end(refusal)
         self.transport.abortConnection()
--- a/flamingohead/services/http_messages.py
+++ b/flamingohead/services/http_messages.py
@@ -18,9 +18,12 @@
 SCOPE_PATH = b"/.flamingohead/key-scope"
 # Between daemons: the response echoes the value of the request.
 EXCHANGE_HEADER = b"flamingohead-exchange"
+# Between daemons: bytes per second at which the body that was asked for is to be sent.
+PACE_HEADER = b"flamingohead-pace"
 
 HTTP_VERSIONS = frozenset(("1.0", "1.1"))
 FIRST_STATUS = 100
+CONTINUE = 100
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 LAST_STATUS = 599
@@ -83,6 +86,9 @@
     request id is rejected unless it is the first on its connection: it may be a
     duplicate of the previous response. A response with an id is then also rejected if
     the request has none.
+
+    With a ``grant_deadline``, the body is sent only after the receiver has asked for it
+    (100 Continue), and not at all if it hasn't done so by then.
     """
 
     method: str
@@ -95,9 +101,14 @@
     echoes_request_id: bool = False
     start_deadline: float = math.inf
     max_stall_seconds: float = math.inf
+    grant_deadline: float | None = None
 
     def encode(self, host: str) -> bytes:
         """Return the encoded request; raise ``ValueError`` if it isn't exactly one."""
+        return self.encode_head(host) + self.body
+
+    def encode_head(self, host: str) -> bytes:
+        """Return the encoded head; raise ``ValueError`` if it isn't exactly one."""
         parts = [
             b"%b %b HTTP/1.1\r\nhost: %b\r\n"
             % (self.method.encode(), self.target, self.host or host.encode())
@@ -107,12 +118,14 @@
                 parts.append(b"%b: %b\r\n" % (name, value))
         if self.body or self.method in ("POST", "PUT", "PATCH"):
             parts.append(b"content-length: %d\r\n" % len(self.body))
+        if self.grant_deadline is not None:
+            parts.append(b"expect: 100-continue\r\n")
         parts.append(b"\r\n")
         head = b"".join(parts)
         check_head(head, lines=len(parts) + 1)
         if b" " in self.target:
             raise ValueError(f"space in the target {self.target!r}")
-        return head + self.body
+        return head
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/flamingohead/services/http_parser.py
+++ b/flamingohead/services/http_parser.py
@@ -83,9 +83,9 @@
         return self._request is not None
 
     @property
-    def method(self) -> str:
-        """Return the method of the request being read, or an empty string."""
-        return "" if self._request is None else self._request.method
+    def request(self) -> IncomingRequest | None:
+        """Return the request being read, as far as it has been read."""
+        return self._request
 
     @property
     def held_bytes(self) -> int:
--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -23,7 +23,11 @@
     choose_releases,
     compute_body_bytes,
 )
-from flamingohead.services.http_messages import IncomingRequest
+from flamingohead.services.http_messages import (
+    EXCHANGE_HEADER,
+    PACE_HEADER,
+    IncomingRequest,
+)
 from flamingohead.services.http_parser import ReadLimits, RequestReader
 from flamingohead.services.http_response import ServerResponse
 from flamingohead.services.ticks import PeriodicTimer
@@ -31,6 +35,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from flamingohead.services.body_gate import BodyGate
+    from flamingohead.services.http_messages import Headers
+
 READ_TIMEOUT = 15.0
 IDLE_TIMEOUT_SECONDS = 120.0
 CLOSE_TIMEOUT_SECONDS = 10.0
@@ -86,7 +93,8 @@
         self._pending_bytes = 0
         self._active: deque[ServerResponse] = deque()
         self._rejection: Refusal | None = None
-        self._rejected_method = ""
+        # The request that is being read, as far as it has been read.
+        self._head = IncomingRequest("", b"")
         self._is_rejected = False
         self.is_closing = False
         self.is_write_paused = False
@@ -240,26 +248,54 @@
 
     def _on_begin(self) -> None:
         limits = self._factory.limits
+        self._head = IncomingRequest("", b"")
         self._reader.limits = limits.read
         self._read_deadline = self._factory.clock() + limits.head_timeout
 
     def _on_head(
         self, request: IncomingRequest, length: int | None, expects_continue: bool
     ) -> None:
-        limits = self._factory.limits
-        self._read_deadline = self._factory.clock() + limits.body_timeout
+        factory = self._factory
+        self._read_deadline = factory.clock() + factory.limits.body_timeout
+        self._head = request
+        # Inside another response, the caller would parse it as part of that response.
+        waits = expects_continue and not self._active and not self._pending
         if length != 0:
-            refusal = self._factory.check_head(request, length)
+            refusal = factory.check_head(request, length)
             if refusal is None:
-                refusal = self._factory.check_length(length, self)
+                refusal = factory.check_length(length, self)
+            if refusal is None and factory.body_gate is not None:
+                if waits:
+                    # The gate decides until when the body may begin.
+                    self._read_deadline = math.inf
+                refusal = factory.body_gate.offer(self, request, length, waits=waits)
             if refusal is not None:
                 self._reader.refuse(refusal)
-        # Inside another response, the caller would parse it as part of that response.
-        if expects_continue and not self._active and not self._pending:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if waits and (length == 0 or factory.body_gate is None):
+            self.grant_body()
+
+    def grant_body(self, bytes_per_second: float | None = None) -> None:
+        """Ask for the body of the request, to be sent at a rate if one is given."""
+        factory = self._factory
+        self._read_deadline = factory.clock() + factory.limits.body_timeout
+        pace = b""
+        if bytes_per_second is not None:
+            pace = b"%b: %d\r\n" % (PACE_HEADER, round(bytes_per_second))
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n%b\r\n" % pace)
+
+    def refuse_body(self, refusal: Refusal) -> None:
+        """Refuse the request whose body has not been asked for."""
+        self._reject(refusal)
+        self._start_next()
+
+    def _end_body(self) -> None:
+        """Tell the gate that no body is awaited any more."""
+        if self._factory.body_gate is not None:
+            self._factory.body_gate.end(self)
 
     def _on_request(self, request: IncomingRequest) -> None:
         self._read_deadline = math.inf
+        self._end_body()
         request.received_at = self._factory.clock()
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
             detail = f"over {MAX_PIPELINED_REQUESTS} requests waiting on a connection"
@@ -269,6 +305,7 @@
 
     def _drop_unserved(self) -> None:
         """Discard what has been received of requests that have not been started."""
+        self._end_body()
         self._reader.discard()
         self._pending.clear()
         self._pending_bytes = 0
@@ -276,8 +313,9 @@
 
     def _reject(self, refusal: Refusal) -> None:
         """Refuse the request being read; earlier ones are still served."""
+        self._end_body()
         self._read_deadline = math.inf
-        self._rejected_method = self._reader.method
+        self._head = self._reader.request or self._head
         self._reader.discard()
         self._unparsed = b""
         self._rejection = refusal
@@ -296,11 +334,17 @@
             return
         if not self.is_closing and not self._is_rejected:
             self._is_rejected = True
-            request = IncomingRequest(self._rejected_method, b"", keep_alive=False)
+            # The response to a daemon names the exchange that it belongs to.
+            headers = [h for h in self._head.headers if h[0] == EXCHANGE_HEADER]
+            request = IncomingRequest(self._head.method, b"", headers, keep_alive=False)
             response = ServerResponse(self, request)
+            response.extra_headers = self._build_rejection_headers
             self._active.append(response)
             response.refuse(self._rejection, self._factory.clock())
 
+    def _build_rejection_headers(self) -> Headers:
+        return self._factory.build_rejection_headers(self._head)
+
     def _can_start(self) -> bool:
         if self.is_closing or len(self._active) >= MAX_CONCURRENT_REQUESTS:
             return False
@@ -492,6 +536,11 @@
     """Accept every request before its body."""
 
 
+def _build_no_headers(request: IncomingRequest) -> Headers:
+    """Add no headers to the refusal of a request."""
+    return []
+
+
 def _ignore_relief(relief: Relief, size: int) -> None:
     """Ignore what was done to free memory."""
 
@@ -507,10 +556,12 @@
     Factories that share a budget are listed in each other's ``peers``.
 
     ``check_head`` returns a refusal of a request with a body that can't be served, with
-    the length of the body, ``None`` if it is sent in chunks. ``report`` is called when
-    a request is refused or a connection closed to free memory, with the bytes that the
-    connection held, and ``report_held`` regularly with those of all. Up to
-    ``max_connections`` are open, without a limit if it is 0.
+    the length of the body, ``None`` if it is sent in chunks. ``body_gate`` decides when
+    a body may begin whose sender waits for it, and ``build_rejection_headers`` returns
+    headers for the refusal of a request that was not read completely. ``report`` is
+    called when a request is refused or a connection closed to free memory, with the
+    bytes that the connection held, and ``report_held`` regularly with those of all. Up
+    to ``max_connections`` are open, without a limit if it is 0.
     """
 
     noisy = False
@@ -533,6 +584,10 @@
         self.check_head: Callable[[IncomingRequest, int | None], Refusal | None] = (
             _accept_head
         )
+        self.build_rejection_headers: Callable[[IncomingRequest], Headers] = (
+            _build_no_headers
+        )
+        self.body_gate: BodyGate | None = None
         self.report: Callable[[Relief, int], None] = _ignore_relief
         self.report_held: Callable[[int], None] = _ignore_held
         self._next_relief_at = 0.0
--- a/flamingohead/services/relay.py
+++ b/flamingohead/services/relay.py
@@ -16,6 +16,11 @@
 from flamingohead.core.errors import ErrorKind, ExecutionStatus, Refusal
 from flamingohead.core.idempotency import FIRST_ATTEMPT, UNMARKED
 from flamingohead.core.placement import LoadReport
+from flamingohead.core.transfers.links import (
+    MAX_UNSCHEDULED_BYTES,
+    Link,
+    compute_grant_deadline,
+)
 from flamingohead.services.byte_bounds import MAX_DISCARDED_BYTES, ByteBound
 from flamingohead.services.http_messages import (
     EXCHANGE_HEADER,
@@ -51,6 +56,9 @@
 # Begins the second line of a load report: expected and usual service time, and the time
 # for which the difference is expected to last, in milliseconds.
 SERVICE_TIMES_PREFIX = "times="
+# Begins the line of a load report that tells the wait for the host's link in
+# milliseconds.
+LINK_WAIT_PREFIX = "link="
 RELAY_WAIT = b"flamingohead-wait"
 RELAY_HOST = b"flamingohead-host"
 RELAY_PARENT = b"flamingohead-parent"
@@ -115,7 +123,23 @@
     """Return the request that relays a call to the host of a candidate."""
     upstream = (RELAY_UPSTREAM, candidate.upstream.encode())
     headers = (*_build_headers(call, now), upstream)
-    return OutgoingRequest(call.method, call.target, headers, call.body, call.deadline)
+    grant_deadline = None
+    if call.large_body and len(call.body) > MAX_UNSCHEDULED_BYTES:
+        grant_deadline = compute_grant_deadline(
+            len(call.body),
+            Link(candidate.link_mbps),
+            deadline=call.deadline,
+            target_deadline=call.target_deadline,
+            now=now,
+        )
+    return OutgoingRequest(
+        call.method,
+        call.target,
+        headers,
+        call.body,
+        call.deadline,
+        grant_deadline=grant_deadline,
+    )
 
 
 def convert_to_host_refusal(refusal: Refusal) -> Refusal:
@@ -226,14 +250,17 @@
 def build_load_headers(load: LoadReport) -> Headers:
     """Return the header lines of a load report.
 
-    Service times are sent in a second line of the same name: daemons of earlier builds
-    read the first line only, and remove both.
+    Service times and the wait for the link are sent in further lines of the same name:
+    daemons of earlier builds ignore lines that they don't know, and remove them all.
     """
     headers = [(RELAY_LOAD, encode_load(load))]
     if load.times is not None:
         figures = load.times.current, load.times.usual, load.times.lifetime
         value = ",".join(f"{1000 * seconds:.1f}" for seconds in figures)
         headers.append((RELAY_LOAD, (SERVICE_TIMES_PREFIX + value).encode()))
+    if load.link_wait is not None:
+        value = f"{LINK_WAIT_PREFIX}{1000 * load.link_wait:.1f}"
+        headers.append((RELAY_LOAD, value.encode()))
     return headers
 
 
@@ -248,13 +275,29 @@
         load = LoadReport(int(running), int(waiting), int(slots), held_ms)
     except ValueError:
         return None
-    prefix = SERVICE_TIMES_PREFIX.encode()
     for name, value in headers:
-        if name == RELAY_LOAD and value.startswith(prefix):
-            return _add_service_times(load, value[len(prefix) :].decode("latin-1"))
+        if name == RELAY_LOAD:
+            load = _add_line(load, value.decode("latin-1"))
+    return load
+
+
+def _add_line(load: LoadReport, line: str) -> LoadReport:
+    """Return the report with what one of its further lines tells."""
+    if line.startswith(SERVICE_TIMES_PREFIX):
+        return _add_service_times(load, line.removeprefix(SERVICE_TIMES_PREFIX))
+    if line.startswith(LINK_WAIT_PREFIX):
+        return _add_link_wait(load, line.removeprefix(LINK_WAIT_PREFIX))
     return load
 
 
+def _add_link_wait(load: LoadReport, value: str) -> LoadReport:
+    """Return the report with the wait for the link; without it if it is malformed."""
+    try:
+        return replace(load, link_wait=_read_milliseconds(value) / 1000)
+    except ValueError:
+        return load
+
+
 def _add_service_times(load: LoadReport, value: str) -> LoadReport:
     """Return the report with its service times; without them if they are malformed."""
     try:
--- a/flamingohead/services/slots.py
+++ b/flamingohead/services/slots.py
@@ -226,13 +226,10 @@
         self, upstream_name: str, call: Call, response: ServerResponse
     ) -> Refusal | None:
         """Execute a call on a local upstream; return ``None`` after a response."""
-        upstream = self.upstreams.get(upstream_name)
-        status = None if upstream is None else self.get_status(upstream_name)
-        if self._is_closed or status not in SERVING:
-            return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
-        refusal = self.check_stop(call)
+        refusal = self._check_status(upstream_name) or self.check_stop(call)
         if refusal is not None:
             return refusal
+        upstream = self.upstreams[upstream_name]
         request_id = call.request_id
         self._running[request_id] += 1
         self._organisations[request_id] = call.organisation
@@ -253,6 +250,25 @@
                 del self._organisations[request_id]
                 self._failed_parents.discard(request_id)
 
+    def check(self, upstream_name: str, call: Call) -> Refusal | None:
+        """Return the refusal that ``execute`` would give now, or ``None``."""
+        refusal = self._check_status(upstream_name) or self.check_stop(call)
+        return refusal or self._check(self.upstreams[upstream_name], call)
+
+    def _check_status(self, upstream_name: str) -> Refusal | None:
+        is_known = upstream_name in self.upstreams
+        status = self.get_status(upstream_name) if is_known else None
+        if self._is_closed or status not in SERVING:
+            return Refusal(ErrorKind.DRAINING, f"{upstream_name} takes no new work")
+        return None
+
+    def get_expected_service_time(self, upstream_name: str, rank: str) -> float:
+        """Return the mean service time of a rank in seconds, 0 if it is not known."""
+        upstream = self.upstreams.get(upstream_name)
+        if upstream is None:
+            return 0.0
+        return upstream.admission.get_expected_service_time(rank)
+
     def check_stop(self, call: Call) -> Refusal | None:
         """Return a refusal if a stop of this daemon may abort a call."""
         if self._stop is None:
