Refuse bodies that were overtaken before their senders give up

A body that waits behind more urgent ones was looked at only when it came first. Its sender gave up earlier and took the host for lost, which keeps other requests away from it. And a sender may name a deadline far in the future, for which its place was kept.

The schedule now refuses a body once its latest begin has passed, wherever it stands, with the time at which those ahead will have arrived, and no body waits for more than 10 s.

--- a/flamingohead/core/transfers/schedule.py
+++ b/flamingohead/core/transfers/schedule.py
@@ -26,6 +26,10 @@
 GRANT_LEAD_SECONDS = 0.01
 # A body that is overdue by this time no longer delays others.
 STALL_SECONDS = 0.5
+# Upper bound on the wait of a body, whatever deadline its sender names.
+MAX_WAIT_SECONDS = 10.0
+# A body that has been overtaken may begin this long after its latest begin.
+EXPIRY_SLACK_SECONDS = 0.05
 
 
 class TransferState(Enum):
@@ -42,7 +46,8 @@
 
     ``order`` is that of the rank, the lowest first. The response has to begin by
     ``deadline`` and should begin by ``target_deadline``. ``service_seconds`` is the
-    expected service time. ``ends_at`` is set when the body is granted.
+    expected service time. The schedule sets ``latest_begin`` with the offer and
+    ``ends_at`` with the grant.
     """
 
     body_bytes: int
@@ -51,6 +56,7 @@
     target_deadline: float = math.inf
     service_seconds: float = 0.0
     state: TransferState = TransferState.WAITING
+    latest_begin: float = math.inf
     ends_at: float = math.inf
 
 
@@ -88,7 +94,8 @@
         entry = (transfer.order, transfer.deadline, next(self._sequence), transfer)
         position = bisect.bisect(self._waiting, entry[:3], key=_get_sort_key)
         begins_at = self._estimate_begin(position, now)
-        if begins_at > self._compute_latest_begin(transfer, now):
+        transfer.latest_begin = self._compute_latest_begin(transfer, now)
+        if begins_at > transfer.latest_begin:
             return _refuse(transfer, begins_at, now)
         self._waiting.insert(position, entry)
         return None
@@ -99,18 +106,10 @@
 
     def advance(self, now: float) -> ScheduleResult:
         """Grant the bodies that may begin, and refuse those that are too late."""
-        granted, refused = [], []
-        while self._waiting:
-            transfer = self._waiting[0][-1]
-            seconds = self._estimate_seconds(transfer)
-            if now + seconds + transfer.service_seconds > transfer.deadline:
-                del self._waiting[0]
-                transfer.state = TransferState.ENDED
-                refused.append((transfer, _refuse(transfer, now + seconds, now)))
-                continue
-            if not self._may_begin(now):
-                break
-            del self._waiting[0]
+        refused = self._expire(now)
+        granted = []
+        while self._waiting and self._may_begin(now):
+            transfer = self._waiting.pop(0)[-1]
             self.link.add(transfer.body_bytes, now)
             transfer.state = TransferState.GRANTED
             transfer.ends_at = self.link.busy_until
@@ -134,12 +133,28 @@
         """Return when to advance again, ``None`` if nothing waits."""
         if not self._waiting:
             return None
-        free_at = self.link.busy_until - GRANT_LEAD_SECONDS
-        if free_at > now:
-            return free_at
-        # The window is full; the end of a transfer advances the schedule as well.
-        stalls = [t.ends_at + STALL_SECONDS for t in self._list_counted(now)]
-        return min(stalls, default=now)
+        next_at = self.link.busy_until - GRANT_LEAD_SECONDS
+        if next_at <= now:
+            # The window is full; the end of a transfer advances the schedule as well.
+            stalls = [t.ends_at + STALL_SECONDS for t in self._list_counted(now)]
+            next_at = min(stalls, default=now)
+        latest = min(entry[-1].latest_begin for entry in self._waiting)
+        return min(next_at, latest + EXPIRY_SLACK_SECONDS)
+
+    def _expire(self, now: float) -> list[tuple[Transfer, Refusal]]:
+        """Remove the bodies that more urgent ones have overtaken for too long."""
+        expired = [
+            (position, entry[-1])
+            for position, entry in enumerate(self._waiting)
+            if now >= entry[-1].latest_begin + EXPIRY_SLACK_SECONDS
+        ]
+        refused = [
+            (transfer, _refuse(transfer, self._estimate_begin(position, now), now))
+            for position, transfer in expired
+        ]
+        for _, transfer in expired:
+            self.end(transfer)
+        return refused
 
     def _estimate_begin(self, position: int, now: float) -> float:
         ahead = sum(entry[-1].body_bytes for entry in self._waiting[:position])
@@ -151,9 +166,10 @@
     def _compute_latest_begin(self, transfer: Transfer, now: float) -> float:
         """Return the latest begin with which a body is queued."""
         needed = self._estimate_seconds(transfer) + transfer.service_seconds
-        return compute_latest_begin(
+        latest = compute_latest_begin(
             needed, transfer.deadline, transfer.target_deadline, now
         )
+        return min(latest, now + MAX_WAIT_SECONDS)
 
     def _list_counted(self, now: float) -> list[Transfer]:
         """Return the transfers under way that are not overdue."""
--- a/flamingohead/tests/test_transfer_schedule.py
+++ b/flamingohead/tests/test_transfer_schedule.py
@@ -11,6 +11,8 @@
 from flamingohead.core.transfers.links import Link
 from flamingohead.core.transfers.pacing import PacedBody, Pacer
 from flamingohead.core.transfers.schedule import (
+    EXPIRY_SLACK_SECONDS,
+    MAX_WAIT_SECONDS,
     STALL_SECONDS,
     Transfer,
     TransferSchedule,
@@ -87,11 +89,33 @@
             refused += result.refused
             for transfer in result.granted:
                 schedule.end(transfer)
+        assert schedule.get_next_time(0.6) is None
         ((transfer, refusal),) = refused
         assert transfer is late
         assert refusal.kind is ErrorKind.DEADLINE_UNREACHABLE
         assert all(t.state is TransferState.ENDED for t in urgent)
 
+    def test_body_behind_an_urgent_one_is_refused_in_time(self):
+        schedule = build_schedule()
+        offer(schedule, 0.0, body_bytes=20 * BODY_BYTES, seconds=9.0, order=1)
+        schedule.advance(0.0)
+        offer(schedule, 0.0, body_bytes=20 * BODY_BYTES, seconds=9.0, order=1)
+        late, refusal = offer(schedule, 0.0, seconds=4.5, order=1)
+        assert refusal is None
+        for _ in range(3):
+            offer(schedule, 0.1, body_bytes=20 * BODY_BYTES, seconds=9.0, order=0)
+        schedule.advance(2.0)
+        next_at = schedule.get_next_time(2.1)
+        assert next_at <= late.latest_begin + EXPIRY_SLACK_SECONDS
+        refused = schedule.advance(late.latest_begin + EXPIRY_SLACK_SECONDS).refused
+        assert [transfer for transfer, _ in refused] == [late]
+
+    def test_deadline_of_a_sender_does_not_hold_a_place_for_long(self):
+        schedule = build_schedule()
+        for _ in range(200):
+            offer(schedule, 0.0, seconds=10**6)
+        assert schedule.estimate_wait(0.0) <= MAX_WAIT_SECONDS + 0.2
+
 
 class TestLostSenders:
     def test_sender_that_stalls_does_not_hold_up_others(self):
