Bound what crowds at the host's own endpoints may hold

60 connections at each of ingress, control, ready and metrics took a daemon on a machine of 128 MB to 151 and 162 MB, and 150 silent ones at an endpoint used 176 descriptors where 100 are allowed.

Cause: only the two addresses of the calls had the host's budget and a number of connections. Each endpoint built its server with the default, 48 MiB whatever the host has, and without a bound on connections.

The budget of callers is not shared with them, so that neither can refuse heartbeats and probes or calls for the other. What is dropped is logged and counted by the function that callers' connections use.

--- a/flamingohead/core/memory.py
+++ b/flamingohead/core/memory.py
@@ -35,6 +35,11 @@
 # and the store.
 INGRESS_DESCRIPTOR_SHARE = 0.5
 RELAY_DESCRIPTOR_SHARE = 0.25
+# Bounds of each endpoint for the host's own use: heartbeats, probes and metrics.
+ENDPOINT_BUDGET_BYTES = 2 * MIB
+MAX_ENDPOINT_CONNECTIONS = 64
+MIN_ENDPOINT_CONNECTIONS = 8
+ENDPOINT_DESCRIPTOR_SHARE = 1 / 32
 
 
 class Relief(Enum):
@@ -123,6 +128,14 @@
     )
 
 
+def compute_endpoint_connections(max_descriptors: int) -> int:
+    """Return how many connections each endpoint for the host's own use may hold."""
+    if max_descriptors == 0:
+        return MAX_ENDPOINT_CONNECTIONS
+    share = int(max_descriptors * ENDPOINT_DESCRIPTOR_SHARE)
+    return min(MAX_ENDPOINT_CONNECTIONS, max(MIN_ENDPOINT_CONNECTIONS, share))
+
+
 def compute_body_bytes(size: int) -> int:
     """Return the memory that a request with a body of this size holds."""
     return REQUEST_BYTES + BODY_COPIES * size
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -10,7 +10,11 @@
 from flamingohead.core.dissemination import Dissemination, DisseminationSettings
 from flamingohead.core.following import derive_timeouts
 from flamingohead.core.membership import MembershipSettings
-from flamingohead.core.memory import compute_budget, compute_connection_limits
+from flamingohead.core.memory import (
+    compute_budget,
+    compute_connection_limits,
+    compute_endpoint_connections,
+)
 from flamingohead.core.organisations.allocation import QuotaTolerance
 from flamingohead.core.placement import Placement
 from flamingohead.core.retries import SharedBudgetSettings, SharedRetryBudget
@@ -101,9 +105,16 @@
     )
     _add_request_services(kernel, settings, generator)
     add_bootstrap(kernel, settings, generator, settings=BOOTSTRAP_SETTINGS)
-    kernel.add("ready", ReadyEndpoint(kernel, settings.ready_address))
+    max_connections = _compute_endpoint_connections(settings)
+    kernel.add(
+        "ready",
+        ReadyEndpoint(kernel, settings.ready_address, max_connections=max_connections),
+    )
     if settings.metrics_address:
-        kernel.add("metrics_page", MetricsPage(kernel, settings.metrics_address))
+        page = MetricsPage(
+            kernel, settings.metrics_address, max_connections=max_connections
+        )
+        kernel.add("metrics_page", page)
     kernel.add("watch", SettingsWatcher(kernel, settings, path))
 
 
@@ -114,6 +125,10 @@
     return min(known, default=0)
 
 
+def _compute_endpoint_connections(settings: HostSettings) -> int:
+    return compute_endpoint_connections(_read_max_descriptors(settings.max_descriptors))
+
+
 def _add_request_services(
     kernel: Kernel, settings: HostSettings, generator: random.Random
 ) -> None:
@@ -170,4 +185,9 @@
     kernel.add("departures", DepartureService(kernel, settings.host_id))
     probe = UpstreamProbe(kernel, settings)
     kernel.add("arrivals", ArrivalService(kernel, probe, delay=lifetime))
-    kernel.add("announcements", InstanceEndpoint(kernel, settings.announce_address))
+    endpoint = InstanceEndpoint(
+        kernel,
+        settings.announce_address,
+        max_connections=_compute_endpoint_connections(settings),
+    )
+    kernel.add("announcements", endpoint)
--- a/flamingohead/platform/endpoints.py
+++ b/flamingohead/platform/endpoints.py
@@ -109,8 +109,8 @@
 class InstanceEndpoint(Endpoint):
     """Handle the heartbeats and the leave of the upstream on this host."""
 
-    def __init__(self, kernel: Kernel, address: str) -> None:
-        super().__init__(kernel, address)
+    def __init__(self, kernel: Kernel, address: str, **limits: int) -> None:
+        super().__init__(kernel, address, **limits)
         self._response_tasks: set[asyncio.Task] = set()
 
     def _handle(self, request: IncomingRequest, response: ServerResponse) -> None:
--- a/flamingohead/services/calls.py
+++ b/flamingohead/services/calls.py
@@ -12,7 +12,7 @@
 from flamingohead.core.calls import REQUEST_ID_HEADER, Call
 from flamingohead.core.errors import ErrorKind, Refusal
 from flamingohead.core.idempotency import qualify_refusal
-from flamingohead.core.memory import DEFAULT_BUDGET_BYTES, ByteBudget, Relief
+from flamingohead.core.memory import DEFAULT_BUDGET_BYTES, ByteBudget
 from flamingohead.core.organisations.identity import identify_organisation
 from flamingohead.core.scopes import is_scoped_key
 from flamingohead.core.splits import WeightedRoundRobin
@@ -30,6 +30,7 @@
 from flamingohead.services.http_messages import SCOPE_PATH
 from flamingohead.services.http_parser import ReadLimits
 from flamingohead.services.http_server import HttpServerFactory, ServerLimits
+from flamingohead.services.memory_relief import report_relief
 from flamingohead.services.relay import (
     RELAY_HOME,
     RELAY_LACKS_NESTED,
@@ -41,6 +42,7 @@
 from flamingohead.services.transport import listen
 
 if TYPE_CHECKING:
+    from flamingohead.core.memory import Relief
     from flamingohead.core.resources import ClientLimits
     from flamingohead.core.routing import ResolvedRoute
     from flamingohead.kernel import Kernel
@@ -54,11 +56,6 @@
 # A body up to this size is read before its request is refused, so that the connection
 # stays open; a larger one costs more than a new connection.
 MAX_UNCHECKED_BODY_BYTES = 64 * 1024
-RELIEF_EVENTS = {
-    Relief.REQUEST_REFUSED: Event.REQUEST_REFUSED_FOR_MEMORY,
-    Relief.CONNECTION_CLOSED: Event.CONNECTION_CLOSED_FOR_MEMORY,
-    Relief.CONNECTION_REPLACED: Event.CONNECTION_REPLACED,
-}
 
 
 class CallService:
@@ -180,19 +177,7 @@
         self._kernel.get("metrics").set_gauge("memory.held_bytes", size)
 
     def _report_relief(self, relief: Relief, size: int) -> None:
-        metrics = self._kernel.get("metrics")
-        if relief is Relief.REQUEST_REFUSED:
-            metrics.count("memory.refused")
-        elif relief is Relief.CONNECTION_CLOSED:
-            metrics.count("memory.closed")
-        else:
-            metrics.count("connections.replaced")
-        log_event(
-            logger,
-            RELIEF_EVENTS[relief],
-            connection_bytes=size,
-            held_bytes=self._budget.reserved_bytes,
-        )
+        report_relief(self._kernel.get("metrics"), self._budget, relief, size)
 
     def _compute_exclusive_timeout(self) -> float | None:
         """Return the shortest timeout of the services that only this host serves."""
--- a/flamingohead/services/metrics_page.py
+++ b/flamingohead/services/metrics_page.py
@@ -55,8 +55,8 @@
 class MetricsPage(Endpoint):
     """Serve ``/metrics`` and ``/placement``."""
 
-    def __init__(self, kernel: Kernel, address: str) -> None:
-        super().__init__(kernel, address)
+    def __init__(self, kernel: Kernel, address: str, **limits: int) -> None:
+        super().__init__(kernel, address, **limits)
         self._explainer = PlacementExplainer(kernel)
         self._registry = CollectorRegistry()
         # Of their own, because the histograms come last: collectors may keep no more
