Bound the connections for calls between daemons

150 silent connections at the address of peers used 175 descriptors of a daemon that is allowed 100, so that a crowd there leaves none for callers. Cause: the server of the gRPC library takes any number, and unlike the addresses of calls it had no bound of ours.

The server now holds up to an eighth of max-fds connections; the one that has been open for longest without a call makes room for a new one, which is logged and counted like the others. The library has no setting for it, so the method that it calls for each connection is extended.

--- a/flamingohead/core/memory.py
+++ b/flamingohead/core/memory.py
@@ -35,6 +35,7 @@
 # and the store.
 INGRESS_DESCRIPTOR_SHARE = 0.5
 RELAY_DESCRIPTOR_SHARE = 0.25
+PEER_DESCRIPTOR_SHARE = 1 / 8
 # Bounds of each endpoint for the host's own use: heartbeats, probes and metrics.
 ENDPOINT_BUDGET_BYTES = 2 * MIB
 MAX_ENDPOINT_CONNECTIONS = 64
@@ -128,6 +129,11 @@
     )
 
 
+def compute_peer_connections(max_descriptors: int) -> int:
+    """Return how many connections for calls between daemons a daemon may hold."""
+    return int(max_descriptors * PEER_DESCRIPTOR_SHARE)
+
+
 def compute_endpoint_connections(max_descriptors: int) -> int:
     """Return how many connections each endpoint for the host's own use may hold."""
     if max_descriptors == 0:
--- a/flamingohead/mesh.py
+++ b/flamingohead/mesh.py
@@ -37,12 +37,14 @@
     group: str = "",
     capacity: int = 0,
     link_mbps: int = 0,
+    max_peer_connections: int = 0,
     settings: MembershipSettings = MembershipSettings(),
 ) -> None:
     """Add membership, summaries and calls between daemons.
 
     Without a ``group`` the daemons of each failure domain form a gossip group, in which
-    each keeps a record of every other member.
+    each keeps a record of every other member. Up to ``max_peer_connections`` of other
+    daemons are open, without a bound if it is 0.
     """
     local_member = Member(
         host_id=identity.host_id,
@@ -59,7 +61,10 @@
     kernel.add(
         "summaries", SummaryService(kernel, local_member.gossip_group, random=random)
     )
-    kernel.add("peers", PeersService(kernel, local_member.peer_address))
+    peers = PeersService(
+        kernel, local_member.peer_address, max_connections=max_peer_connections
+    )
+    kernel.add("peers", peers)
 
 
 def add_bootstrap(
--- a/flamingohead/platform/assembly.py
+++ b/flamingohead/platform/assembly.py
@@ -14,6 +14,7 @@
     compute_budget,
     compute_connection_limits,
     compute_endpoint_connections,
+    compute_peer_connections,
 )
 from flamingohead.core.organisations.allocation import QuotaTolerance
 from flamingohead.core.placement import Placement
@@ -101,6 +102,9 @@
         group=MEMBERSHIP_GROUP,
         capacity=settings.capacity,
         link_mbps=link_mbps,
+        max_peer_connections=compute_peer_connections(
+            _read_max_descriptors(settings.max_descriptors)
+        ),
         settings=MEMBERSHIP_SETTINGS,
     )
     _add_request_services(kernel, settings, generator)
--- a/flamingohead/services/memory_relief.py
+++ b/flamingohead/services/memory_relief.py
@@ -22,7 +22,7 @@
 
 
 def report_relief(
-    metrics: MetricsService, budget: ByteBudget, relief: Relief, size: int
+    metrics: MetricsService, budget: ByteBudget | None, relief: Relief, size: int
 ) -> None:
     """Count and log what was done; ``size`` is what the connection held, in bytes."""
     if relief is Relief.REQUEST_REFUSED:
@@ -35,5 +35,5 @@
         logger,
         RELIEF_EVENTS[relief],
         connection_bytes=size,
-        held_bytes=budget.reserved_bytes,
+        held_bytes=0 if budget is None else budget.reserved_bytes,
     )
--- a/flamingohead/services/peers.py
+++ b/flamingohead/services/peers.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import time
 from typing import TYPE_CHECKING
 
-from grpclib.server import Server
-
 from flamingohead.addresses import split_address
 from flamingohead.core.bootstrap import JoinOutcome
 from flamingohead.core.errors import ErrorKind, Refusal
@@ -16,7 +15,9 @@
 from flamingohead.events import Event, log_event
 from flamingohead.protocol import codec, key_codec, peers_pb2 as pb
 from flamingohead.protocol.peers_grpc import PeersBase, PeersStub
+from flamingohead.services.bounded_server import BoundedServer
 from flamingohead.services.channels import ChannelPool, PooledChannel
+from flamingohead.services.memory_relief import report_relief
 from flamingohead.services.message_bounds import limit_messages
 from flamingohead.services.transport import bind
 
@@ -34,17 +35,23 @@
 class PeersService(PeersBase):
     """Serve calls from other daemons, and make calls to them."""
 
-    def __init__(self, kernel: Kernel, address: str) -> None:
+    def __init__(
+        self, kernel: Kernel, address: str, *, max_connections: int = 0
+    ) -> None:
         limit_messages()
+        self._max_connections = max_connections
         self._kernel = kernel
         self._address = address
-        self._server: Server | None = None
+        self._server: BoundedServer | None = None
         self._channels = ChannelPool()
         self._joins = JoinAdmission()
         self._status_poll: asyncio.Task | None = None
 
     async def start(self) -> None:
-        self._server = Server([self])
+        report = functools.partial(report_relief, self._kernel.get("metrics"), None)
+        self._server = BoundedServer(
+            [self], max_connections=self._max_connections, report=report
+        )
         host, port = split_address(self._address)
         await self._server.start(sock=bind(host, port))
 
