Let the soak send uploads to hosts with small links

The receivers decide since when large bodies are sent to them, and the soak sent none. A third of its requests that must not run twice are uploads of 4, 20 or 60 KB now, and the links of its hosts are set to 10 Mbit/s, so that bodies wait for grants while daemons are paused, cut off, killed and stopped. The echo of a body is compared with what was sent.

--- a/flamingohead/testing/hosts.py
+++ b/flamingohead/testing/hosts.py
@@ -62,7 +62,7 @@
     rules = [
         {
             "name": f"r{number}",
-            "kind": "unsafe" if "unsafe" in prefix else "safe",
+            "kind": _get_kind(prefix),
             "target-latency": "500ms",
             "priority": 1,
             "match": {"prefix": prefix},
@@ -97,6 +97,13 @@
     return json.dumps(document).encode()
 
 
+def _get_kind(prefix: str) -> str:
+    """Return the kind of the requests of a route, which its prefix names."""
+    if "upload" in prefix:
+        return "upload"
+    return "unsafe" if "unsafe" in prefix else "safe"
+
+
 def _build_destination(destination: str | dict[str, int]) -> dict[str, object]:
     if isinstance(destination, str):
         return {"service": destination}
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,9 @@
 # Shares of the requests: those that must not be executed twice, and those that are
 # sent on a new connection.
 UNSAFE_SHARE = 0.5
+# Share of the unsafe requests that are uploads, and the sizes of their bodies.
+UPLOAD_SHARE = 0.3
+UPLOAD_BYTES = (4_000, 20_000, 60_000)
 NEW_CONNECTION_SHARE = 0.1
 # Share of the requests of which each upstream is to refuse the first arrivals, their
 # number, and when a duplicate of each refusal is written: never, in front of the
@@ -96,8 +99,18 @@
             self.close_connection()
         safe = self._random.random() >= UNSAFE_SHARE
         service = self._random.choice(self._services)
-        path = f"/{service}/x" if safe else f"/unsafe-{service}/x"
-        self.send(f"{path}?{self._choose_query()}", safe=safe, key=self._choose_key())
+        path, payload = f"/{service}/x", b""
+        if not safe and self._random.random() < UPLOAD_SHARE:
+            path = f"/upload-{service}/x"
+            payload = self._random.randbytes(self._random.choice(UPLOAD_BYTES))
+        elif not safe:
+            path = f"/unsafe-{service}/x"
+        self.send(
+            f"{path}?{self._choose_query()}",
+            safe=safe,
+            key=self._choose_key(),
+            payload=payload,
+        )
         self.stopping.wait(self._random.uniform(0, self.max_interval_seconds))
 
     def _choose_key(self) -> str | None:
@@ -132,8 +145,10 @@
                 fields["silences"] = 1
         return urlencode(fields)
 
-    def send(self, path: str, *, safe: bool, key: str | None = None) -> Outcome:
-        """Send one request and record its outcome."""
+    def send(
+        self, path: str, *, safe: bool, key: str | None = None, payload: bytes = b""
+    ) -> Outcome:
+        """Send one request and record its outcome, without the echo of the payload."""
         self._request_count += 1
         request_id = f"{self._id_prefix}-{self._request_count}"
         headers = {
@@ -148,10 +163,14 @@
         status, body, stamp, timed_out = NO_RESPONSE, b"", "", False
         try:
             connection = self._connection or self._connect()
-            connection.request("GET" if safe else "POST", path, headers=headers)
+            method = "GET" if safe else "POST"
+            connection.request(method, path, body=payload or None, headers=headers)
             response = connection.getresponse()
             body = response.read()
             status, stamp = response.status, response.getheader("Response-Stamp", "")
+            if payload and status == 200:
+                has_echo = body.endswith(payload)
+                body = body[: -len(payload)] if has_echo else b"no echo of the payload"
             if response.will_close:
                 self.close_connection()
         except TimeoutError:
--- a/soak/mesh.py
+++ b/soak/mesh.py
@@ -42,7 +42,11 @@
     "/archive/": "archive",
     "/unsafe-ledger/": "ledger",
     "/unsafe-archive/": "archive",
+    "/upload-ledger/": "ledger",
+    "/upload-archive/": "archive",
 }
+# A body of an upload takes some tens of milliseconds: several wait for the link.
+LINK_MBPS = 10
 
 
 class SoakMesh(HostMesh):
@@ -93,6 +97,7 @@
             upstream=upstream,
             isolated=KEYS in self._parts,
             bounds=bounds,
+            limits={"link-mbps": LINK_MBPS},
         )
         host.listen = listen
         self.start_next_instance(host)
