Let idle connections drop their last request

The head of the request being read is kept for a refusal, which names its exchange. It stayed until the next request began, so that an idle connection held the headers and the body of its last one, which no budget counts. It is dropped with the end of the request now. The test fails without the change.

--- a/flamingohead/services/http_server.py
+++ b/flamingohead/services/http_server.py
@@ -59,6 +59,10 @@
 RELIEF_RETRY_SECONDS = 0.05
 
 
+# Stands for the request of a connection on which none is being read.
+NO_REQUEST = IncomingRequest("", b"")
+
+
 @dataclass(frozen=True)
 class ServerLimits:
     """Limit the size of a request and the seconds in which it must arrive."""
@@ -94,7 +98,7 @@
         self._active: deque[ServerResponse] = deque()
         self._rejection: Refusal | None = None
         # The request that is being read, as far as it has been read.
-        self._head = IncomingRequest("", b"")
+        self._head = NO_REQUEST
         self._is_rejected = False
         self.is_closing = False
         self.is_write_paused = False
@@ -248,7 +252,7 @@
 
     def _on_begin(self) -> None:
         limits = self._factory.limits
-        self._head = IncomingRequest("", b"")
+        self._head = NO_REQUEST
         self._reader.limits = limits.read
         self._read_deadline = self._factory.clock() + limits.head_timeout
 
@@ -295,6 +299,7 @@
 
     def _on_request(self, request: IncomingRequest) -> None:
         self._read_deadline = math.inf
+        self._head = NO_REQUEST
         self._end_body()
         request.received_at = self._factory.clock()
         if len(self._pending) >= MAX_PIPELINED_REQUESTS:
--- a/flamingohead/tests/test_withheld_bodies.py
+++ b/flamingohead/tests/test_withheld_bodies.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import weakref
 
 import pytest
 
@@ -148,3 +149,25 @@
         written = asyncio.run(run())
         assert written.count(b"flamingohead-exchange: e7") == 1
         assert b"HTTP/1.1 400 " in written
+
+
+class TestFinishedRequests:
+    """Guard against memory of finished requests that no budget counts."""
+
+    def test_idle_connection_does_not_keep_its_last_request(self):
+        requests = []
+
+        def handle(request, response):
+            requests.append(weakref.ref(request))
+            response.send(200, [], b"")
+
+        async def run():
+            factory = HttpServerFactory(handle, lambda _: None)
+            transport = FakeTransport(factory.buildProtocol(None))
+            transport.deliver(
+                b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nbody"
+            )
+            await asyncio.sleep(0.01)
+            return [request() for request in requests], transport
+
+        assert asyncio.run(run())[0] == [None]
