Let pooled connections drop the body that they sent

A connection kept the writer of its last paced body until its next exchange, and with it the whole body. Up to 64 connections an address are pooled, and no budget counts what they hold: the twin, on the side of the sender, of the request that idle connections kept.

The writer goes with the end of the body or of the exchange. The new test fails before, since the body is still referenced, and passes now, as do the tests of the client, of uploads and of withheld bodies.

--- a/flamingohead/services/http_connection.py
+++ b/flamingohead/services/http_connection.py
@@ -143,7 +143,6 @@
         self.progress = ResponseProgress(
             request.deadline, request.start_deadline, request.max_stall_seconds
         )
-        self._writer = None
         if request.grant_deadline is None:
             self.transport.write(request.encode(self.address))
             return
@@ -363,6 +362,7 @@
         self._withheld_body = b""
         if self._writer is not None:
             self._writer.stop()
+            self._writer = None
 
     # Completion
 
--- a/flamingohead/tests/test_withheld_bodies.py
+++ b/flamingohead/tests/test_withheld_bodies.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import sys
 import weakref
 
 import pytest
@@ -154,6 +155,20 @@
 class TestFinishedRequests:
     """Guard against memory of finished requests that no budget counts."""
 
+    def test_pooled_connection_does_not_keep_the_body_that_it_sent(self):
+        async def run():
+            exchange = Exchange()
+            exchange.transport.deliver(PACED_CONTINUE)
+            while exchange.sent_body != BODY:
+                await asyncio.sleep(PART_SECONDS)
+            exchange.transport.deliver(RESPONSE)
+            return exchange
+
+        references = sys.getrefcount(BODY)
+        exchange = asyncio.run(run())
+        assert exchange.connection.is_open
+        assert sys.getrefcount(BODY) == references
+
     def test_idle_connection_does_not_keep_its_last_request(self):
         requests = []
 
